--- /dev/null
+++ b/core/blackboard/table.go
@@ -0,0 +1,107 @@
+// Package blackboard holds the versioned tables that controllers read and write.
+package blackboard
+
+import (
+	"maps"
+	"sync"
+)
+
+// Table is a versioned map whose readers are told of changes; its zero value is ready to use.
+type Table[K comparable, V any] struct {
+	mu      sync.Mutex
+	version uint64
+	rows    map[K]V
+	changed chan struct{}
+}
+
+// View is an immutable copy of a table at one version.
+type View[K comparable, V any] struct {
+	// Version grows by one with every change of the table.
+	Version uint64
+	// Rows holds the rows at that version; it must not be written.
+	Rows map[K]V
+}
+
+// Set writes one row.
+func (t *Table[K, V]) Set(key K, row V) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rows := maps.Clone(t.rows)
+	if rows == nil {
+		rows = make(map[K]V)
+	}
+	rows[key] = row
+	t.replace(rows)
+}
+
+// Update replaces one row by what change returns for it; change reports false to leave the row as it is.
+func (t *Table[K, V]) Update(key K, change func(row V, found bool) (V, bool)) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old, found := t.rows[key]
+	row, ok := change(old, found)
+	if !ok {
+		return false
+	}
+	rows := maps.Clone(t.rows)
+	if rows == nil {
+		rows = make(map[K]V)
+	}
+	rows[key] = row
+	t.replace(rows)
+	return true
+}
+
+// Delete removes one row, if it is there.
+func (t *Table[K, V]) Delete(key K) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, found := t.rows[key]; !found {
+		return
+	}
+	rows := maps.Clone(t.rows)
+	delete(rows, key)
+	t.replace(rows)
+}
+
+// Replace writes all rows at once; the caller gives up rows.
+func (t *Table[K, V]) Replace(rows map[K]V) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.replace(rows)
+}
+
+// Get returns one row.
+func (t *Table[K, V]) Get(key K) (V, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row, found := t.rows[key]
+	return row, found
+}
+
+// View returns the rows at their present version without copying them.
+func (t *Table[K, V]) View() View[K, V] {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return View[K, V]{Version: t.version, Rows: t.rows}
+}
+
+// Changed returns a channel that is closed at the next change of the table.
+func (t *Table[K, V]) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.changed == nil {
+		t.changed = make(chan struct{})
+	}
+	return t.changed
+}
+
+// replace puts rows in force and wakes the readers; the caller holds the lock.
+func (t *Table[K, V]) replace(rows map[K]V) {
+	t.rows = rows
+	t.version++
+	if t.changed != nil {
+		close(t.changed)
+		t.changed = nil
+	}
+}
