Add the standin parent command

The stand-ins of engine, service and platform get one command each below it; only the engine's is there yet, and it does nothing so far. Only the build was run.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -38,5 +38,6 @@
 		SilenceUsage:  true,
 	}
 	root.AddCommand(newVersionCommand())
+	root.AddCommand(newStandinCommand())
 	return root
 }
--- /dev/null
+++ b/cmd/standin.go
@@ -0,0 +1,13 @@
+package cmd
+
+import "github.com/spf13/cobra"
+
+// newStandinCommand builds the parent of the commands that run stand-ins for tests and the local run.
+func newStandinCommand() *cobra.Command {
+	standin := &cobra.Command{
+		Use:   "standin",
+		Short: "Run a small stand-in for an engine, a service or the platform",
+	}
+	standin.AddCommand(newStandinEngineCommand())
+	return standin
+}
