Add the platform and service stand-ins and their clients

Cause: the entry needs a store, an instance list and plain services to speak to, and tests need them to fail on order.

The stand-ins' state machines stand apart from their HTTP handlers, so that tests run them in virtual time. Answers can be lost after the effect, calls can be cut after the run, and the instance list and the load report lag. The service runs a call once for each request that it gets.

--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -9,5 +9,7 @@
 		Short: "Run a small stand-in for an engine, a service or the platform",
 	}
 	standin.AddCommand(newStandinEngineCommand())
+	standin.AddCommand(newStandinPlatformCommand())
+	standin.AddCommand(newStandinServiceCommand())
 	return standin
 }
--- /dev/null
+++ b/standin/platform/server.go
@@ -0,0 +1,124 @@
+package platform
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/kataras/iris/v12"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+)
+
+// Bounds of the HTTP server.
+const (
+	readHeaderTimeout = 10 * time.Second
+	shutdownTimeout   = 2 * time.Second
+)
+
+// Server serves the stand-in over HTTP.
+type Server struct {
+	// Address is where Run listens.
+	Address netip.AddrPort
+	// Store holds tables and objects.
+	Store *Store
+	// Instances is the instance list.
+	Instances *Instances
+	// Weights serves model weights.
+	Weights *Weights
+	// Log takes the server's messages.
+	Log zerolog.Logger
+}
+
+// Handler returns the HTTP handler of the stand-in.
+func (s *Server) Handler() (http.Handler, error) {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Post("/v1/tables/transact", s.transact)
+	app.Post("/v1/tables/read", s.read)
+	app.Get("/v1/tables/{table:string}", s.scan)
+	app.Put("/v1/objects/{key:path}", s.putObject)
+	app.Get("/v1/objects/{key:path}", s.getObject)
+	app.Delete("/v1/objects/{key:path}", s.deleteObject)
+	app.Get("/v1/weights/{name:path}", s.weights)
+	app.Get("/v1/instances", s.listInstances)
+	app.Post("/control/instances", s.putInstance)
+	app.Delete("/control/instances/{id:string}", s.removeInstance)
+	app.Post("/control", s.control)
+	app.Get("/control/stats", s.stats)
+	if err := app.Build(); err != nil {
+		return nil, errors.Wrap(err, "build the routes")
+	}
+	return app, nil
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", s.Address.String())
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", s.Address)
+	}
+	return s.Serve(ctx, listener)
+}
+
+// Serve serves on a listener until ctx ends and closes it.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	handler, err := s.Handler()
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	s.Log.Info().Msgf("platform: listening on %s", listener.Addr())
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve")
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		defer cancel()
+		if err := server.Shutdown(bounded); err != nil {
+			return errors.Wrap(server.Close(), "close the server")
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+// fail answers with the status of an error, or cuts the connection when the answer must be lost.
+func fail(c iris.Context, err error) {
+	var conflict *ConflictError
+	switch {
+	case errors.Is(err, ErrAnswerLost):
+		panic(http.ErrAbortHandler)
+	case errors.As(err, &conflict):
+		c.StatusCode(http.StatusConflict)
+		_ = c.JSON(newWireConflicts(conflict))
+	case errors.Is(err, ErrOutage):
+		failWith(c, http.StatusServiceUnavailable, err)
+	case errors.Is(err, ErrThrottled):
+		failWith(c, http.StatusTooManyRequests, err)
+	case errors.Is(err, ErrNotFound):
+		failWith(c, http.StatusNotFound, err)
+	default:
+		failWith(c, http.StatusBadRequest, err)
+	}
+}
+
+// wireError is the body of an answer that refuses.
+type wireError struct {
+	Error string `json:"error"`
+}
+
+// failWith answers with a status and a message.
+func failWith(c iris.Context, status int, err error) {
+	c.StatusCode(status)
+	_ = c.JSON(wireError{Error: err.Error()})
+}
--- /dev/null
+++ b/standin/platform/tables.go
@@ -0,0 +1,128 @@
+package platform
+
+import (
+	"encoding/json"
+
+	"github.com/kataras/iris/v12"
+	"github.com/pkg/errors"
+)
+
+// maxScanRows bounds the rows of one scan.
+const maxScanRows = 1000
+
+// wireTransaction is the body of POST /v1/tables/transact.
+type wireTransaction struct {
+	Token  string      `json:"token"`
+	Writes []wireWrite `json:"writes"`
+}
+
+// wireWrite is one write of a transaction.
+type wireWrite struct {
+	Table     string          `json:"table"`
+	Key       string          `json:"key"`
+	Value     json.RawMessage `json:"value,omitempty"`
+	IfVersion int64           `json:"if_version"`
+	Delete    bool            `json:"delete,omitempty"`
+}
+
+// wireVersions answers an applied transaction.
+type wireVersions struct {
+	Versions []int64 `json:"versions"`
+}
+
+// wireConflicts answers a refused transaction.
+type wireConflicts struct {
+	Conflicts []wireRow `json:"conflicts"`
+}
+
+// wireRowKeys is the body of POST /v1/tables/read.
+type wireRowKeys struct {
+	Rows []wireRowKey `json:"rows"`
+}
+
+// wireRowKey names one row.
+type wireRowKey struct {
+	Table string `json:"table"`
+	Key   string `json:"key"`
+}
+
+// wireRows answers a read or a scan.
+type wireRows struct {
+	Rows []wireRow `json:"rows"`
+}
+
+// wireRow is one row.
+type wireRow struct {
+	Table   string          `json:"table"`
+	Key     string          `json:"key"`
+	Value   json.RawMessage `json:"value,omitempty"`
+	Version int64           `json:"version"`
+}
+
+// newWireConflicts turns a conflict into its body.
+func newWireConflicts(e *ConflictError) wireConflicts {
+	return wireConflicts{Conflicts: newWireRows(e.Rows)}
+}
+
+// newWireRows turns rows into their wire form.
+func newWireRows(rows []Row) []wireRow {
+	wire := make([]wireRow, len(rows))
+	for i, r := range rows {
+		wire[i] = wireRow{Table: r.Key.Table, Key: r.Key.Key, Value: r.Value, Version: r.Version}
+	}
+	return wire
+}
+
+// transact handles POST /v1/tables/transact.
+func (s *Server) transact(c iris.Context) {
+	var body wireTransaction
+	if err := c.ReadJSON(&body); err != nil {
+		fail(c, errors.Wrap(err, "transaction body"))
+		return
+	}
+	writes := make([]Write, len(body.Writes))
+	for i, w := range body.Writes {
+		writes[i] = Write{
+			Key:       RowKey{Table: w.Table, Key: w.Key},
+			Value:     w.Value,
+			IfVersion: w.IfVersion,
+			Delete:    w.Delete,
+		}
+	}
+	versions, err := s.Store.Transact(writes)
+	if err != nil {
+		fail(c, err)
+		return
+	}
+	_ = c.JSON(wireVersions{Versions: versions})
+}
+
+// read handles POST /v1/tables/read.
+func (s *Server) read(c iris.Context) {
+	var body wireRowKeys
+	if err := c.ReadJSON(&body); err != nil {
+		fail(c, errors.Wrap(err, "read body"))
+		return
+	}
+	keys := make([]RowKey, len(body.Rows))
+	for i, k := range body.Rows {
+		keys[i] = RowKey(k)
+	}
+	rows, err := s.Store.Read(keys)
+	if err != nil {
+		fail(c, err)
+		return
+	}
+	_ = c.JSON(wireRows{Rows: newWireRows(rows)})
+}
+
+// scan handles GET /v1/tables/{table}.
+func (s *Server) scan(c iris.Context) {
+	limit := min(c.URLParamIntDefault("limit", maxScanRows), maxScanRows)
+	rows, err := s.Store.Scan(c.Params().Get("table"), c.URLParam("prefix"), c.URLParam("after"), limit)
+	if err != nil {
+		fail(c, err)
+		return
+	}
+	_ = c.JSON(wireRows{Rows: newWireRows(rows)})
+}
