Serve a request end to end by separate processes

An entry authenticates a caller, places the request, reserves at the owner of the endpoint over drpc (rendezvous hashing within the availability zone), runs the attempt on an engine and streams the answer back as server-sent events. Plain-service calls take the same way without a reservation.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -37,7 +37,7 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	root.AddCommand(newVersionCommand())
+	root.AddCommand(newVersionCommand(), newEntryCommand(), newPublishCommand())
 	root.AddCommand(newStandinCommand())
 	return root
 }
--- /dev/null
+++ b/core/blackboard/board.go
@@ -0,0 +1,23 @@
+package blackboard
+
+import (
+	"wisteriadyke/core/declare"
+	"wisteriadyke/core/fleet"
+)
+
+// Board holds the tables of one entry; its zero value is ready to use.
+type Board struct {
+	// Endpoints holds the endpoints of the instance list.
+	Endpoints Table[fleet.EndpointID, fleet.Endpoint]
+	// Entries holds the live entries, this one included.
+	Entries Table[fleet.EntryID, fleet.Entry]
+	// Configuration holds the configuration in force under the only key.
+	Configuration Table[Only, declare.Configuration]
+	// Zones holds the operators' decisions on availability zones.
+	Zones Table[fleet.Zone, declare.ZoneState]
+	// Loads holds the last reported load of endpoints.
+	Loads Table[fleet.EndpointID, fleet.Load]
+}
+
+// Only is the key of a table with one row.
+type Only struct{}
--- /dev/null
+++ b/core/dispatch/call.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import (
+	"time"
+
+	"wisteriadyke/core/fleet"
+)
+
+// Call is one caller's call of a plain service.
+type Call struct {
+	// ID names the call.
+	ID fleet.RequestID
+	// Account is the client account.
+	Account fleet.AccountID
+	// Class is the request class; the plain service knows it as the operation.
+	Class fleet.ClassName
+	// Pool names the plain services that serve the class.
+	Pool fleet.PoolName
+	// AtMostOnce marks a call that may not be repeated.
+	AtMostOnce bool
+	// IdempotencyKey is the caller's key of an at-most-once call.
+	IdempotencyKey string
+	// Body is passed to the plain service as it is.
+	Body []byte
+	// FinishBy is when the answer is due.
+	FinishBy time.Time
+}
+
+// CallResult is the answer of a plain service.
+type CallResult struct {
+	// Body is the answer as the plain service gave it.
+	Body []byte
+	// Repeated tells that an earlier call with the same key got this answer.
+	Repeated bool
+}
+
+// The reasons of failures that callers see.
+const (
+	// ReasonTimeout means that the bound of the class has passed.
+	ReasonTimeout = "timeout"
+	// ReasonNoEndpoint means that no endpoint could take the request.
+	ReasonNoEndpoint = "no_endpoint"
+)
--- /dev/null
+++ b/core/dispatch/ports.go
@@ -0,0 +1,176 @@
+// Package dispatch serves one admitted request: it places it, reserves, runs attempts and passes the answer on.
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/reservation"
+)
+
+// Owners asks the owner of an endpoint, wherever it is; every error that is a refusal is a *reservation.Refusal.
+type Owners interface {
+	// Reserve waits until the owner grants or refuses.
+	Reserve(ctx context.Context, request reservation.Request) (reservation.Grant, error)
+	// Renew reports progress, which keeps the reservation alive.
+	Renew(ctx context.Context, progress reservation.Progress) error
+	// Release gives a reservation back.
+	Release(ctx context.Context, release reservation.Release) error
+}
+
+// Engines runs attempts on model engines.
+type Engines interface {
+	// Generate starts an attempt; an error is an *AttemptError.
+	Generate(ctx context.Context, attempt Attempt) (Stream, error)
+	// Cancel ends an attempt and returns once the endpoint has confirmed it.
+	Cancel(ctx context.Context, endpoint fleet.Endpoint, attempt fleet.AttemptID) error
+}
+
+// Attempt is one try of a request on one model engine.
+type Attempt struct {
+	// Endpoint is the engine.
+	Endpoint fleet.Endpoint
+	// ID names the attempt.
+	ID fleet.AttemptID
+	// Request names the caller's request.
+	Request fleet.RequestID
+	// Grant is the right to run it.
+	Grant reservation.Grant
+	// Prompt is the text to read.
+	Prompt string
+	// MaxTokens bounds the answer.
+	MaxTokens fleet.Tokens
+	// From is the position at which the answer goes on.
+	From fleet.Tokens
+}
+
+// EventKind tells what an engine reports of an attempt.
+type EventKind string
+
+// The kinds of events of an attempt.
+const (
+	// EventStarted means that the engine has taken the attempt.
+	EventStarted EventKind = "started"
+	// EventPrefilled means that the engine has read the prompt.
+	EventPrefilled EventKind = "prefilled"
+	// EventToken carries one piece of the answer.
+	EventToken EventKind = "token"
+	// EventDone ends a whole answer.
+	EventDone EventKind = "done"
+)
+
+// Event is what an engine reports of an attempt.
+type Event struct {
+	// Kind tells what it is.
+	Kind EventKind
+	// Position is the number of tokens generated up to and with this one.
+	Position fleet.Tokens
+	// Text is the piece of the answer.
+	Text string
+	// Cached is the number of prompt tokens that the engine held already.
+	Cached fleet.Tokens
+	// Incarnation is the life of the engine.
+	Incarnation fleet.Incarnation
+}
+
+// Stream yields the events of one attempt in order.
+type Stream interface {
+	// Next waits for the next event; an error is an *AttemptError.
+	Next() (Event, error)
+	// Close ends the stream and its connection.
+	Close() error
+}
+
+// Certainty tells what is known of an attempt that failed.
+type Certainty string
+
+// What can be known of a failed attempt.
+const (
+	// CertainNotRun means that the endpoint surely never took it.
+	CertainNotRun Certainty = "not_run"
+	// CertainRefused means that the endpoint answered with a refusal and did not run it.
+	CertainRefused Certainty = "refused"
+	// Uncertain means that the attempt may have run or may still run.
+	Uncertain Certainty = "uncertain"
+)
+
+// AttemptError is the error of an attempt.
+type AttemptError struct {
+	// Certainty tells what is known of the attempt.
+	Certainty Certainty
+	// Code is the endpoint's code of a refusal, or "".
+	Code string
+	// Err is the cause.
+	Err error
+}
+
+// Error returns the cause.
+func (e *AttemptError) Error() string {
+	return "attempt " + string(e.Certainty) + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *AttemptError) Unwrap() error {
+	return e.Err
+}
+
+// Request is one caller's request to a model.
+type Request struct {
+	// ID names the request.
+	ID fleet.RequestID
+	// Account is the client account that is charged.
+	Account fleet.AccountID
+	// Weight is the account's share.
+	Weight float64
+	// Class is the request class.
+	Class fleet.ClassName
+	// Pool names the engines that serve the class.
+	Pool fleet.PoolName
+	// Priority is that of the class.
+	Priority int
+	// Prompt is the text to read.
+	Prompt string
+	// PromptTokens is the length of the prompt.
+	PromptTokens fleet.Tokens
+	// MaxTokens bounds the answer.
+	MaxTokens fleet.Tokens
+	// StartBy is when the wait for the first token ends.
+	StartBy time.Time
+	// FinishBy is when the whole answer is due.
+	FinishBy time.Time
+}
+
+// Sink takes the answer; an error means that the caller is gone.
+type Sink interface {
+	// Token passes on one piece of the answer.
+	Token(position fleet.Tokens, text string) error
+}
+
+// State is the truth about a request that got no whole answer.
+type State string
+
+// The states of a request that got no whole answer.
+const (
+	// StateNotRun means that nothing of it was run.
+	StateNotRun State = "not_run"
+	// StateFailed means that it ran and failed, or was given up.
+	StateFailed State = "failed"
+	// StateOutcomeUnknown means that it may have taken effect.
+	StateOutcomeUnknown State = "outcome_unknown"
+)
+
+// Failure is the final answer to a request that got no whole answer.
+type Failure struct {
+	// State is the truth about the request.
+	State State
+	// Reason tells why, in a short code.
+	Reason string
+	// RetryAfter is when to come back; zero means never with this request.
+	RetryAfter time.Duration
+}
+
+// Error returns state and reason.
+func (f *Failure) Error() string {
+	return "request " + string(f.State) + ": " + f.Reason
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -96,3 +96,19 @@
 	// SeenAt is when it was last known to be alive.
 	SeenAt time.Time
 }
+
+// Load is what an endpoint or its owner last told of its load.
+type Load struct {
+	// Incarnation is the life of the endpoint.
+	Incarnation Incarnation
+	// Running counts the attempts that run.
+	Running int
+	// Waiting counts the attempts that wait.
+	Waiting int
+	// Used is the memory in use.
+	Used Tokens
+	// Capacity is the whole memory.
+	Capacity Tokens
+	// MeasuredAt is when the figures were true.
+	MeasuredAt time.Time
+}
--- /dev/null
+++ b/core/ownership/rendezvous.go
@@ -0,0 +1,49 @@
+// Package ownership decides which entry owns an endpoint.
+package ownership
+
+import (
+	"hash/fnv"
+
+	"wisteriadyke/core/fleet"
+)
+
+// Rendezvous returns the entry that owns the endpoint among the entries of its availability zone, or "" when
+// there is none. A change of one entry moves only the endpoints of that entry.
+//
+// Source: D. Thaler and C. Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", IEEE/ACM
+// Transactions on Networking 6(1), 1998.
+func Rendezvous(endpoint fleet.Endpoint, entries map[fleet.EntryID]fleet.Entry) fleet.EntryID {
+	var owner fleet.EntryID
+	var best uint64
+	for id, entry := range entries {
+		if entry.Zone != endpoint.Zone || entry.State != fleet.StateLive {
+			continue
+		}
+		score := rendezvousScore(endpoint.ID, id)
+		if owner == "" || score > best || score == best && id < owner {
+			owner, best = id, score
+		}
+	}
+	return owner
+}
+
+// rendezvousScore hashes the pair of an endpoint and an entry.
+func rendezvousScore(endpoint fleet.EndpointID, entry fleet.EntryID) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(endpoint))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(entry))
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of a hash, since FNV leaves the last bytes in the low bits.
+//
+// Source: the finalizer of MurmurHash3 by A. Appleby.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/core/reservation/reservation.go
@@ -0,0 +1,155 @@
+// Package reservation holds the messages between the entry that serves a request and the entry that owns an endpoint.
+package reservation
+
+import (
+	"time"
+
+	"wisteriadyke/core/fleet"
+)
+
+// Request asks the owner of an endpoint for the right to run one attempt there.
+type Request struct {
+	// Endpoint is the endpoint asked for.
+	Endpoint fleet.EndpointID
+	// Request names the caller's request.
+	Request fleet.RequestID
+	// Attempt names this try of it.
+	Attempt fleet.AttemptID
+	// Entry is the entry that will run the attempt.
+	Entry fleet.EntryID
+	// Account is the client account that is charged.
+	Account fleet.AccountID
+	// Class is the request class.
+	Class fleet.ClassName
+	// Weight is the share of the account relative to others; it is positive.
+	Weight float64
+	// Priority orders requests of one account; larger goes first.
+	Priority int
+	// Prompt is the number of prompt tokens to read.
+	Prompt fleet.Tokens
+	// Output is the largest number of tokens to generate.
+	Output fleet.Tokens
+	// Cached is the number of leading prompt tokens that the endpoint may hold already; it is a hint.
+	Cached fleet.Tokens
+	// StartBy is when the wait for the first token ends.
+	StartBy time.Time
+	// FinishBy is when the whole answer is due.
+	FinishBy time.Time
+	// Exclusive asks for the endpoint alone, for a request that is suspected of crashing endpoints.
+	Exclusive bool
+}
+
+// Grant is the right to run one attempt on one endpoint.
+type Grant struct {
+	// Endpoint is the endpoint granted.
+	Endpoint fleet.EndpointID
+	// Reservation names the memory that is held.
+	Reservation fleet.ReservationID
+	// Generation numbers this reservation; a release must name it.
+	Generation fleet.Generation
+	// Fence is the fencing number to send with the attempt.
+	Fence fleet.Fence
+	// Owner is the entry that granted it.
+	Owner fleet.EntryID
+	// Priority is the priority to ask of the engine; larger goes first.
+	Priority int
+	// Lease is how long the grant lasts without progress.
+	Lease time.Duration
+}
+
+// Outcome tells how an attempt ended.
+type Outcome string
+
+// The ways in which an attempt ends.
+const (
+	// OutcomeDone means that the whole answer came.
+	OutcomeDone Outcome = "done"
+	// OutcomeCanceled means that the entry ended the attempt and the endpoint confirmed it.
+	OutcomeCanceled Outcome = "canceled"
+	// OutcomeNotRun means that the endpoint never took the attempt.
+	OutcomeNotRun Outcome = "not_run"
+	// OutcomeBroken means that the connection broke while the attempt ran.
+	OutcomeBroken Outcome = "broken"
+	// OutcomeRefused means that the endpoint refused the attempt.
+	OutcomeRefused Outcome = "refused"
+)
+
+// Release gives back a reservation and reports what the attempt showed of the endpoint.
+type Release struct {
+	// Endpoint is the endpoint that was reserved.
+	Endpoint fleet.EndpointID
+	// Owner is the entry that granted the reservation.
+	Owner fleet.EntryID
+	// Reservation names the reservation.
+	Reservation fleet.ReservationID
+	// Generation must be that of the grant.
+	Generation fleet.Generation
+	// Outcome tells how the attempt ended.
+	Outcome Outcome
+	// Incarnation is the life of the endpoint that answered, or 0.
+	Incarnation fleet.Incarnation
+	// Read is the number of prompt tokens that were read.
+	Read fleet.Tokens
+	// ReadTime is the time from dispatch to the first token.
+	ReadTime time.Duration
+	// Generated is the number of generated tokens.
+	Generated fleet.Tokens
+	// GenerateTime is the time from the first to the last token.
+	GenerateTime time.Duration
+}
+
+// Progress renews a reservation.
+type Progress struct {
+	// Endpoint is the endpoint that was reserved.
+	Endpoint fleet.EndpointID
+	// Owner is the entry that granted the reservation.
+	Owner fleet.EntryID
+	// Reservation names the reservation.
+	Reservation fleet.ReservationID
+	// Generation must be that of the grant.
+	Generation fleet.Generation
+	// Incarnation is the life of the endpoint that answers, or 0.
+	Incarnation fleet.Incarnation
+	// Started tells that the first token has come.
+	Started bool
+	// Position is the number of tokens generated so far.
+	Position fleet.Tokens
+}
+
+// Reason tells why a reservation was refused.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	// ReasonNotOwner means that the asked entry does not own the endpoint.
+	ReasonNotOwner Reason = "not_owner"
+	// ReasonUnknown means that the owner knows no such reservation of that generation.
+	ReasonUnknown Reason = "unknown_reservation"
+	// ReasonLeaving means that the endpoint or its availability zone takes no new work.
+	ReasonLeaving Reason = "leaving"
+	// ReasonTooLate means that the predicted finish is past the bound of the class.
+	ReasonTooLate Reason = "too_late"
+	// ReasonQueueFull means that the bounded queue is full.
+	ReasonQueueFull Reason = "queue_full"
+	// ReasonTooLarge means that the request can never fit the endpoint.
+	ReasonTooLarge Reason = "too_large"
+	// ReasonUnreachable means that the owner could not be asked.
+	ReasonUnreachable Reason = "unreachable"
+	// ReasonResynchronizing means that a new owner still learns what the endpoint runs.
+	ReasonResynchronizing Reason = "resynchronizing"
+)
+
+// Refusal is the error of a reservation that was not granted.
+type Refusal struct {
+	// Reason tells why.
+	Reason Reason
+	// RetryAfter is when to come back; zero means that another endpoint may be tried at once.
+	RetryAfter time.Duration
+	// PredictedStart is when the first token was predicted, or zero.
+	PredictedStart time.Time
+}
+
+// Error returns the reason.
+func (r *Refusal) Error() string {
+	return "reservation refused: " + string(r.Reason)
+}
--- /dev/null
+++ b/io/caller/call.go
@@ -0,0 +1,68 @@
+package caller
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"wisteriadyke/core/dispatch"
+	"wisteriadyke/core/fleet"
+)
+
+// idempotencyHeader names the header that carries the caller's idempotency key.
+const idempotencyHeader = "Idempotency-Key"
+
+// callBody is the JSON form of a call of a plain service.
+type callBody struct {
+	Body json.RawMessage `json:"body"`
+}
+
+// callAnswer is the JSON form of the answer of a plain service.
+type callAnswer struct {
+	RequestID fleet.RequestID `json:"request_id"`
+	Result    json.RawMessage `json:"result"`
+	Repeated  bool            `json:"repeated,omitempty"`
+}
+
+// handleCall serves POST /v1/calls/{class}.
+func (s *Server) handleCall(ctx iris.Context) {
+	configuration, account, ok := s.admitCaller(ctx)
+	if !ok {
+		return
+	}
+	name := fleet.ClassName(ctx.Params().Get("class"))
+	class, found := configuration.Classes[name]
+	if !found || class.Kind != fleet.KindService {
+		writeRefusal(ctx, iris.StatusBadRequest, "unknown_class", fmt.Sprintf("class %q calls no plain service", name))
+		return
+	}
+	key := ctx.GetHeader(idempotencyHeader)
+	if class.AtMostOnce && key == "" {
+		writeRefusal(ctx, iris.StatusBadRequest, "idempotency_key", fmt.Sprintf("class %q needs an %s header", name, idempotencyHeader))
+		return
+	}
+	var body callBody
+	if !readBody(ctx, &body) {
+		return
+	}
+	now := time.Now()
+	call := dispatch.Call{
+		ID:             fleet.RequestID(rand.Text()),
+		Account:        account.Name,
+		Class:          class.Name,
+		Pool:           class.Pool,
+		AtMostOnce:     class.AtMostOnce,
+		IdempotencyKey: key,
+		Body:           body.Body,
+		FinishBy:       now.Add(class.Finish),
+	}
+	result, err := s.Caller.Call(ctx.Request().Context(), call)
+	if err != nil {
+		writeFailure(ctx, call.ID, asFailure(err))
+		return
+	}
+	_ = ctx.JSON(callAnswer{RequestID: call.ID, Result: result.Body, Repeated: result.Repeated})
+}
--- /dev/null
+++ b/io/engine/dispatch.go
@@ -0,0 +1,101 @@
+package engine
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"wisteriadyke/core/dispatch"
+	"wisteriadyke/core/fleet"
+)
+
+// Engines runs the attempts of a dispatcher on engines.
+type Engines struct {
+	// HTTP carries the calls; its transport should come from NewTransport and it should have no timeout.
+	HTTP *http.Client
+}
+
+// Generate starts an attempt; an error is a *dispatch.AttemptError.
+func (e *Engines) Generate(ctx context.Context, attempt dispatch.Attempt) (dispatch.Stream, error) {
+	stream, err := e.client(attempt.Endpoint).Generate(ctx, Request{
+		RequestID:     attempt.Request,
+		AttemptID:     attempt.ID,
+		ReservationID: string(attempt.Grant.Reservation),
+		Generation:    uint64(attempt.Grant.Generation),
+		Fence:         attempt.Grant.Fence,
+		Owner:         attempt.Grant.Owner,
+		Priority:      attempt.Grant.Priority,
+		Prompt:        attempt.Prompt,
+		MaxTokens:     attempt.MaxTokens,
+		FirstToken:    attempt.From,
+	})
+	if err != nil {
+		return nil, attemptError(err, true)
+	}
+	return &dispatchStream{stream: stream}, nil
+}
+
+// Cancel ends an attempt; an attempt that the engine does not know has ended already.
+func (e *Engines) Cancel(ctx context.Context, endpoint fleet.Endpoint, attempt fleet.AttemptID) error {
+	err := e.client(endpoint).Cancel(ctx, attempt)
+	if err == nil || CodeOf(err) == CodeUnknownAttempt {
+		return nil
+	}
+	return attemptError(err, false)
+}
+
+// client returns the client of one engine.
+func (e *Engines) client(endpoint fleet.Endpoint) *Client {
+	return &Client{Endpoint: endpoint.ID, Address: endpoint.Address, HTTP: e.HTTP}
+}
+
+// dispatchStream turns the events of an engine into those of a dispatcher.
+type dispatchStream struct {
+	stream *Stream
+}
+
+// Next waits for the next event; an error is a *dispatch.AttemptError.
+func (s *dispatchStream) Next() (dispatch.Event, error) {
+	event, err := s.stream.Next()
+	if errors.Is(err, io.EOF) {
+		return dispatch.Event{}, err
+	}
+	if err != nil {
+		return dispatch.Event{}, attemptError(err, false)
+	}
+	return dispatch.Event{
+		Kind:        eventKinds[event.Type],
+		Position:    event.Position + 1,
+		Text:        event.Text,
+		Cached:      event.CachedTokens,
+		Incarnation: event.Incarnation,
+	}, nil
+}
+
+// Close ends the stream.
+func (s *dispatchStream) Close() error {
+	return s.stream.Close()
+}
+
+// eventKinds maps the types of events to those of a dispatcher.
+var eventKinds = map[EventType]dispatch.EventKind{
+	EventStarted:   dispatch.EventStarted,
+	EventPrefilled: dispatch.EventPrefilled,
+	EventToken:     dispatch.EventToken,
+	EventDone:      dispatch.EventDone,
+}
+
+// attemptError turns an error of this layer into one of the dispatcher's.
+func attemptError(err error, starting bool) *dispatch.AttemptError {
+	code := CodeOf(err)
+	certainty := dispatch.Uncertain
+	switch {
+	case CertainlyNotRun(err) && code == CodeUnreachable:
+		certainty = dispatch.CertainNotRun
+	case CertainlyNotRun(err) && starting:
+		certainty = dispatch.CertainRefused
+	}
+	return &dispatch.AttemptError{Certainty: certainty, Code: string(code), Err: err}
+}
--- /dev/null
+++ b/io/peer/convert.go
@@ -0,0 +1,159 @@
+package peer
+
+import (
+	"time"
+
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/reservation"
+)
+
+// toReserveRequest turns a reservation request into its message.
+func toReserveRequest(r reservation.Request, now time.Time) *ReserveRequest {
+	return &ReserveRequest{
+		Endpoint:       string(r.Endpoint),
+		Request:        string(r.Request),
+		Attempt:        string(r.Attempt),
+		Entry:          string(r.Entry),
+		Account:        string(r.Account),
+		Class:          string(r.Class),
+		Weight:         r.Weight,
+		Priority:       int64(r.Priority),
+		PromptTokens:   int64(r.Prompt),
+		OutputTokens:   int64(r.Output),
+		CachedTokens:   int64(r.Cached),
+		StartWithinUs:  r.StartBy.Sub(now).Microseconds(),
+		FinishWithinUs: r.FinishBy.Sub(now).Microseconds(),
+		Exclusive:      r.Exclusive,
+	}
+}
+
+// fromReserveRequest turns the message into a reservation request.
+func fromReserveRequest(m *ReserveRequest, now time.Time) reservation.Request {
+	return reservation.Request{
+		Endpoint:  fleet.EndpointID(m.Endpoint),
+		Request:   fleet.RequestID(m.Request),
+		Attempt:   fleet.AttemptID(m.Attempt),
+		Entry:     fleet.EntryID(m.Entry),
+		Account:   fleet.AccountID(m.Account),
+		Class:     fleet.ClassName(m.Class),
+		Weight:    m.Weight,
+		Priority:  int(m.Priority),
+		Prompt:    fleet.Tokens(m.PromptTokens),
+		Output:    fleet.Tokens(m.OutputTokens),
+		Cached:    fleet.Tokens(m.CachedTokens),
+		StartBy:   now.Add(microseconds(m.StartWithinUs)),
+		FinishBy:  now.Add(microseconds(m.FinishWithinUs)),
+		Exclusive: m.Exclusive,
+	}
+}
+
+// toReserveReply turns a grant into its message.
+func toReserveReply(g reservation.Grant) *ReserveReply {
+	return &ReserveReply{
+		Reservation: string(g.Reservation),
+		Generation:  uint64(g.Generation),
+		Fence:       uint64(g.Fence),
+		Owner:       string(g.Owner),
+		Priority:    int64(g.Priority),
+		LeaseUs:     g.Lease.Microseconds(),
+	}
+}
+
+// fromReserveReply turns the message into a grant or a refusal.
+func fromReserveReply(endpoint fleet.EndpointID, m *ReserveReply, now time.Time) (reservation.Grant, error) {
+	if m.Refusal != nil {
+		return reservation.Grant{}, fromRefusal(m.Refusal, now)
+	}
+	return reservation.Grant{
+		Endpoint:    endpoint,
+		Reservation: fleet.ReservationID(m.Reservation),
+		Generation:  fleet.Generation(m.Generation),
+		Fence:       fleet.Fence(m.Fence),
+		Owner:       fleet.EntryID(m.Owner),
+		Priority:    int(m.Priority),
+		Lease:       microseconds(m.LeaseUs),
+	}, nil
+}
+
+// toRefusal turns a refusal into its message.
+func toRefusal(r *reservation.Refusal, now time.Time) *Refusal {
+	m := &Refusal{
+		Reason:       string(r.Reason),
+		RetryAfterUs: r.RetryAfter.Microseconds(),
+	}
+	if !r.PredictedStart.IsZero() {
+		m.PredictedStartWithinUs = r.PredictedStart.Sub(now).Microseconds()
+	}
+	return m
+}
+
+// fromRefusal turns the message into a refusal.
+func fromRefusal(m *Refusal, now time.Time) *reservation.Refusal {
+	r := &reservation.Refusal{
+		Reason:     reservation.Reason(m.Reason),
+		RetryAfter: microseconds(m.RetryAfterUs),
+	}
+	if m.PredictedStartWithinUs != 0 {
+		r.PredictedStart = now.Add(microseconds(m.PredictedStartWithinUs))
+	}
+	return r
+}
+
+// toRenewRequest turns progress into its message.
+func toRenewRequest(p reservation.Progress) *RenewRequest {
+	return &RenewRequest{
+		Endpoint:    string(p.Endpoint),
+		Reservation: string(p.Reservation),
+		Generation:  uint64(p.Generation),
+		Incarnation: uint64(p.Incarnation),
+		Started:     p.Started,
+		Position:    int64(p.Position),
+	}
+}
+
+// fromRenewRequest turns the message into progress.
+func fromRenewRequest(m *RenewRequest) reservation.Progress {
+	return reservation.Progress{
+		Endpoint:    fleet.EndpointID(m.Endpoint),
+		Reservation: fleet.ReservationID(m.Reservation),
+		Generation:  fleet.Generation(m.Generation),
+		Incarnation: fleet.Incarnation(m.Incarnation),
+		Started:     m.Started,
+		Position:    fleet.Tokens(m.Position),
+	}
+}
+
+// toReleaseRequest turns a release into its message.
+func toReleaseRequest(r reservation.Release) *ReleaseRequest {
+	return &ReleaseRequest{
+		Endpoint:        string(r.Endpoint),
+		Reservation:     string(r.Reservation),
+		Generation:      uint64(r.Generation),
+		Outcome:         string(r.Outcome),
+		Incarnation:     uint64(r.Incarnation),
+		ReadTokens:      int64(r.Read),
+		ReadTimeUs:      r.ReadTime.Microseconds(),
+		GeneratedTokens: int64(r.Generated),
+		GenerateTimeUs:  r.GenerateTime.Microseconds(),
+	}
+}
+
+// fromReleaseRequest turns the message into a release.
+func fromReleaseRequest(m *ReleaseRequest) reservation.Release {
+	return reservation.Release{
+		Endpoint:     fleet.EndpointID(m.Endpoint),
+		Reservation:  fleet.ReservationID(m.Reservation),
+		Generation:   fleet.Generation(m.Generation),
+		Outcome:      reservation.Outcome(m.Outcome),
+		Incarnation:  fleet.Incarnation(m.Incarnation),
+		Read:         fleet.Tokens(m.ReadTokens),
+		ReadTime:     microseconds(m.ReadTimeUs),
+		Generated:    fleet.Tokens(m.GeneratedTokens),
+		GenerateTime: microseconds(m.GenerateTimeUs),
+	}
+}
+
+// microseconds turns a count of microseconds into a duration.
+func microseconds(count int64) time.Duration {
+	return time.Duration(count) * time.Microsecond
+}
