Add the model engine stand-in and its client

Entries need an engine to route to. The batch is a state machine driven by explicit times; the server and the client stand apart from it. iris was ruled out for the stand-in, since streams are flushed by the token and connections are cut in the midst of an answer.

Memory bounds, cold deaths, priorities, cancelling and fencing are written but not tested yet.

--- /dev/null
+++ b/standin/engine/report.go
@@ -0,0 +1,109 @@
+package engine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/io/engine"
+)
+
+// Incarnation returns the number of the present life.
+func (m *Model) Incarnation() fleet.Incarnation {
+	return m.incarnation
+}
+
+// Cold returns true during a cold start.
+func (m *Model) Cold() bool {
+	return m.cold
+}
+
+// Running returns the number of attempts that hold memory.
+func (m *Model) Running() int {
+	return len(m.tasks)
+}
+
+// Stats returns the counts of all lives.
+func (m *Model) Stats() Stats {
+	return m.stats
+}
+
+// Listing returns what the engine runs and holds.
+func (m *Model) Listing(now time.Time) engine.Listing {
+	m.Advance(now)
+	listing := engine.Listing{Incarnation: m.incarnation}
+	for _, t := range m.tasks {
+		listing.Attempts = append(listing.Attempts, engine.Attempt{
+			AttemptID:     t.Request.AttemptID,
+			ReservationID: t.Request.ReservationID,
+			Generation:    t.Request.Generation,
+			Fence:         t.Request.Fence,
+			KVTokens:      t.reserved,
+			Phase:         t.phase,
+			Position:      t.position,
+			StartedAt:     t.startedAt,
+		})
+	}
+	for _, h := range m.held {
+		listing.HeldKV = append(listing.HeldKV, engine.HeldKV{
+			Handle:    h.handle,
+			Tokens:    h.kv.Tokens,
+			HeldSince: h.since,
+			AttemptID: h.attempt,
+		})
+	}
+	slices.SortFunc(listing.HeldKV, func(a, b engine.HeldKV) int { return cmp.Compare(a.Handle, b.Handle) })
+	return listing
+}
+
+// CacheEvents returns the cache events after a sequence number that are published by now.
+func (m *Model) CacheEvents(now time.Time, after uint64) engine.CacheEvents {
+	m.Advance(now)
+	return engine.CacheEvents{
+		Incarnation: m.incarnation,
+		Events:      m.cache.eventsAfter(after, now.Add(-m.Settings.CacheLag), m.Settings.CacheGap),
+	}
+}
+
+// Load returns the load report that is published by now; it lags.
+func (m *Model) Load(now time.Time) engine.Load {
+	m.Advance(now)
+	until := now.Add(-m.Settings.LoadLag)
+	m.forgetReports(until)
+	load := m.reports[0]
+	if load.MeasuredAt.Before(until) {
+		load.MeasuredAt = until
+	}
+	return load
+}
+
+// measure records the load for later reports.
+func (m *Model) measure() {
+	load := engine.Load{
+		Incarnation: m.incarnation,
+		KVUsed:      m.used(),
+		KVCached:    m.cache.tokens,
+		KVCapacity:  m.Settings.Memory,
+		PrefillPace: m.prefillRate,
+		DecodePace:  m.decodeRate,
+		MeasuredAt:  m.at,
+	}
+	for _, t := range m.tasks {
+		if t.phase == engine.PhaseWaiting {
+			load.Waiting++
+		} else {
+			load.Running++
+		}
+	}
+	m.stats.KVPeak = max(m.stats.KVPeak, load.KVUsed+load.KVCached)
+	m.forgetReports(m.at.Add(-m.Settings.LoadLag))
+	m.reports = append(m.reports, load)
+}
+
+// forgetReports drops the reports that a later one up to until replaces.
+func (m *Model) forgetReports(until time.Time) {
+	for len(m.reports) > 1 && !m.reports[1].MeasuredAt.After(until) {
+		m.reports = m.reports[1:]
+	}
+}
--- /dev/null
+++ b/standin/register/register.go
@@ -0,0 +1,103 @@
+// Package register keeps a stand-in in the instance list of the platform stand-in.
+package register
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wisteriadyke/core/fleet"
+)
+
+// Times of a registration.
+const (
+	// retryPeriod is the time between two tries.
+	retryPeriod = time.Second
+	// callTimeout bounds one call of the platform.
+	callTimeout = 2 * time.Second
+)
+
+// ErrRefused means that the platform refused a registration.
+var ErrRefused = errors.New("platform refused the registration")
+
+// Registration is the place of one endpoint in the instance list.
+type Registration struct {
+	// Platform is where the platform stand-in listens.
+	Platform netip.AddrPort
+	// Endpoint is what the instance list tells of the endpoint.
+	Endpoint fleet.Endpoint
+	// HTTP carries the calls; nil means http.DefaultClient.
+	HTTP *http.Client
+}
+
+// instanceBody is an endpoint on the wire.
+type instanceBody struct {
+	ID          fleet.EndpointID `json:"id"`
+	Kind        fleet.Kind       `json:"kind"`
+	Pool        fleet.PoolName   `json:"pool"`
+	Zone        fleet.Zone       `json:"zone"`
+	Address     netip.AddrPort   `json:"address"`
+	State       fleet.State      `json:"state"`
+	Memory      fleet.Tokens     `json:"memory"`
+	ChecksFence bool             `json:"checks_fence"`
+}
+
+// Announce puts the endpoint in the list with state, and tries again every second until it works or ctx ends.
+func (r *Registration) Announce(ctx context.Context, state fleet.State) error {
+	body := instanceBody(r.Endpoint)
+	body.State = state
+	content, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrapf(err, "announce %s", r.Endpoint.ID)
+	}
+	for {
+		err := r.call(ctx, http.MethodPost, "/control/instances", content)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(err, "announce %s as %s", r.Endpoint.ID, state)
+		case <-time.After(retryPeriod):
+		}
+	}
+}
+
+// Remove takes the endpoint off the list; it tries once.
+func (r *Registration) Remove(ctx context.Context) error {
+	path := "/control/instances/" + url.PathEscape(string(r.Endpoint.ID))
+	return errors.Wrapf(r.call(ctx, http.MethodDelete, path, nil), "remove %s", r.Endpoint.ID)
+}
+
+// call calls the platform once.
+func (r *Registration) call(ctx context.Context, method, path string, content []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	address := "http://" + r.Platform.String() + path
+	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(content))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	client := r.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, response.Body)
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return errors.Wrapf(ErrRefused, "status %s", response.Status)
+	}
+	return nil
+}
