Add the time line of events, the retry budget and crash suspects

A request that ran where an endpoint died is a suspect: the entry that saw the death alone may run it once more, and two deaths quarantine it. A finish outweighs the deaths before it. Notes merge without regard to their order, so that they can be spread by gossip.

--- /dev/null
+++ b/core/retry/budget.go
@@ -0,0 +1,33 @@
+// Package retry bounds what is run again: by a budget, and by what is known of requests that crash endpoints.
+package retry
+
+import "sync"
+
+// Budget lets retries be a bounded share of requests; a failing fleet then sees little more than its first load.
+type Budget struct {
+	// Ratio is the number of retries that each request earns.
+	Ratio float64
+	// Burst is the number of retries that can be saved up.
+	Burst float64
+
+	mu    sync.Mutex
+	spent float64
+}
+
+// Earn counts one request.
+func (b *Budget) Earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.spent = max(0, b.spent-b.Ratio)
+}
+
+// Spend takes one retry from the budget, if it holds one.
+func (b *Budget) Spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.spent+1 > b.Burst {
+		return false
+	}
+	b.spent++
+	return true
+}
--- /dev/null
+++ b/core/retry/budget_test.go
@@ -0,0 +1,35 @@
+package retry
+
+import "testing"
+
+func TestBudget(t *testing.T) {
+	tests := map[string]struct {
+		requests int
+		want     int
+	}{
+		"burst alone":     {requests: 0, want: 5},
+		"ratio of load":   {requests: 100, want: 15},
+		"saved is capped": {requests: -100, want: 5},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			budget := &Budget{Ratio: 0.1, Burst: 5}
+			for range -tc.requests {
+				budget.Earn()
+			}
+			retries := 0
+			for budget.Spend() {
+				retries++
+			}
+			for range tc.requests {
+				budget.Earn()
+				if budget.Spend() {
+					retries++
+				}
+			}
+			if retries < tc.want-1 || retries > tc.want {
+				t.Errorf("%d retries, want %d", retries, tc.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/retry/suspects.go
@@ -0,0 +1,223 @@
+package retry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"wisteriadyke/core/fleet"
+)
+
+const (
+	// deathsToQuarantine is the number of endpoints that a request may crash before it is not run any more.
+	deathsToQuarantine = 2
+	// trialTime is how long the entry that saw a death alone may run the request again.
+	trialTime = 2 * time.Minute
+	// quarantineTime is how long a request that crashes endpoints is refused.
+	quarantineTime = 24 * time.Hour
+	// clearedTime is how long it is known that a suspected request has finished.
+	clearedTime = 10 * time.Minute
+)
+
+// Fingerprint identifies a request over resends by its account and prompt.
+type Fingerprint string
+
+// FingerprintOf returns the fingerprint of a request.
+func FingerprintOf(account fleet.AccountID, prompt string) Fingerprint {
+	h := sha256.New()
+	_, _ = h.Write([]byte(account))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(prompt))
+	return Fingerprint(hex.EncodeToString(h.Sum(nil)))
+}
+
+// Death names one endpoint life that ended while a request ran there.
+type Death struct {
+	// Endpoint is the endpoint that died.
+	Endpoint fleet.EndpointID
+	// Incarnation is the life that ended.
+	Incarnation fleet.Incarnation
+}
+
+// Note is what is known of a request that may crash endpoints.
+type Note struct {
+	// Fingerprint identifies the request.
+	Fingerprint Fingerprint
+	// Deaths holds the endpoint lives that ended while it ran, in order and each once.
+	Deaths []Death
+	// Holder is the entry that alone may run it again.
+	Holder fleet.EntryID
+	// Cleared tells that it has finished since.
+	Cleared bool
+	// ChangedAt is when the note last changed.
+	ChangedAt time.Time
+}
+
+// Quarantined tells that the request is not run any more.
+func (n Note) Quarantined() bool {
+	return !n.Cleared && len(n.Deaths) >= deathsToQuarantine
+}
+
+// expired tells that the note has no effect any more.
+func (n Note) expired(now time.Time) bool {
+	return now.Sub(n.ChangedAt) > n.lifetime()
+}
+
+// lifetime is how long the note has an effect.
+func (n Note) lifetime() time.Duration {
+	switch {
+	case n.Cleared:
+		return clearedTime
+	case n.Quarantined():
+		return quarantineTime
+	default:
+		return trialTime
+	}
+}
+
+// Merge joins two notes on the same request; the result does not depend on their order.
+//
+// A finish outweighs every death before it, and deaths after it count afresh.
+func Merge(a, b Note) Note {
+	if a.ChangedAt.Before(b.ChangedAt) || a.ChangedAt.Equal(b.ChangedAt) && a.Holder > b.Holder {
+		a, b = b, a
+	}
+	if a.Cleared || b.Cleared {
+		return a
+	}
+	a.Deaths = joinDeaths(a.Deaths, b.Deaths)
+	return a
+}
+
+// joinDeaths returns each death of a and b once, in order.
+func joinDeaths(a, b []Death) []Death {
+	joined := slices.Concat(a, b)
+	slices.SortFunc(joined, func(x, y Death) int {
+		if x.Endpoint != y.Endpoint {
+			if x.Endpoint < y.Endpoint {
+				return -1
+			}
+			return 1
+		}
+		return int(x.Incarnation) - int(y.Incarnation)
+	})
+	return slices.Compact(joined)
+}
+
+// Standing tells how a request may be run.
+type Standing string
+
+// The standings of a request.
+const (
+	// StandingClear requests run like any other.
+	StandingClear Standing = "clear"
+	// StandingTrial requests may run once more, alone on an endpoint, through this entry.
+	StandingTrial Standing = "trial"
+	// StandingElsewhere requests are on trial through another entry.
+	StandingElsewhere Standing = "elsewhere"
+	// StandingQuarantined requests are not run any more.
+	StandingQuarantined Standing = "quarantined"
+)
+
+// Spreader tells other entries of a note; it returns once those that can be reached know it, or ctx ends.
+type Spreader interface {
+	// Spread passes a note on.
+	Spread(ctx context.Context, note Note)
+}
+
+// Suspects knows the requests that may crash endpoints.
+type Suspects struct {
+	// Entry is this entry.
+	Entry fleet.EntryID
+	// Spreader tells the other entries; nil tells none.
+	Spreader Spreader
+
+	mu    sync.Mutex
+	notes map[Fingerprint]Note
+}
+
+// Standing returns how a request may be run.
+func (s *Suspects) Standing(fingerprint Fingerprint) Standing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	note, found := s.notes[fingerprint]
+	switch {
+	case !found || note.Cleared || note.expired(time.Now()):
+		return StandingClear
+	case note.Quarantined():
+		return StandingQuarantined
+	case note.Holder == s.Entry:
+		return StandingTrial
+	default:
+		return StandingElsewhere
+	}
+}
+
+// Died notes that an endpoint died while the request ran there, and tells the other entries before it returns.
+func (s *Suspects) Died(ctx context.Context, fingerprint Fingerprint, death Death) Note {
+	note := s.Take(Note{
+		Fingerprint: fingerprint,
+		Deaths:      []Death{death},
+		Holder:      s.Entry,
+		ChangedAt:   time.Now(),
+	})
+	s.spread(ctx, note)
+	return note
+}
+
+// Finished clears a request that was suspected and reports whether it was.
+func (s *Suspects) Finished(ctx context.Context, fingerprint Fingerprint) bool {
+	s.mu.Lock()
+	note, found := s.notes[fingerprint]
+	if !found || note.Cleared {
+		s.mu.Unlock()
+		return false
+	}
+	note.Cleared = true
+	note.ChangedAt = time.Now()
+	s.notes[fingerprint] = note
+	s.mu.Unlock()
+	s.spread(ctx, note)
+	return true
+}
+
+// Take joins a note, this entry's or another's, with what is known, and returns the result.
+func (s *Suspects) Take(note Note) Note {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(s.notes, func(_ Fingerprint, n Note) bool { return n.expired(now) })
+	if s.notes == nil {
+		s.notes = make(map[Fingerprint]Note)
+	}
+	if known, found := s.notes[note.Fingerprint]; found {
+		note = Merge(known, note)
+	}
+	s.notes[note.Fingerprint] = note
+	return note
+}
+
+// Notes returns all notes that have an effect.
+func (s *Suspects) Notes() []Note {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	var notes []Note
+	for _, n := range s.notes {
+		if !n.expired(now) {
+			notes = append(notes, n)
+		}
+	}
+	return notes
+}
+
+// spread passes a note on, if there is a way.
+func (s *Suspects) spread(ctx context.Context, note Note) {
+	if s.Spreader != nil {
+		s.Spreader.Spread(ctx, note)
+	}
+}
--- /dev/null
+++ b/core/timeline/clock.go
@@ -0,0 +1,58 @@
+// Package timeline records typed events of one process and merges those of all processes.
+package timeline
+
+import (
+	"sync"
+	"time"
+)
+
+// Stamp orders events over processes whose clocks differ.
+type Stamp struct {
+	// Wall is the largest wall-clock time that the process has seen, its own or a peer's.
+	Wall time.Time
+	// Logical tells apart events with the same wall-clock time.
+	Logical uint32
+}
+
+// Compare returns a negative number if s is before other, a positive one if after, and 0 if they are equal.
+func (s Stamp) Compare(other Stamp) int {
+	if order := s.Wall.Compare(other.Wall); order != 0 {
+		return order
+	}
+	return int(s.Logical) - int(other.Logical)
+}
+
+// Clock is a hybrid logical clock; its zero value is ready to use.
+//
+// Source: S. Kulkarni et al., "Logical Physical Clocks and Consistent Snapshots in Globally Distributed
+// Databases", OPODIS 2014.
+type Clock struct {
+	mu   sync.Mutex
+	last Stamp
+}
+
+// Now returns the stamp of a local event.
+func (c *Clock) Now() Stamp {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = next(c.last, time.Now())
+	return c.last
+}
+
+// Observe takes in the stamp of a message, so that later local events are ordered after it.
+func (c *Clock) Observe(stamp Stamp) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if stamp.Compare(c.last) > 0 {
+		c.last = stamp
+	}
+}
+
+// next returns the first stamp after last that is not before the wall-clock time.
+func next(last Stamp, wall time.Time) Stamp {
+	wall = wall.Round(0)
+	if wall.After(last.Wall) {
+		return Stamp{Wall: wall}
+	}
+	return Stamp{Wall: last.Wall, Logical: last.Logical + 1}
+}
--- /dev/null
+++ b/core/timeline/filter.go
@@ -0,0 +1,37 @@
+package timeline
+
+import (
+	"slices"
+
+	"wisteriadyke/core/fleet"
+)
+
+// Filter selects events; zero fields select all.
+type Filter struct {
+	// Request selects the events of one request.
+	Request fleet.RequestID
+	// Endpoint selects the events of one endpoint.
+	Endpoint fleet.EndpointID
+	// Account selects the events of one client account.
+	Account fleet.AccountID
+}
+
+// Takes tells whether the filter selects an event.
+func (f Filter) Takes(event Event) bool {
+	if f.Request != "" && event.Request != f.Request {
+		return false
+	}
+	if f.Endpoint != "" && event.Endpoint != f.Endpoint {
+		return false
+	}
+	return f.Account == "" || event.Account == f.Account
+}
+
+// Merge orders the events of several processes.
+func Merge(processes ...[]Event) []Event {
+	merged := slices.Concat(processes...)
+	slices.SortStableFunc(merged, func(a, b Event) int {
+		return a.Stamp.Compare(b.Stamp)
+	})
+	return merged
+}
