--- /dev/null
+++ b/core/spread/store_test.go
@@ -0,0 +1,65 @@
+package spread
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+)
+
+func TestStoreKeepsTheHighestRevision(t *testing.T) {
+	tests := map[string]struct {
+		first, second uint64
+		taken         bool
+	}{
+		"higher": {first: 1, second: 2, taken: true},
+		"same":   {first: 2, second: 2},
+		"lower":  {first: 2, second: 1},
+		"zero":   {first: 2, second: 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var s Store
+			s.Put(Item{Key: "k", Revision: tc.first})
+			changed := s.Changed()
+			if got := s.Put(Item{Key: "k", Revision: tc.second}); got != tc.taken {
+				t.Errorf("Put reported %t, want %t", got, tc.taken)
+			}
+			item, _ := s.Get("k")
+			if want := max(tc.first, tc.second); item.Revision != want {
+				t.Errorf("revision %d, want %d", item.Revision, want)
+			}
+			select {
+			case <-changed:
+				if !tc.taken {
+					t.Error("a refused item woke the readers")
+				}
+			default:
+				if tc.taken {
+					t.Error("a taken item woke nobody")
+				}
+			}
+		})
+	}
+}
+
+func TestDigestDependsOnItemsOnly(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	var a, b Store
+	for i := range 200 {
+		item := Item{Key: strconv.Itoa(r.IntN(40)), Revision: uint64(r.IntN(50) + 1), Payload: []byte{byte(i)}}
+		a.Put(item)
+	}
+	for _, item := range a.List("") {
+		b.Put(item)
+	}
+	if a.Digest() != b.Digest() {
+		t.Error("equal stores have unlike digests")
+	}
+	if stamps := a.Stamps(b.Digest()); len(stamps) != 0 {
+		t.Errorf("equal stores differ in %v", stamps)
+	}
+	b.Put(Item{Key: "0", Revision: 1000})
+	if stamps := a.Stamps(b.Digest()); len(stamps) == 0 {
+		t.Error("unlike stores show no difference")
+	}
+}
