Add the interface of the endpoint scheduler

The ownership controller compiles against Own, Update, Disown, Suspend, Resume and Status of scheduler.Pool, the takeover types and ledger.Lister. Pool still grants everything at once; the account and the queue follow.

--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -137,6 +137,8 @@
 	ReasonUnreachable Reason = "unreachable"
 	// ReasonResynchronizing means that a new owner still learns what the endpoint runs.
 	ReasonResynchronizing Reason = "resynchronizing"
+	// ReasonCold means that the endpoint is in a cold start and bears no more now.
+	ReasonCold Reason = "cold"
 )
 
 // Refusal is the error of a reservation that was not granted.
--- a/core/scheduler/pool.go
+++ b/core/scheduler/pool.go
@@ -7,13 +7,16 @@
 	"sync"
 
 	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/ledger"
 	"wisteriadyke/core/reservation"
 )
 
-// Pool keeps the account of every endpoint that this entry owns.
+// Pool keeps the account and the queue of every endpoint that this entry owns.
 type Pool struct {
 	// Entry is the entry that owns.
 	Entry fleet.EntryID
+	// Lister tells what endpoints run; nil means that they can't be asked.
+	Lister ledger.Lister
 
 	mu    sync.Mutex
 	next  uint64
@@ -21,6 +24,34 @@
 	total map[fleet.EndpointID]fleet.Tokens
 }
 
+// Run drives the owned endpoints until ctx ends.
+func (p *Pool) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+// Own begins to grant an endpoint, or changes the fencing number of one already owned.
+func (p *Pool) Own(_ fleet.Endpoint, _ fleet.Fence, _ Takeover) {}
+
+// Update tells what has changed of an owned endpoint; StateLeaving also stands for a drained availability zone.
+func (p *Pool) Update(_ fleet.Endpoint) {}
+
+// Disown stops granting an endpoint, refuses its queue with ReasonNotOwner and returns what the next owner needs.
+func (p *Pool) Disown(id fleet.EndpointID) Handover {
+	return Handover{Endpoint: id}
+}
+
+// Suspend stops all grants, since the membership lease of this entry has lapsed.
+func (p *Pool) Suspend() {}
+
+// Resume lets endpoints be granted that are owned again with resynchronisation.
+func (p *Pool) Resume() {}
+
+// Status returns the state of every owned endpoint.
+func (p *Pool) Status() []Status {
+	return nil
+}
+
 // Reserve grants at once.
 func (p *Pool) Reserve(_ context.Context, request reservation.Request) (reservation.Grant, error) {
 	p.mu.Lock()
