--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -74,9 +74,19 @@
 func newStream(client *Client, attempt fleet.AttemptID, body io.ReadCloser) *Stream {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxEvent)
+	lines.Split(splitEnded)
 	return &Stream{client: client, attempt: attempt, body: body, lines: lines}
 }
 
+// splitEnded splits at line feeds and leaves out a last line without one, since its end was cut off.
+func splitEnded(content []byte, _ bool) (advance int, line []byte, err error) {
+	end := bytes.IndexByte(content, '\n')
+	if end < 0 {
+		return 0, nil, nil
+	}
+	return end + 1, content[:end], nil
+}
+
 // Next returns the next event, and io.EOF after EventDone.
 //
 // It returns an *Error if the stream is cut or the engine ends the attempt, and an
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -3,45 +3,102 @@
 import (
 	"context"
 	"io"
-	"net/http/httptest"
+	"net"
+	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"wisteriadyke/core/fleet"
 	"wisteriadyke/io/engine"
 	standin "wisteriadyke/standin/engine"
 )
 
-// start serves an engine until the test ends and returns it with a client.
-func start(t *testing.T, settings standin.Settings) (*standin.Engine, *engine.Client) {
+// pipeListener is a listener whose connections are pipes, so that it runs in virtual time.
+type pipeListener struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+// newPipeListener returns a listener without a network.
+func newPipeListener() *pipeListener {
+	return &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// dial connects to the listener.
+func (l *pipeListener) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case l.accepted <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Accept implements net.Listener.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accepted:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *pipeListener) Addr() net.Addr {
+	return net.TCPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:7101"))
+}
+
+// serve runs test in virtual time against an engine.
+func serve(t *testing.T, settings standin.Settings, test func(t *testing.T, e *standin.Engine, client *engine.Client)) {
 	t.Helper()
-	e := &standin.Engine{Settings: settings}
-	ctx, cancel := context.WithCancel(context.Background())
-	var group errgroup.Group
-	group.Go(func() error { return e.Run(ctx) })
-	server := httptest.NewServer(e)
-	t.Cleanup(func() {
-		server.CloseClientConnections()
-		server.Close()
+	synctest.Test(t, func(t *testing.T) {
+		listener := newPipeListener()
+		e := &standin.Engine{Settings: settings, Listener: listener}
+		ctx, cancel := context.WithCancel(context.Background())
+		var group errgroup.Group
+		group.Go(func() error { return e.Run(ctx) })
+		transport := engine.NewTransport()
+		transport.DialContext = listener.dial
+		test(t, e, &engine.Client{
+			Endpoint: "e1",
+			Address:  netip.MustParseAddrPort("127.0.0.1:7101"),
+			HTTP:     &http.Client{Transport: transport},
+		})
 		cancel()
 		if err := group.Wait(); err != nil {
 			t.Errorf("run: %v", err)
 		}
+		transport.CloseIdleConnections()
 	})
-	address := netip.MustParseAddrPort(server.Listener.Addr().String())
-	return e, &engine.Client{Endpoint: "e1", Address: address, HTTP: engine.NewHTTPClient()}
 }
 
-// quick returns the settings of a warm engine that is fast.
-func quick() standin.Settings {
-	settings := standin.DefaultSettings()
-	settings.ColdTime = 0
-	settings.PrefillPace = 10_000_000
-	settings.DecodePace = 10_000
-	return settings
+// generate starts an attempt that must be taken.
+func generate(t *testing.T, client *engine.Client, request engine.Request) *engine.Stream {
+	t.Helper()
+	stream, err := client.Generate(t.Context(), request)
+	if err != nil {
+		t.Fatalf("generate %s: %v", request.AttemptID, err)
+	}
+	t.Cleanup(func() { _ = stream.Close() })
+	return stream
 }
 
 // readAll returns the text of the answer and the error that ended it, which is io.EOF for a whole one.
@@ -56,19 +113,221 @@
 	}
 }
 
-func TestGenerate(t *testing.T) {
-	_, client := start(t, quick())
-	prompt := strings.Repeat("returns of week 31 ", 1000)
-	stream, err := client.Generate(t.Context(), engine.Request{AttemptID: "a1", Prompt: prompt, MaxTokens: 50})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = stream.Close() }()
-	text, err := readAll(stream)
-	if !errors.Is(err, io.EOF) {
-		t.Fatalf("stream ended with %v", err)
+func TestWholeAnswer(t *testing.T) {
+	serve(t, warm(), func(t *testing.T, _ *standin.Engine, client *engine.Client) {
+		prompt := promptOf("returns of week 31", 5000)
+		text, err := readAll(generate(t, client, engine.Request{AttemptID: "a", Prompt: prompt, MaxTokens: 50}))
+		if !errors.Is(err, io.EOF) {
+			t.Fatalf("stream ended with %v", err)
+		}
+		if want := standin.ExpectedText(prompt, 50); text != want {
+			t.Errorf("text is %q, want %q", text, want)
+		}
+	})
+}
+
+func TestCancelEndsTheStream(t *testing.T) {
+	serve(t, warm(), func(t *testing.T, e *standin.Engine, client *engine.Client) {
+		stream := generate(t, client, engine.Request{AttemptID: "a/1", Prompt: "x", MaxTokens: 10_000})
+		time.Sleep(time.Second)
+		if err := client.Cancel(t.Context(), "a/1"); err != nil {
+			t.Fatal(err)
+		}
+		text, err := readAll(stream)
+		if engine.CodeOf(err) != engine.CodeCancelled || engine.CertainlyNotRun(err) {
+			t.Errorf("stream ended with %v", err)
+		}
+		if text == "" {
+			t.Error("no token came before the cancellation")
+		}
+		if running := e.Running(); running != 0 {
+			t.Errorf("%d attempts hold memory", running)
+		}
+		if err := client.Cancel(t.Context(), "a/1"); err != nil {
+			t.Errorf("second cancel: %v", err)
+		}
+	})
+}
+
+func TestDisconnectFreesMemory(t *testing.T) {
+	serve(t, warm(), func(t *testing.T, e *standin.Engine, client *engine.Client) {
+		stream := generate(t, client, engine.Request{AttemptID: "a", Prompt: "x", MaxTokens: 10_000})
+		if running := e.Running(); running != 1 {
+			t.Fatalf("%d attempts run", running)
+		}
+		if err := stream.Close(); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		if running := e.Running(); running != 0 {
+			t.Errorf("%d attempts hold memory", running)
+		}
+	})
+}
+
+func TestDeathCutsStreams(t *testing.T) {
+	settings := warm()
+	settings.RestartTime = time.Second
+	serve(t, settings, func(t *testing.T, e *standin.Engine, client *engine.Client) {
+		stream := generate(t, client, engine.Request{AttemptID: "a", Prompt: "x", MaxTokens: 10_000})
+		time.Sleep(time.Second)
+		e.Apply(standin.Control{Die: true})
+		if _, err := readAll(stream); engine.CodeOf(err) != engine.CodeCut || engine.CertainlyNotRun(err) {
+			t.Errorf("stream ended with %v", err)
+		}
+		_, err := client.Generate(t.Context(), engine.Request{AttemptID: "b", Prompt: "x"})
+		if engine.CodeOf(err) != engine.CodeCut {
+			t.Errorf("a dead engine answered with %v", err)
+		}
+		time.Sleep(time.Second)
+		generate(t, client, engine.Request{AttemptID: "c", Prompt: "x"})
+	})
+}
+
+func TestColdDeathIsUncertainToTheCaller(t *testing.T) {
+	settings := standin.DefaultSettings()
+	settings.ColdLimit = 1
+	serve(t, settings, func(t *testing.T, e *standin.Engine, client *engine.Client) {
+		generate(t, client, engine.Request{AttemptID: "a", Prompt: "x", MaxTokens: 100})
+		_, err := client.Generate(t.Context(), engine.Request{AttemptID: "b", Prompt: "x"})
+		if engine.CodeOf(err) != engine.CodeCut || engine.CertainlyNotRun(err) {
+			t.Errorf("the attempt too many ended with %v", err)
+		}
+		if stats := e.Stats(); stats.OverloadDeaths != 1 {
+			t.Errorf("stats are %+v", stats)
+		}
+	})
+}
+
+func TestRefusalsAreCertain(t *testing.T) {
+	settings := warm()
+	settings.CheckFence = true
+	settings.Memory = 1000
+	tests := map[string]struct {
+		request engine.Request
+		code    engine.Code
+	}{
+		"stale fence": {engine.Request{AttemptID: "b", Prompt: "x", Fence: 4}, engine.CodeStaleFence},
+		"no memory":   {engine.Request{AttemptID: "b", Prompt: "x", MaxTokens: 1000, Fence: 5}, engine.CodeNoMemory},
+		"duplicate":   {engine.Request{AttemptID: "a", Prompt: "x", Fence: 5}, engine.CodeDuplicateAttempt},
+		"other model": {engine.Request{AttemptID: "b", Prompt: "x", Fence: 5, Model: "m"}, engine.CodeUnknownModel},
+		"no id":       {engine.Request{Prompt: "x", Fence: 5}, engine.CodeInvalid},
+		"no handle":   {engine.Request{AttemptID: "b", Prompt: "x", Fence: 5, ImportKV: []engine.KVHandle{"h"}}, engine.CodeUnknownKV},
 	}
-	if want := standin.ExpectedText(prompt, 50); text != want {
-		t.Errorf("text is %q, want %q", text, want)
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			serve(t, settings, func(t *testing.T, _ *standin.Engine, client *engine.Client) {
+				generate(t, client, engine.Request{AttemptID: "a", Prompt: "x", MaxTokens: 500, Fence: 5})
+				_, err := client.Generate(t.Context(), test.request)
+				if engine.CodeOf(err) != test.code || !engine.CertainlyNotRun(err) {
+					t.Errorf("got %v", err)
+				}
+			})
+		})
 	}
 }
+
+func TestPauseHoldsAnswers(t *testing.T) {
+	serve(t, warm(), func(t *testing.T, e *standin.Engine, client *engine.Client) {
+		stream := generate(t, client, engine.Request{AttemptID: "a", Prompt: "x", MaxTokens: 60})
+		began := time.Now()
+		e.Apply(standin.Control{Pause: 10 * time.Second})
+		if _, err := client.Attempts(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if waited := time.Since(began); waited != 10*time.Second {
+			t.Errorf("listing came after %v", waited)
+		}
+		if _, err := readAll(stream); !errors.Is(err, io.EOF) {
+			t.Errorf("stream ended with %v", err)
+		}
+	})
+}
+
+func TestCallsOverTheWire(t *testing.T) {
+	settings := warm()
+	settings.LoadLag = 0
+	settings.CacheLag = 0
+	serve(t, settings, func(t *testing.T, _ *standin.Engine, client *engine.Client) {
+		ctx := t.Context()
+		prompt := promptOf("wire", 3000)
+		exporting := generate(t, client, engine.Request{AttemptID: "a", ReservationID: "r", Generation: 3, Fence: 5, Prompt: prompt, PromptTo: 2000, ExportKV: true})
+		listing, err := client.Attempts(ctx)
+		if err != nil || len(listing.Attempts) != 1 {
+			t.Fatalf("listing is %+v, %v", listing, err)
+		}
+		attempt := listing.Attempts[0]
+		if attempt.ReservationID != "r" || attempt.Generation != 3 || attempt.Fence != 5 || attempt.KVTokens != 2000 {
+			t.Errorf("attempt is %+v", attempt)
+		}
+		if _, err := readAll(exporting); !errors.Is(err, io.EOF) {
+			t.Fatalf("stream ended with %v", err)
+		}
+		if listing, err = client.Attempts(ctx); err != nil || len(listing.HeldKV) != 1 {
+			t.Fatalf("listing is %+v, %v", listing, err)
+		}
+		handle := listing.HeldKV[0].Handle
+		kv, err := client.ExportKV(ctx, handle)
+		if want := (engine.KV{Tokens: 2000, To: 2000, Digest: engine.DigestText(engine.Segment(prompt, 0, 2000))}); err != nil || kv != want {
+			t.Errorf("exported %+v, %v, want %+v", kv, err, want)
+		}
+		for range 2 {
+			if err := client.ImportKV(ctx, "copy", kv); err != nil {
+				t.Errorf("import: %v", err)
+			}
+			if err := client.DropKV(ctx, handle); err != nil {
+				t.Errorf("drop: %v", err)
+			}
+		}
+		if load, err := client.Load(ctx); err != nil || load.KVUsed != 2000 || load.KVCapacity != settings.Memory {
+			t.Errorf("load is %+v, %v", load, err)
+		}
+		if err := client.Order(ctx, engine.Order{Kind: engine.OrderLoadVersion, Name: "2", Fence: 5}); err != nil {
+			t.Errorf("order: %v", err)
+		}
+		if _, err := readAll(generate(t, client, engine.Request{AttemptID: "b", Prompt: prompt, Fence: 5})); !errors.Is(err, io.EOF) {
+			t.Errorf("stream ended with %v", err)
+		}
+		prefixes := engine.Prefixes(prompt)
+		events, err := client.CacheEvents(ctx, 1)
+		if err != nil || len(events.Events) != 1 || events.Events[0].Prefix != prefixes[1] || events.Incarnation != listing.Incarnation {
+			t.Errorf("events are %+v, %v, want one of %+v", events, err, prefixes[1])
+		}
+	})
+}
+
+func TestControlOverTheWire(t *testing.T) {
+	serve(t, warm(), func(t *testing.T, e *standin.Engine, client *engine.Client) {
+		tests := []struct {
+			body   string
+			status int
+		}{
+			{`{"die": true}`, http.StatusOK},
+			{`{"check_fence": true, "lag": "100ms", "cache_gap": 3, "pace": 0.5, "cold": false}`, http.StatusOK},
+			{`{"pause": "long"}`, http.StatusBadRequest},
+		}
+		for _, test := range tests {
+			url := "http://" + client.Address.String() + "/control"
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader(test.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			response, err := client.HTTP.Do(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = response.Body.Close()
+			if response.StatusCode != test.status {
+				t.Errorf("%s: status %s", test.body, response.Status)
+			}
+		}
+		generate(t, client, engine.Request{AttemptID: "a", Prompt: "x", Fence: 2})
+		_, err := client.Generate(t.Context(), engine.Request{AttemptID: "b", Prompt: "x", Fence: fleet.Fence(1)})
+		if engine.CodeOf(err) != engine.CodeStaleFence {
+			t.Errorf("stale fence after control: %v", err)
+		}
+		if stats := e.Stats(); stats.Deaths != 1 {
+			t.Errorf("stats are %+v", stats)
+		}
+	})
+}
--- a/standin/engine/model.go
+++ b/standin/engine/model.go
@@ -195,7 +195,8 @@
 	if t.Request.PromptFrom > 0 {
 		return 0
 	}
-	cached := m.cache.match(engine.Prefixes(engine.Segment(t.Request.Prompt, 0, t.to)))
+	t.prefixes = engine.Prefixes(engine.Segment(t.Request.Prompt, 0, t.to))
+	cached := m.cache.match(t.prefixes)
 	return min(cached, t.segment()-1)
 }
 
--- a/standin/engine/step.go
+++ b/standin/engine/step.go
@@ -172,11 +172,11 @@
 	t.emit(engine.Event{Type: engine.EventDone, Position: t.position, CachedTokens: t.cached, Incarnation: m.incarnation})
 	m.stats.Done++
 	m.release(t, EndingDone)
-	if t.Request.PromptFrom > 0 || t.exported != nil {
+	if t.exported != nil {
 		return
 	}
 	room := m.Settings.Memory - m.used() - m.cache.tokens
-	m.cache.store(m.at, engine.Prefixes(engine.Segment(t.Request.Prompt, 0, t.to)), room)
+	m.cache.store(m.at, t.prefixes, room)
 	m.measure()
 }
 
--- a/standin/engine/task.go
+++ b/standin/engine/task.go
@@ -56,6 +56,8 @@
 	digest engine.Digest
 	// chainFrom is the first token of that text.
 	chainFrom fleet.Tokens
+	// prefixes are those of the prompt that the cache may hold, if the segment starts with them.
+	prefixes []engine.Prefix
 	// to ends the segment.
 	to fleet.Tokens
 	// reserved is the memory set aside, without what a handle holds.
