Retry, resume, diagnose and quarantine in the dispatcher

A broken attempt is ended at its engine, its endpoint is looked at, and the answer goes on elsewhere at the position it had reached, within the retry budget. A request that ran where an endpoint died runs once more alone; a second death quarantines it. A request that is given up is answered at once with its truthful state and a jittered time to come back.

--- /dev/null
+++ b/core/dispatch/attempt.go
@@ -0,0 +1,226 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/reservation"
+	"wisteriadyke/core/timeline"
+)
+
+const (
+	// defaultLease is the time between two renewals, times renewalsPerLease, when a grant names no lease.
+	defaultLease = 15 * time.Second
+	// renewalsPerLease is how often a reservation is renewed within its lease.
+	renewalsPerLease = 3
+	// stallTime is how long an answer that has begun may stand still.
+	stallTime = 10 * time.Second
+)
+
+// errLapsed ends an attempt whose reservation the owner does not know any more.
+var errLapsed = errors.New("reservation has lapsed")
+
+// errStalled ends an attempt whose answer stands still.
+var errStalled = errors.New("answer has stalled")
+
+// attempt is one granted attempt of a request.
+type attempt struct {
+	*run
+	endpoint fleet.Endpoint
+	grant    reservation.Grant
+	id       fleet.AttemptID
+
+	lastEvent atomic.Int64
+	reached   atomic.Int64
+}
+
+// result is how an attempt ended.
+type result struct {
+	release reservation.Release
+	sinkErr error
+}
+
+// serve runs the attempt and renews its reservation until it has ended.
+func (a *attempt) serve(ctx context.Context) result {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	a.lastEvent.Store(time.Now().UnixNano())
+	var group errgroup.Group
+	group.Go(func() error {
+		a.renew(ctx, cancel)
+		return nil
+	})
+	res := a.stream(ctx)
+	cancel(nil)
+	_ = group.Wait()
+	if res.release.Outcome == reservation.OutcomeBroken && a.cancelAtEngine(ctx) {
+		res.release.Outcome = reservation.OutcomeCanceled
+	}
+	return res
+}
+
+// stream passes the tokens of the attempt on.
+func (a *attempt) stream(ctx context.Context) result {
+	var res result
+	startedAt := time.Now()
+	stream, err := a.Engines.Generate(ctx, Attempt{
+		Endpoint:  a.endpoint,
+		ID:        a.id,
+		Request:   a.request.ID,
+		Grant:     a.grant,
+		Prompt:    a.request.Prompt,
+		MaxTokens: a.request.MaxTokens,
+		From:      a.position,
+	})
+	if err != nil {
+		res.release.Outcome = failedOutcome(err)
+		return res
+	}
+	defer func() { _ = stream.Close() }()
+	for {
+		event, err := stream.Next()
+		if err != nil {
+			res.release.Outcome = failedOutcome(err)
+			return res
+		}
+		a.lastEvent.Store(time.Now().UnixNano())
+		res.release.Incarnation = event.Incarnation
+		switch event.Kind {
+		case EventStarted:
+			a.record(timeline.Event{Kind: timeline.KindAttemptStarted, Attempt: a.id, Endpoint: a.endpoint.ID})
+		case EventToken:
+			if err := a.token(event, startedAt, &res); err != nil {
+				return res
+			}
+		case EventDone:
+			res.release.Outcome = reservation.OutcomeDone
+			return res
+		}
+	}
+}
+
+// token passes one token on, in its place; an error ends the attempt.
+func (a *attempt) token(event Event, startedAt time.Time, res *result) error {
+	if event.Position <= a.position {
+		a.count(metricDropped)
+		a.record(timeline.Event{Kind: timeline.KindAnswerDropped, Attempt: a.id, Endpoint: a.endpoint.ID})
+		return nil
+	}
+	if event.Position > a.position+1 {
+		res.release.Outcome = reservation.OutcomeBroken
+		return errGap
+	}
+	now := time.Now()
+	if res.release.Generated == 0 {
+		res.release.Read = a.request.PromptTokens - event.Cached
+		res.release.ReadTime = now.Sub(startedAt)
+		a.firstToken(now)
+	}
+	res.release.Generated++
+	res.release.GenerateTime = now.Sub(startedAt) - res.release.ReadTime
+	a.position = event.Position
+	a.reached.Store(int64(event.Position))
+	if err := a.sink.Token(event.Position, event.Text); err != nil {
+		res.sinkErr = err
+		res.release.Outcome = reservation.OutcomeBroken
+		return err
+	}
+	return nil
+}
+
+// errGap ends an attempt that skips a token.
+var errGap = errors.New("answer skips a token")
+
+// firstToken records and measures the first token of the answer.
+func (a *attempt) firstToken(now time.Time) {
+	took := now.Sub(a.arrivedAt)
+	if a.position == 0 {
+		a.measure(metricFirstToken, took)
+	}
+	a.record(timeline.Event{Kind: timeline.KindFirstToken, Attempt: a.id, Endpoint: a.endpoint.ID, Took: took})
+}
+
+// renew reports progress to the owner until ctx ends; it ends the attempt when its reservation is gone or it stalls.
+func (a *attempt) renew(ctx context.Context, end context.CancelCauseFunc) {
+	ticker := time.NewTicker(a.renewInterval())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if a.stalled() {
+			end(errStalled)
+			return
+		}
+		err := a.Owners.Renew(ctx, reservation.Progress{
+			Endpoint:    a.endpoint.ID,
+			Owner:       a.grant.Owner,
+			Reservation: a.grant.Reservation,
+			Generation:  a.grant.Generation,
+			Started:     a.reached.Load() > 0,
+			Position:    fleet.Tokens(a.reached.Load()),
+		})
+		var refusal *reservation.Refusal
+		if errors.As(err, &refusal) && refusal.Reason == reservation.ReasonUnknown {
+			end(errLapsed)
+			return
+		}
+	}
+}
+
+// renewInterval is the time between two renewals.
+func (a *attempt) renewInterval() time.Duration {
+	lease := a.grant.Lease
+	if lease <= 0 {
+		lease = defaultLease
+	}
+	return lease / renewalsPerLease
+}
+
+// stalled tells whether an answer that has begun stands still.
+func (a *attempt) stalled() bool {
+	silent := time.Since(time.Unix(0, a.lastEvent.Load()))
+	return a.reached.Load() > 0 && silent > stallTime
+}
+
+// cancelAtEngine ends the attempt at its engine and tells whether the engine confirmed it.
+func (a *attempt) cancelAtEngine(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer cancel()
+	return a.Engines.Cancel(ctx, a.endpoint, a.id) == nil
+}
+
+// release gives the reservation back, also when the caller is gone.
+func (a *attempt) release(ctx context.Context, res result) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	release := res.release
+	release.Endpoint = a.grant.Endpoint
+	release.Owner = a.grant.Owner
+	release.Reservation = a.grant.Reservation
+	release.Generation = a.grant.Generation
+	_ = a.Owners.Release(ctx, release)
+}
+
+// failedOutcome turns the error of an attempt into its outcome.
+func failedOutcome(err error) reservation.Outcome {
+	var attemptErr *AttemptError
+	if !errors.As(err, &attemptErr) {
+		return reservation.OutcomeBroken
+	}
+	switch attemptErr.Certainty {
+	case CertainNotRun:
+		return reservation.OutcomeNotRun
+	case CertainRefused:
+		return reservation.OutcomeRefused
+	default:
+		return reservation.OutcomeBroken
+	}
+}
--- a/core/dispatch/call.go
+++ b/core/dispatch/call.go
@@ -40,4 +40,14 @@
 	ReasonTimeout = "timeout"
 	// ReasonNoEndpoint means that no endpoint could take the request.
 	ReasonNoEndpoint = "no_endpoint"
+	// ReasonCallerGone means that the caller has ended the request.
+	ReasonCallerGone = "caller_gone"
+	// ReasonRetryBudget means that too much of the load is retries already.
+	ReasonRetryBudget = "retry_budget"
+	// ReasonOnTrial means that the request may have crashed an endpoint and is on trial through another entry.
+	ReasonOnTrial = "on_trial"
+	// ReasonQuarantined means that the request crashes endpoints and is not run any more.
+	ReasonQuarantined = "quarantined"
+	// ReasonNoAnswer means that an at-most-once call was sent and its answer never came.
+	ReasonNoAnswer = "no_answer"
 )
--- /dev/null
+++ b/core/dispatch/dispatcher_test.go
@@ -0,0 +1,330 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"wisteriadyke/core/blackboard"
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/placement"
+	"wisteriadyke/core/reservation"
+	"wisteriadyke/core/retry"
+)
+
+// behavior is what a fake engine does with one attempt.
+type behavior struct {
+	tokens     fleet.Tokens
+	repeat     bool
+	refuse     bool
+	die        bool
+	stall      bool
+	crossed    bool
+	unanswered bool
+}
+
+// fakeEngines plays one behavior an attempt, in order; the last one goes on.
+type fakeEngines struct {
+	script      []behavior
+	attempts    []Attempt
+	canceled    []fleet.AttemptID
+	incarnation map[fleet.EndpointID]fleet.Incarnation
+	unreachable bool
+}
+
+func (f *fakeEngines) Generate(ctx context.Context, attempt Attempt) (Stream, error) {
+	b := f.script[min(len(f.attempts), len(f.script)-1)]
+	f.attempts = append(f.attempts, attempt)
+	if b.refuse {
+		return nil, &AttemptError{Certainty: CertainRefused, Code: "no_memory", Err: errors.New("no memory")}
+	}
+	if b.unanswered {
+		return nil, &AttemptError{Certainty: Uncertain, Err: io.ErrUnexpectedEOF}
+	}
+	return &fakeStream{ctx: ctx, engines: f, behavior: b, attempt: attempt, life: f.incarnation[attempt.Endpoint.ID]}, nil
+}
+
+func (f *fakeEngines) Cancel(_ context.Context, _ fleet.Endpoint, attempt fleet.AttemptID) error {
+	f.canceled = append(f.canceled, attempt)
+	return nil
+}
+
+func (f *fakeEngines) Incarnation(_ context.Context, endpoint fleet.Endpoint) (fleet.Incarnation, error) {
+	if f.unreachable {
+		return 0, errors.New("unreachable")
+	}
+	return f.incarnation[endpoint.ID], nil
+}
+
+// fakeStream yields the tokens of one attempt from its position on.
+type fakeStream struct {
+	ctx      context.Context
+	engines  *fakeEngines
+	behavior behavior
+	attempt  Attempt
+	life     fleet.Incarnation
+	started  bool
+	sent     fleet.Tokens
+}
+
+func (s *fakeStream) Next() (Event, error) {
+	if !s.started {
+		s.started = true
+		return Event{Kind: EventStarted, Incarnation: s.life}, nil
+	}
+	position := s.attempt.From + s.sent
+	switch {
+	case position == s.attempt.MaxTokens:
+		return Event{Kind: EventDone, Position: position, Incarnation: s.life}, nil
+	case s.behavior.crossed:
+		return Event{}, &AttemptError{Certainty: Uncertain, Err: errors.New("crossed answer")}
+	case s.behavior.tokens > 0 && s.sent == s.behavior.tokens && s.behavior.stall:
+		<-s.ctx.Done()
+		return Event{}, &AttemptError{Certainty: Uncertain, Err: s.ctx.Err()}
+	case s.behavior.tokens > 0 && s.sent == s.behavior.tokens || s.behavior.die && s.behavior.tokens == 0:
+		if s.behavior.die {
+			s.engines.incarnation[s.attempt.Endpoint.ID]++
+		}
+		return Event{}, &AttemptError{Certainty: Uncertain, Err: io.ErrUnexpectedEOF}
+	}
+	time.Sleep(10 * time.Millisecond)
+	if s.behavior.repeat && position > 0 {
+		s.behavior.repeat = false
+		return Event{Kind: EventToken, Position: position, Text: "!", Incarnation: s.life}, nil
+	}
+	s.sent++
+	return Event{Kind: EventToken, Position: position + 1, Text: string(rune('a' + position)), Incarnation: s.life}, nil
+}
+
+func (s *fakeStream) Close() error { return nil }
+
+// fakeOwners grants everything, but refuses first as often as told.
+type fakeOwners struct {
+	refusals []reservation.Reason
+	asked    []reservation.Request
+	released []reservation.Release
+	renewed  int
+	lapse    bool
+}
+
+func (f *fakeOwners) Reserve(_ context.Context, request reservation.Request) (reservation.Grant, error) {
+	f.asked = append(f.asked, request)
+	if len(f.asked) <= len(f.refusals) {
+		return reservation.Grant{}, &reservation.Refusal{Reason: f.refusals[len(f.asked)-1], RetryAfter: 7 * time.Second}
+	}
+	return reservation.Grant{Endpoint: request.Endpoint, Reservation: "r", Generation: 1, Lease: 3 * time.Second}, nil
+}
+
+func (f *fakeOwners) Renew(context.Context, reservation.Progress) error {
+	f.renewed++
+	if f.lapse {
+		f.lapse = false
+		return &reservation.Refusal{Reason: reservation.ReasonUnknown}
+	}
+	return nil
+}
+
+func (f *fakeOwners) Release(_ context.Context, release reservation.Release) error {
+	f.released = append(f.released, release)
+	return nil
+}
+
+// collector collects an answer; it fails after the given number of tokens, if that is set.
+type collector struct {
+	text      strings.Builder
+	failAfter int
+	taken     int
+}
+
+func (c *collector) Token(_ fleet.Tokens, text string) error {
+	c.taken++
+	if c.failAfter > 0 && c.taken > c.failAfter {
+		return errors.New("caller is gone")
+	}
+	c.text.WriteString(text)
+	return nil
+}
+
+// fixture is a dispatcher over fakes with five engines in two availability zones.
+func fixture(engines *fakeEngines, owners *fakeOwners) *Dispatcher {
+	board := &blackboard.Board{}
+	engines.incarnation = make(map[fleet.EndpointID]fleet.Incarnation)
+	for _, id := range []fleet.EndpointID{"a1", "a2", "a3", "b1", "b2"} {
+		board.Endpoints.Set(id, fleet.Endpoint{ID: id, Kind: fleet.KindEngine, Pool: "p", Zone: fleet.Zone(id[:1]), State: fleet.StateLive, Memory: 1000})
+		engines.incarnation[id] = 1
+	}
+	return &Dispatcher{
+		Board:     board,
+		Entry:     "entry",
+		Zone:      "a",
+		Owners:    owners,
+		Engines:   engines,
+		Placement: placement.LeastLoaded{},
+		Budget:    &retry.Budget{Ratio: 0.1, Burst: 10},
+		Suspects:  &retry.Suspects{Entry: "entry"},
+	}
+}
+
+// request is the request of all tests; it asks for ten tokens.
+func request() Request {
+	return Request{
+		ID: "req", Account: "c", Weight: 1, Class: "summary", Pool: "p", Prompt: "prompt", PromptTokens: 2,
+		MaxTokens: 10, StartBy: time.Now().Add(5 * time.Second), FinishBy: time.Now().Add(time.Minute),
+	}
+}
+
+func TestGenerate(t *testing.T) {
+	tests := map[string]struct {
+		script      []behavior
+		refusals    []reservation.Reason
+		lapse       bool
+		unreachable bool
+		failure     *Failure
+		attempts    int
+		resumedAt   fleet.Tokens
+		trial       bool
+	}{
+		"whole answer":          {script: []behavior{{}}, attempts: 1},
+		"resumed where it cut":  {script: []behavior{{tokens: 4}, {}}, attempts: 2, resumedAt: 4},
+		"resumed twice":         {script: []behavior{{tokens: 4}, {tokens: 3}, {}}, attempts: 3, resumedAt: 7},
+		"repeated token":        {script: []behavior{{tokens: 4}, {repeat: true}}, attempts: 2, resumedAt: 4},
+		"stalled answer":        {script: []behavior{{tokens: 2, stall: true}, {}}, attempts: 2, resumedAt: 2},
+		"crossed answer":        {script: []behavior{{crossed: true}, {}}, attempts: 2},
+		"refused by the engine": {script: []behavior{{refuse: true}, {}}, attempts: 2},
+		"one death":             {script: []behavior{{die: true}, {}}, attempts: 2, trial: true},
+		"death amid the answer": {script: []behavior{{tokens: 3, die: true}, {}}, attempts: 2, resumedAt: 3, trial: true},
+		"two deaths":            {script: []behavior{{die: true}}, attempts: 2, failure: &Failure{State: StateFailed, Reason: ReasonQuarantined}},
+		"owner changes":         {script: []behavior{{}}, refusals: []reservation.Reason{reservation.ReasonNotOwner, reservation.ReasonUnreachable}, attempts: 1},
+		"owners change long": {
+			script:   []behavior{{}},
+			refusals: []reservation.Reason{"not_owner", "not_owner", "not_owner", "not_owner", "not_owner", "not_owner", "not_owner"},
+			attempts: 1,
+		},
+		"too late everywhere": {
+			script:   []behavior{{}},
+			refusals: []reservation.Reason{"too_late", "too_late", "too_late", "too_late", "too_late"},
+			failure:  &Failure{State: StateNotRun, Reason: "too_late"},
+		},
+		"refused by all engines": {
+			script:   []behavior{{refuse: true}},
+			attempts: 4,
+			failure:  &Failure{State: StateNotRun, Reason: ReasonNoEndpoint},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engines := &fakeEngines{script: tc.script, unreachable: tc.unreachable}
+				owners := &fakeOwners{refusals: tc.refusals, lapse: tc.lapse}
+				d := fixture(engines, owners)
+				var answer collector
+				begun := time.Now()
+				err := d.Generate(t.Context(), request(), &answer)
+				checkFailure(t, err, tc.failure)
+				if tc.failure == nil && answer.text.String() != "abcdefghij" {
+					t.Errorf("answer %q", answer.text.String())
+				}
+				if len(engines.attempts) != tc.attempts {
+					t.Errorf("%d attempts, want %d", len(engines.attempts), tc.attempts)
+				}
+				if n := len(engines.attempts); n > 0 && engines.attempts[n-1].From != tc.resumedAt {
+					t.Errorf("last attempt starts at %d, want %d", engines.attempts[n-1].From, tc.resumedAt)
+				}
+				if len(owners.released) != len(engines.attempts) {
+					t.Errorf("%d releases of %d grants", len(owners.released), len(engines.attempts))
+				}
+				if last := owners.asked[len(owners.asked)-1]; last.Exclusive != tc.trial && tc.failure == nil {
+					t.Errorf("last attempt exclusive: %t, want %t", last.Exclusive, tc.trial)
+				}
+				if took := time.Since(begun); tc.failure != nil && took > 3*time.Second {
+					t.Errorf("final answer after %s", took)
+				}
+			})
+		})
+	}
+}
+
+// checkFailure compares an error with the failure that is wanted, but for the time to come back.
+func checkFailure(t *testing.T, err error, want *Failure) {
+	t.Helper()
+	var got *Failure
+	if errors.As(err, &got) != (want != nil) {
+		t.Fatalf("error %v, want %v", err, want)
+	}
+	if want == nil {
+		return
+	}
+	if got.State != want.State || got.Reason != want.Reason {
+		t.Errorf("failure %v, want %v", got, want)
+	}
+	if want.Reason != ReasonQuarantined && got.RetryAfter <= 0 {
+		t.Error("failure gives no time to come back")
+	}
+}
+
+func TestGenerateLapsedReservationMovesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &fakeEngines{script: []behavior{{tokens: 2, stall: true}, {}}}
+		owners := &fakeOwners{lapse: true}
+		d := fixture(engines, owners)
+		var answer collector
+		if err := d.Generate(t.Context(), request(), &answer); err != nil {
+			t.Fatal(err)
+		}
+		if answer.text.String() != "abcdefghij" {
+			t.Errorf("answer %q", answer.text.String())
+		}
+		if len(engines.canceled) != 1 {
+			t.Errorf("%d attempts canceled at their engine, want 1", len(engines.canceled))
+		}
+	})
+}
+
+func TestGenerateCallerGoneFreesTheEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &fakeEngines{script: []behavior{{}}}
+		owners := &fakeOwners{}
+		d := fixture(engines, owners)
+		if err := d.Generate(t.Context(), request(), &collector{failAfter: 3}); err == nil {
+			t.Fatal("no error though the caller is gone")
+		}
+		if len(engines.canceled) != 1 || owners.released[0].Outcome != reservation.OutcomeCanceled {
+			t.Errorf("canceled %v, released %v", engines.canceled, owners.released)
+		}
+	})
+}
+
+func TestCrashingRequestLosesTwoEndpointsHoweverOftenItIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &fakeEngines{script: []behavior{{die: true}}}
+		first := fixture(engines, &fakeOwners{})
+		second := fixture(engines, &fakeOwners{})
+		second.Entry = "other"
+		second.Suspects = &retry.Suspects{Entry: "other"}
+		first.Suspects.Spreader = spreadTo{second.Suspects}
+		second.Suspects.Spreader = spreadTo{first.Suspects}
+		for i := range 10 {
+			d := []*Dispatcher{first, second}[i%2]
+			var failure *Failure
+			if err := d.Generate(t.Context(), request(), &collector{}); !errors.As(err, &failure) {
+				t.Fatalf("send %d: %v, want a failure", i, err)
+			}
+		}
+		if len(engines.attempts) != 2 {
+			t.Errorf("the request ran %d times, want 2", len(engines.attempts))
+		}
+	})
+}
+
+// spreadTo tells one other entry of notes.
+type spreadTo struct {
+	other *retry.Suspects
+}
+
+func (s spreadTo) Spread(_ context.Context, note retry.Note) {
+	s.other.Take(note)
+}
--- a/core/dispatch/ports.go
+++ b/core/dispatch/ports.go
@@ -25,6 +25,8 @@
 	Generate(ctx context.Context, attempt Attempt) (Stream, error)
 	// Cancel ends an attempt and returns once the endpoint has confirmed it.
 	Cancel(ctx context.Context, endpoint fleet.Endpoint, attempt fleet.AttemptID) error
+	// Incarnation returns the present life of an engine.
+	Incarnation(ctx context.Context, endpoint fleet.Endpoint) (fleet.Incarnation, error)
 }
 
 // Attempt is one try of a request on one model engine.
--- /dev/null
+++ b/core/dispatch/record.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import (
+	"errors"
+	"time"
+
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/reservation"
+	"wisteriadyke/core/timeline"
+)
+
+// record appends an event of this request to the time line.
+func (r *run) record(event timeline.Event) {
+	event.Request = r.request.ID
+	event.Account = r.request.Account
+	event.Class = r.request.Class
+	r.Timeline.Record(event)
+}
+
+// recordRefusal appends the refusal of an owner with the figures that decided it.
+func (r *run) recordRefusal(endpoint fleet.Endpoint, refusal *reservation.Refusal) {
+	event := timeline.Event{
+		Kind:       timeline.KindReservationRefused,
+		Endpoint:   endpoint.ID,
+		Reason:     string(refusal.Reason),
+		RetryAfter: refusal.RetryAfter,
+	}
+	if !refusal.PredictedStart.IsZero() {
+		event.Predicted = time.Until(refusal.PredictedStart)
+	}
+	r.record(event)
+}
+
+// recordEnd appends the end of an attempt.
+func (r *run) recordEnd(a *attempt, result result) {
+	r.record(timeline.Event{
+		Kind:     timeline.KindAttemptEnded,
+		Attempt:  a.id,
+		Endpoint: a.endpoint.ID,
+		Reason:   string(result.release.Outcome),
+		Tokens:   result.release.Generated,
+		Took:     result.release.ReadTime + result.release.GenerateTime,
+	})
+}
+
+// finish counts and records how the request ended.
+func (r *run) finish(err error) {
+	if err == nil {
+		r.count(metricDone)
+		r.record(timeline.Event{Kind: timeline.KindRequestDone, Tokens: r.position, Took: time.Since(r.arrivedAt)})
+		return
+	}
+	r.count(metricFailed)
+	event := timeline.Event{Kind: timeline.KindRequestFailed, Reason: ReasonCallerGone, Took: time.Since(r.arrivedAt)}
+	var failure *Failure
+	if errors.As(err, &failure) {
+		event.Reason = string(failure.State) + ": " + failure.Reason
+		event.RetryAfter = failure.RetryAfter
+	}
+	r.record(event)
+}
--- /dev/null
+++ b/core/dispatch/run.go
@@ -0,0 +1,284 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/placement"
+	"wisteriadyke/core/reservation"
+	"wisteriadyke/core/retry"
+	"wisteriadyke/core/timeline"
+)
+
+const (
+	// comeBackAfter is the time to come back that a refusal gives when no owner has named one.
+	comeBackAfter = 2 * time.Second
+	// transientPause is the mean pause before an endpoint whose owner is changing is asked again.
+	transientPause = 50 * time.Millisecond
+	// maxTransient bounds how often endpoints whose owner is changing are asked again.
+	maxTransient = 12
+	// maxRefusals bounds the owners that refuse a request before it is given up.
+	maxRefusals = 4
+	// releaseTimeout bounds the call that gives a reservation back.
+	releaseTimeout = 2 * time.Second
+	// cancelTimeout bounds the call that ends an attempt at its engine.
+	cancelTimeout = time.Second
+)
+
+// run is the state of one request that is being served.
+type run struct {
+	*Dispatcher
+	request     Request
+	sink        Sink
+	fingerprint retry.Fingerprint
+	excluded    map[fleet.EndpointID]bool
+	arrivedAt   time.Time
+	attempts    int
+	ran         bool
+	refusals    int
+	transient   int
+	position    fleet.Tokens
+	retryAfter  time.Duration
+	reason      string
+}
+
+// serve tries endpoints until the answer is whole, the request has failed or no endpoint is left.
+func (r *run) serve(ctx context.Context) error {
+	for {
+		exclusive, err := r.standing()
+		if err != nil {
+			return err
+		}
+		endpoint, found := r.next()
+		if !found {
+			return r.giveUp(ctx, ReasonNoEndpoint)
+		}
+		grant, err := r.reserve(ctx, endpoint, exclusive)
+		if err != nil {
+			if err := r.refused(ctx, endpoint, err); err != nil {
+				return err
+			}
+			continue
+		}
+		done, err := r.try(ctx, endpoint, grant)
+		if done || err != nil {
+			return err
+		}
+	}
+}
+
+// standing returns whether the request must run alone, or the failure of a request that may not run here.
+func (r *run) standing() (exclusive bool, err error) {
+	switch r.Suspects.Standing(r.fingerprint) {
+	case retry.StandingTrial:
+		return true, nil
+	case retry.StandingElsewhere:
+		return false, r.failure(ReasonOnTrial, jitter(comeBackAfter))
+	case retry.StandingQuarantined:
+		return false, r.failure(ReasonQuarantined, 0)
+	default:
+		return false, nil
+	}
+}
+
+// next returns the best endpoint that is not excluded.
+func (r *run) next() (fleet.Endpoint, bool) {
+	candidates := r.Placement.Candidates(r.view(), placement.Need{
+		Pool:     r.request.Pool,
+		Account:  r.request.Account,
+		Prompt:   r.request.PromptTokens,
+		Output:   r.request.MaxTokens,
+		Excluded: r.excluded,
+	})
+	if len(candidates) == 0 {
+		return fleet.Endpoint{}, false
+	}
+	return candidates[0], true
+}
+
+// view returns what placements are decided on.
+func (d *Dispatcher) view() placement.View {
+	return placement.View{
+		Endpoints: d.Board.Endpoints.View().Rows,
+		Loads:     d.Board.Loads.View().Rows,
+		Zones:     d.Board.Zones.View().Rows,
+		Local:     d.Zone,
+	}
+}
+
+// reserve asks the owner of the endpoint for the next attempt.
+func (r *run) reserve(ctx context.Context, endpoint fleet.Endpoint, exclusive bool) (reservation.Grant, error) {
+	asked := time.Now()
+	grant, err := r.Owners.Reserve(ctx, reservation.Request{
+		Endpoint:  endpoint.ID,
+		Request:   r.request.ID,
+		Attempt:   r.attemptID(r.attempts + 1),
+		Entry:     r.Entry,
+		Account:   r.request.Account,
+		Class:     r.request.Class,
+		Weight:    r.request.Weight,
+		Priority:  r.request.Priority,
+		Prompt:    r.request.PromptTokens,
+		Output:    r.request.MaxTokens,
+		StartBy:   r.startBy(),
+		FinishBy:  r.request.FinishBy,
+		Exclusive: exclusive,
+	})
+	if err == nil {
+		r.attempts++
+		r.record(timeline.Event{
+			Kind:     timeline.KindReservationGranted,
+			Attempt:  r.attemptID(r.attempts),
+			Endpoint: endpoint.ID,
+			Peer:     grant.Owner,
+			Took:     time.Since(asked),
+		})
+	}
+	return grant, err
+}
+
+// startBy is when the wait for the next token ends; an answer that has begun is only bound by its finish.
+func (r *run) startBy() time.Time {
+	if r.position > 0 {
+		return r.request.FinishBy
+	}
+	return r.request.StartBy
+}
+
+// attemptID names the given attempt of the request; the entry's name tells apart those of two entries.
+func (r *run) attemptID(number int) fleet.AttemptID {
+	return fleet.AttemptID(fmt.Sprintf("%s.%s.%d", r.request.ID, r.Entry, number))
+}
+
+// refused notes the refusal of an owner; it returns the final failure once the request has to be given up.
+func (r *run) refused(ctx context.Context, endpoint fleet.Endpoint, err error) error {
+	if ctx.Err() != nil {
+		return r.giveUp(ctx, ReasonTimeout)
+	}
+	refusal := &reservation.Refusal{Reason: reservation.ReasonUnreachable}
+	errors.As(err, &refusal)
+	r.recordRefusal(endpoint, refusal)
+	r.reason = string(refusal.Reason)
+	if refusal.RetryAfter > 0 && (r.retryAfter == 0 || refusal.RetryAfter < r.retryAfter) {
+		r.retryAfter = refusal.RetryAfter
+	}
+	if transientReason(refusal.Reason) && r.transient < maxTransient {
+		r.transient++
+		return r.pause(ctx, endpoint)
+	}
+	r.excluded[endpoint.ID] = true
+	r.refusals++
+	if r.refusals >= maxRefusals {
+		return r.giveUp(ctx, r.reason)
+	}
+	return nil
+}
+
+// transientReason tells whether the same endpoint may be asked again at once.
+func transientReason(reason reservation.Reason) bool {
+	return reason == reservation.ReasonNotOwner || reason == reservation.ReasonUnreachable
+}
+
+// pause waits a little; the endpoint stays open for another try when there is no other.
+func (r *run) pause(ctx context.Context, endpoint fleet.Endpoint) error {
+	r.excluded[endpoint.ID] = true
+	if _, found := r.next(); found {
+		return nil
+	}
+	clear(r.excluded)
+	timer := time.NewTimer(jitter(transientPause))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return r.giveUp(ctx, ReasonTimeout)
+	case <-timer.C:
+		return nil
+	}
+}
+
+// try runs one granted attempt; done means that the answer is whole, an error that the request has ended.
+func (r *run) try(ctx context.Context, endpoint fleet.Endpoint, grant reservation.Grant) (done bool, err error) {
+	a := &attempt{run: r, endpoint: endpoint, grant: grant, id: r.attemptID(r.attempts)}
+	result := a.serve(ctx)
+	a.release(ctx, result)
+	r.recordEnd(a, result)
+	r.ran = r.ran || !certainlyNotRun(result.release.Outcome)
+	switch {
+	case result.release.Outcome == reservation.OutcomeDone:
+		r.Suspects.Finished(ctx, r.fingerprint)
+		return true, nil
+	case result.sinkErr != nil:
+		return false, result.sinkErr
+	case ctx.Err() != nil:
+		return false, r.giveUp(ctx, ReasonTimeout)
+	}
+	return false, r.afterFailure(ctx, a, result)
+}
+
+// afterFailure decides whether a request goes on after a failed attempt.
+func (r *run) afterFailure(ctx context.Context, a *attempt, result result) error {
+	r.excluded[a.endpoint.ID] = true
+	if certainlyNotRun(result.release.Outcome) {
+		r.refusals++
+		if r.refusals >= maxRefusals {
+			return r.giveUp(ctx, ReasonNoEndpoint)
+		}
+		return nil
+	}
+	if r.diagnose(ctx, a.endpoint, result.release.Incarnation) == verdictDied {
+		r.died(ctx, a, result.release.Incarnation)
+	}
+	if !r.Budget.Spend() {
+		return r.giveUp(ctx, ReasonRetryBudget)
+	}
+	r.count(metricRetries)
+	return nil
+}
+
+// certainlyNotRun tells whether the endpoint surely did nothing of the attempt.
+func certainlyNotRun(outcome reservation.Outcome) bool {
+	return outcome == reservation.OutcomeNotRun || outcome == reservation.OutcomeRefused
+}
+
+// died notes the death of the endpoint that ran the attempt.
+func (r *run) died(ctx context.Context, a *attempt, incarnation fleet.Incarnation) {
+	r.count(metricDeaths)
+	r.record(timeline.Event{Kind: timeline.KindEndpointDied, Attempt: a.id, Endpoint: a.endpoint.ID})
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	note := r.Suspects.Died(ctx, r.fingerprint, retry.Death{Endpoint: a.endpoint.ID, Incarnation: incarnation})
+	kind := timeline.KindSuspected
+	if note.Quarantined() {
+		kind = timeline.KindQuarantined
+	}
+	r.record(timeline.Event{Kind: kind, Attempt: a.id, Endpoint: a.endpoint.ID})
+}
+
+// giveUp returns the final failure of a request that can't go on.
+func (r *run) giveUp(ctx context.Context, reason string) error {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		return r.failure(ReasonCallerGone, 0)
+	}
+	if reason == ReasonNoEndpoint && r.reason != "" {
+		reason = r.reason
+	}
+	return r.failure(reason, jitter(max(r.retryAfter, comeBackAfter)))
+}
+
+// failure returns the final answer with the truth about the request.
+func (r *run) failure(reason string, retryAfter time.Duration) error {
+	state := StateNotRun
+	if r.ran {
+		state = StateFailed
+	}
+	return &Failure{State: state, Reason: reason, RetryAfter: retryAfter}
+}
+
+// jitter spreads a time over half to one and a half of it, so that callers do not come back together.
+func jitter(mean time.Duration) time.Duration {
+	return mean/2 + rand.N(mean)
+}
--- a/core/dispatch/services.go
+++ b/core/dispatch/services.go
@@ -49,7 +49,7 @@
 		}
 		var attemptErr *AttemptError
 		if call.AtMostOnce && errors.As(err, &attemptErr) && attemptErr.Certainty == Uncertain {
-			return CallResult{}, &Failure{State: StateOutcomeUnknown, Reason: "no_answer"}
+			return CallResult{}, &Failure{State: StateOutcomeUnknown, Reason: ReasonNoAnswer}
 		}
 	}
 }
--- a/io/engine/dispatch.go
+++ b/io/engine/dispatch.go
@@ -46,6 +46,15 @@
 	return attemptError(err, false)
 }
 
+// Incarnation returns the present life of an engine.
+func (e *Engines) Incarnation(ctx context.Context, endpoint fleet.Endpoint) (fleet.Incarnation, error) {
+	listing, err := e.client(endpoint).Attempts(ctx)
+	if err != nil {
+		return 0, attemptError(err, false)
+	}
+	return listing.Incarnation, nil
+}
+
 // client returns the client of one engine.
 func (e *Engines) client(endpoint fleet.Endpoint) *Client {
 	return &Client{Endpoint: endpoint.ID, Address: endpoint.Address, HTTP: e.HTTP}
