Find the live entries of a zone by probes and gossip

Until now every entry took the lagging instance list for the truth. Members is the state machine of SWIM with a lease on top: an entry acts for its zone only while it reaches the majority, and a freeze begins a new term.

--- a/core/blackboard/board.go
+++ b/core/blackboard/board.go
@@ -9,7 +9,11 @@
 type Board struct {
 	// Endpoints holds the endpoints of the instance list.
 	Endpoints Table[fleet.EndpointID, fleet.Endpoint]
-	// Entries holds the live entries, this one included.
+	// Listed holds the entries of the instance list, which lags.
+	Listed Table[fleet.EntryID, fleet.Entry]
+	// Members holds the live entries of this entry's availability zone, this one included.
+	Members Table[fleet.EntryID, fleet.Entry]
+	// Entries holds the live entries of all availability zones, this one included.
 	Entries Table[fleet.EntryID, fleet.Entry]
 	// Configuration holds the configuration in force under the only key.
 	Configuration Table[Only, declare.Configuration]
--- /dev/null
+++ b/core/membership/members_test.go
@@ -0,0 +1,171 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"wisteriadyke/core/fleet"
+)
+
+// newMembers returns a started and ready state machine.
+func newMembers(id fleet.EntryID, now time.Time) *Members {
+	m := &Members{
+		Self:   fleet.Entry{ID: id, Zone: "z", State: fleet.StateLive},
+		Lease:  &Lease{},
+		Random: rand.New(rand.NewPCG(1, 2)),
+	}
+	m.Start(now)
+	return m
+}
+
+// meet lets a probe b.
+func meet(now time.Time, a, b *Members) {
+	a.Receive(now, b.Answer(now, a.Compose(b.Self.ID)))
+	a.Acked(now, now)
+}
+
+func TestFalseSuspicionIsRefuted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, b, c := newMembers("a", now), newMembers("b", now), newMembers("c", now)
+	meet(now, a, b)
+	meet(now, a, c)
+	before := b.Self.Incarnation
+	a.Failed(now, "b", false)
+	if got := a.rows["b"].update.Status; got != StatusSuspect {
+		t.Fatalf("status after a failed probe %d, want suspect", got)
+	}
+	meet(now, a, c)
+	if got := c.rows["b"].update.Status; got != StatusSuspect {
+		t.Fatalf("the suspicion did not spread to c: status %d", got)
+	}
+	now = now.Add(SuspicionTime / 2)
+	meet(now, c, b)
+	if b.Self.Incarnation <= before {
+		t.Error("b did not raise its incarnation")
+	}
+	meet(now, a, c)
+	a.Tick(now.Add(SuspicionTime))
+	if got := a.rows["b"].update.Status; got != StatusAlive {
+		t.Errorf("status after the refutation %d, want alive", got)
+	}
+}
+
+func TestUpdateOverrides(t *testing.T) {
+	at := func(incarnation fleet.Incarnation, status Status) Update {
+		return Update{Entry: fleet.Entry{ID: "a", Incarnation: incarnation}, Status: status}
+	}
+	tests := map[string]struct {
+		update, old Update
+		want        bool
+	}{
+		"suspect over alive":          {at(1, StatusSuspect), at(1, StatusAlive), true},
+		"alive not over suspect":      {at(1, StatusAlive), at(1, StatusSuspect), false},
+		"refutation":                  {at(2, StatusAlive), at(1, StatusSuspect), true},
+		"return from the dead":        {at(2, StatusAlive), at(1, StatusDead), true},
+		"old suspicion":               {at(1, StatusSuspect), at(2, StatusAlive), false},
+		"dead over suspect":           {at(1, StatusDead), at(1, StatusSuspect), true},
+		"same":                        {at(1, StatusDead), at(1, StatusDead), false},
+		"a departure is never undone": {at(1, StatusDead), at(1, StatusLeft), false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := tc.update.overrides(tc.old); got != tc.want {
+				t.Errorf("overrides = %t, want %t", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestLeaseNeedsTheMajority(t *testing.T) {
+	start := time.Unix(1000, 0)
+	tests := map[string]struct {
+		silent  []fleet.EntryID
+		outside bool
+		held    bool
+	}{
+		"nobody silent":              {held: true},
+		"one of three silent":        {silent: []fleet.EntryID{"b"}, held: true},
+		"two of three silent":        {silent: []fleet.EntryID{"b", "c"}},
+		"two silent, also to others": {silent: []fleet.EntryID{"b", "c"}, outside: true, held: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			a, others := newMembers("a", start), map[fleet.EntryID]*Members{}
+			for _, id := range []fleet.EntryID{"b", "c"} {
+				others[id] = newMembers(id, start)
+				meet(start, a, others[id])
+			}
+			a.Ready(start)
+			for _, id := range tc.silent {
+				a.Failed(start, id, tc.outside)
+				delete(others, id)
+			}
+			now := start
+			for ; now.Before(start.Add(2 * SuspicionTime)); now = now.Add(Period) {
+				for _, other := range others {
+					meet(now, a, other)
+				}
+				a.Tick(now)
+			}
+			if _, held := a.Lease.Held(now); held != tc.held {
+				t.Errorf("lease held: %t, want %t", held, tc.held)
+			}
+			a.Tick(start.Add(SoloTime))
+			if _, held := a.Lease.Held(start.Add(SoloTime)); len(others) == 0 && !held {
+				t.Error("an entry that was alone for the solo time does not act")
+			}
+		})
+	}
+}
+
+func TestFreezeBeginsANewTerm(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, b := newMembers("a", now), newMembers("b", now)
+	meet(now, a, b)
+	a.Ready(now)
+	before, held := a.Lease.Held(now)
+	if !held {
+		t.Fatal("no lease at the start")
+	}
+	now = now.Add(LeaseTime + time.Millisecond)
+	if _, held = a.Lease.Held(now); held {
+		t.Error("the lease outlasts the freeze")
+	}
+	a.Acked(now, now.Add(-LeaseTime))
+	if _, held = a.Lease.Held(now); held {
+		t.Error("a probe sent before the freeze renews the lease")
+	}
+	meet(now, a, b)
+	after, held := a.Lease.Held(now)
+	if !held || after != before+1 {
+		t.Errorf("term %d held %t after the freeze, want term %d", after, held, before+1)
+	}
+}
+
+func TestRumorsAreBounded(t *testing.T) {
+	var r rumors
+	for i := range 100 {
+		r.add(Update{Entry: fleet.Entry{ID: fleet.EntryID(rune('a' + i))}})
+	}
+	sent := make(map[fleet.EntryID]int)
+	messages := 0
+	for len(r.rows) > 0 {
+		updates := r.take(30)
+		if len(updates) > maxRumors {
+			t.Fatalf("%d updates in one message, want at most %d", len(updates), maxRumors)
+		}
+		for _, u := range updates {
+			sent[u.Entry.ID]++
+		}
+		messages++
+	}
+	for id, count := range sent {
+		if count != 15 {
+			t.Errorf("update on %s sent %d times, want 15", id, count)
+		}
+	}
+	if want := 100 * 15 / maxRumors; messages > want+1 {
+		t.Errorf("%d messages, want at most %d", messages, want+1)
+	}
+}
