--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
@@ -331,3 +332,26 @@
 		}
 	})
 }
+
+func TestFrozenProcessDoesNotCatchUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &standin.Engine{Settings: warm()}
+		ctx, cancel := context.WithCancel(t.Context())
+		body := strings.NewReader(`{"attempt_id": "a", "prompt": "x", "max_tokens": 60}`)
+		request := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/generate", body)
+		var group errgroup.Group
+		group.Go(func() error {
+			e.ServeHTTP(httptest.NewRecorder(), request)
+			return nil
+		})
+		time.Sleep(10 * time.Second)
+		e.Apply(standin.Control{})
+		if stats := e.Stats(); stats.Attempts != 1 || stats.Done != 0 {
+			t.Errorf("stats are %+v", stats)
+		}
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/standin/engine/reports.go
+++ b/standin/engine/reports.go
@@ -81,7 +81,11 @@
 // listAttempts serves GET /v1/attempts.
 func listAttempts(m *Model, now time.Time, _ *http.Request) (any, error) {
 	listing := m.Listing(now)
-	body := listingBody{Incarnation: listing.Incarnation}
+	body := listingBody{
+		Incarnation: listing.Incarnation,
+		Attempts:    make([]attemptRow, 0, len(listing.Attempts)),
+		HeldKV:      make([]heldRow, 0, len(listing.HeldKV)),
+	}
 	for _, attempt := range listing.Attempts {
 		body.Attempts = append(body.Attempts, attemptRow(attempt))
 	}
