--- a/core/spread/store.go
+++ b/core/spread/store.go
@@ -32,6 +32,14 @@
 	Revision uint64
 }
 
+// Difference is what one store tells another whose digest differs from its own.
+type Difference struct {
+	// Groups has a bit for each group of keys that differs.
+	Groups uint64
+	// Stamps holds the versions in these groups, in key order.
+	Stamps []Stamp
+}
+
 // Digest holds one hash for each group of keys; two stores with equal items have equal digests.
 type Digest [digestBuckets]uint64
 
@@ -40,6 +48,7 @@
 	mu      sync.Mutex
 	items   map[string]Item
 	digest  Digest
+	fresh   map[string]uint64
 	changed chan struct{}
 }
 
@@ -57,6 +66,9 @@
 	s.items[item.Key] = item
 	s.fold(old, found)
 	s.fold(item, true)
+	if item.Urgent {
+		s.note(item)
+	}
 	if s.changed != nil {
 		close(s.changed)
 		s.changed = nil
@@ -110,16 +122,88 @@
 	return s.digest
 }
 
-// Stamps returns the versions of the items in the groups in which other differs from the store, in key order.
-func (s *Store) Stamps(other Digest) []Stamp {
+// Difference returns the versions of the items in the groups in which other differs from the store.
+func (s *Store) Difference(other Digest) Difference {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var stamps []Stamp
+	var difference Difference
+	for i := range s.digest {
+		if s.digest[i] != other[i] {
+			difference.Groups |= 1 << i
+		}
+	}
+	if difference.Groups == 0 {
+		return difference
+	}
 	for key, item := range s.items {
-		if b := bucket(key); s.digest[b] != other[b] {
-			stamps = append(stamps, Stamp{Key: key, Revision: item.Revision})
+		if difference.Groups&(1<<bucket(key)) != 0 {
+			difference.Stamps = append(difference.Stamps, Stamp{Key: key, Revision: item.Revision})
 		}
 	}
+	slices.SortFunc(difference.Stamps, func(a, b Stamp) int { return strings.Compare(a.Key, b.Key) })
+	return difference
+}
+
+// missing returns the items that another store lacks, as far as one exchange may carry them.
+func (s *Store) missing(theirs Difference) []Item {
+	revisions := make(map[string]uint64, len(theirs.Stamps))
+	for _, stamp := range theirs.Stamps {
+		revisions[stamp.Key] = stamp.Revision
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for key, item := range s.items {
+		if theirs.Groups&(1<<bucket(key)) != 0 && item.Revision > revisions[key] {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return s.bounded(keys)
+}
+
+// pick returns the items of keys, as far as one exchange may carry them.
+func (s *Store) pick(keys []string) []Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bounded(keys)
+}
+
+// bounded returns the first items of keys that one exchange may carry; the caller holds the lock.
+func (s *Store) bounded(keys []string) []Item {
+	var items []Item
+	size := 0
+	for _, key := range keys {
+		item, found := s.items[key]
+		if !found {
+			continue
+		}
+		size += len(item.Payload)
+		if size > maxExchange && len(items) > 0 {
+			break
+		}
+		items = append(items, item)
+	}
+	return items
+}
+
+// note remembers an urgent item until it is offered; the caller holds the lock.
+func (s *Store) note(item Item) {
+	if s.fresh == nil {
+		s.fresh = make(map[string]uint64)
+	}
+	s.fresh[item.Key] = item.Revision
+}
+
+// takeFresh returns the stamps of the urgent items taken since its last call, in key order.
+func (s *Store) takeFresh() []Stamp {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stamps := make([]Stamp, 0, len(s.fresh))
+	for key, revision := range s.fresh {
+		stamps = append(stamps, Stamp{Key: key, Revision: revision})
+	}
+	clear(s.fresh)
 	slices.SortFunc(stamps, func(a, b Stamp) int { return strings.Compare(a.Key, b.Key) })
 	return stamps
 }
