Tell every fault of settings and declarations at once, with file, line and field

Operators met the first fault of a file only, without its line, and nothing was checked beyond the type of a field. Files are now decoded field by field from the parsed text: rules in struct tags give defaults, bounds and units, and declarations are checked as a whole when they are merged (duplicates, unreachable waits, at-most-once classes on engines, pools of two kinds).

encoding/json with DisallowUnknownFields was ruled out, since it stops at the first fault and loses the line.

Run: go test ./io/jsonfile ./core/declare, green.

--- a/core/declare/declare.go
+++ b/core/declare/declare.go
@@ -25,6 +25,8 @@
 	Pool fleet.PoolName
 	// Kind tells what kind of endpoints these are.
 	Kind fleet.Kind
+	// Operation names what a plain service is asked to do; "" stands for the name of the class.
+	Operation string
 	// Priority orders the requests of one account; larger goes first.
 	Priority int
 	// Wait bounds the time to the first token, or to the start of a call.
--- /dev/null
+++ b/core/declare/merge_test.go
@@ -0,0 +1,113 @@
+package declare_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"wisteriadyke/core/declare"
+	"wisteriadyke/core/fleet"
+)
+
+// account returns a valid account whose digest is made of one digit.
+func account(name fleet.AccountID, digit string) declare.Account {
+	return declare.Account{Name: name, Weight: 1, KeyDigest: strings.Repeat(digit, 64)}
+}
+
+// model returns a valid class of model requests.
+func model(name fleet.ClassName) declare.Class {
+	return declare.Class{
+		Name: name, Pool: "reader", Kind: fleet.KindEngine,
+		Wait: 5 * time.Second, Finish: time.Minute, MaxPrompt: 16000, MaxOutput: 64,
+	}
+}
+
+// call returns a valid class of calls.
+func call(name fleet.ClassName) declare.Class {
+	return declare.Class{
+		Name: name, Pool: "desk", Kind: fleet.KindService, Wait: time.Second, Finish: time.Second, AtMostOnce: true,
+	}
+}
+
+// with returns the class after a change.
+func with(class declare.Class, change func(*declare.Class)) declare.Class {
+	change(&class)
+	return class
+}
+
+func TestMerge(t *testing.T) {
+	tests := map[string]struct {
+		accounts []declare.Account
+		classes  []declare.Class
+		want     []string
+	}{
+		"valid": {
+			accounts: []declare.Account{account("a", "1"), account("b", "2")},
+			classes:  []declare.Class{model("summary"), call("filing")},
+		},
+		"duplicates": {
+			accounts: []declare.Account{account("a", "1"), account("a", "2"), account("c", "1")},
+			classes:  []declare.Class{model("summary"), model("summary")},
+			want:     []string{"accounts[1].name", "accounts[2].key_digest", "classes[1].name"},
+		},
+		"bad account": {
+			accounts: []declare.Account{{Name: "a", Weight: 0, KeyDigest: "12"}},
+			classes:  []declare.Class{model("summary")},
+			want:     []string{"accounts[0].weight", "accounts[0].key_digest"},
+		},
+		"bad times": {
+			accounts: []declare.Account{account("a", "1")},
+			classes: []declare.Class{
+				with(model("longer"), func(c *declare.Class) { c.Wait = time.Hour }),
+				with(model("unreachable"), func(c *declare.Class) { c.MaxPrompt = 100_000; c.Wait = time.Millisecond }),
+				with(model("never"), func(c *declare.Class) { c.Wait, c.Finish = 0, 0 }),
+			},
+			want: []string{"classes[0].wait", "classes[1].wait", "classes[2].wait", "classes[2].finish"},
+		},
+		"kinds": {
+			accounts: []declare.Account{account("a", "1")},
+			classes: []declare.Class{
+				with(model("once"), func(c *declare.Class) { c.AtMostOnce = true; c.Operation = "o" }),
+				with(call("prompt"), func(c *declare.Class) { c.MaxPrompt, c.MaxOutput = 1, 1 }),
+				with(call("other"), func(c *declare.Class) { c.Kind = "robot" }),
+				with(call("mixed"), func(c *declare.Class) { c.Pool = "reader" }),
+				with(model("unbounded"), func(c *declare.Class) { c.MaxPrompt, c.MaxOutput = 0, 0 }),
+			},
+			want: []string{
+				"classes[0].at_most_once", "classes[0].operation", "classes[1].max_prompt", "classes[1].max_output",
+				"classes[2].kind", "classes[2].kind", "classes[3].kind", "classes[4].max_prompt", "classes[4].max_output",
+			},
+		},
+		"nothing": {want: []string{"", ""}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, problems := declare.Merge([]declare.Source{{Name: "f", Accounts: tc.accounts, Classes: tc.classes}})
+			var got []string
+			for _, p := range problems {
+				got = append(got, p.Field)
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("problems (-want +got):\n%s\n%v", diff, problems)
+			}
+		})
+	}
+}
+
+func TestMergeNamesTheOtherSource(t *testing.T) {
+	sources := []declare.Source{
+		{Name: "first", Accounts: []declare.Account{account("a", "1")}, Classes: []declare.Class{model("summary")}},
+		{Name: "second", Accounts: []declare.Account{account("a", "2")}},
+	}
+	_, problems := declare.Merge(sources)
+	want := []declare.Problem{{
+		Source: 1,
+		Field:  "accounts[0].name",
+		Text:   `account "a" is declared already at accounts[0] of first`,
+	}}
+	if diff := cmp.Diff(want, problems); diff != "" {
+		t.Errorf("problems (-want +got):\n%s", diff)
+	}
+}
--- a/io/declaration/file.go
+++ b/io/declaration/file.go
@@ -2,11 +2,9 @@
 package declaration
 
 import (
-	"encoding/json"
+	"fmt"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"wisteriadyke/core/declare"
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/io/jsonfile"
@@ -14,110 +12,101 @@
 
 // file is the form of one declaration file.
 type file struct {
-	Accounts []account `json:"accounts"`
-	Classes  []class   `json:"classes"`
+	Accounts []account `json:"accounts" check:"max=10000"`
+	Classes  []class   `json:"classes" check:"max=1000"`
 }
 
 // account is the form of one client account.
 type account struct {
-	Name      fleet.AccountID `json:"name"`
-	Weight    float64         `json:"weight"`
-	KeyDigest string          `json:"key_digest"`
+	Name      fleet.AccountID `json:"name" check:"required,name"`
+	Weight    float64         `json:"weight" check:"default=1,min=0.001,max=1000000"`
+	KeyDigest string          `json:"key_digest" check:"required,digest"`
 }
 
 // class is the form of one request class.
 type class struct {
-	Name       fleet.ClassName `json:"name"`
-	Pool       fleet.PoolName  `json:"pool"`
-	Kind       fleet.Kind      `json:"kind"`
-	Priority   int             `json:"priority"`
-	Wait       string          `json:"wait"`
-	Finish     string          `json:"finish"`
-	AtMostOnce bool            `json:"at_most_once,omitempty"`
-	MaxPrompt  fleet.Tokens    `json:"max_prompt,omitempty"`
-	MaxOutput  fleet.Tokens    `json:"max_output,omitempty"`
+	Name       fleet.ClassName `json:"name" check:"required,name"`
+	Pool       fleet.PoolName  `json:"pool" check:"required,name"`
+	Kind       fleet.Kind      `json:"kind" check:"required,oneof=engine|service"`
+	Operation  string          `json:"operation" check:"name"`
+	Priority   int             `json:"priority" check:"default=0,min=0,max=100"`
+	Wait       time.Duration   `json:"wait" check:"required,min=10ms,max=24h"`
+	Finish     time.Duration   `json:"finish" check:"required,min=10ms,max=24h"`
+	AtMostOnce bool            `json:"at_most_once" check:"default=false"`
+	MaxPrompt  fleet.Tokens    `json:"max_prompt" check:"min=1,max=10000000"`
+	MaxOutput  fleet.Tokens    `json:"max_output" check:"min=1,max=1000000"`
+}
+
+// defaultMaxOutput bounds the answers of an engine class that names no bound.
+const defaultMaxOutput fleet.Tokens = 1024
+
+// Reference returns the fields of a declaration file.
+func Reference() []jsonfile.Field {
+	return jsonfile.Reference(file{})
 }
 
 // Merge reads declaration files and returns what they declare together, without a revision.
+//
+// The error is of type jsonfile.Faults and names everything that is wrong in the files and in the whole.
 func Merge(paths []string) (declare.Configuration, error) {
-	merged := declare.Configuration{
-		Accounts: make(map[fleet.AccountID]declare.Account),
-		Classes:  make(map[fleet.ClassName]declare.Class),
-	}
+	var files []*jsonfile.File
+	var sources []declare.Source
+	var faults jsonfile.Faults
 	for _, path := range paths {
 		var f file
-		if err := jsonfile.Read(path, &f); err != nil {
-			return merged, err
-		}
-		if err := add(&merged, f); err != nil {
-			return merged, errors.Wrap(err, path)
-		}
+		read := jsonfile.ReadFile(path, &f)
+		faults = append(faults, read.Faults()...)
+		files = append(files, read)
+		sources = append(sources, f.source(path))
 	}
-	return merged, nil
+	configuration, problems := declare.Merge(sources)
+	return configuration, append(faults, locate(files, problems, faults)...).Err()
 }
 
-// Encode returns the stored form of a configuration.
-func Encode(configuration declare.Configuration) ([]byte, error) {
-	var f file
-	for _, a := range configuration.Accounts {
-		f.Accounts = append(f.Accounts, account(a))
+// locate turns problems of the whole into faults; a field that has a fault already gets no second one.
+func locate(files []*jsonfile.File, problems []declare.Problem, known jsonfile.Faults) jsonfile.Faults {
+	broken := make(map[string]bool)
+	unread := make(map[string]bool)
+	for _, fault := range known {
+		broken[fault.File+"\n"+fault.Field] = true
+		unread[fault.File] = unread[fault.File] || fault.Field == ""
 	}
-	for _, c := range configuration.Classes {
-		f.Classes = append(f.Classes, class{
-			Name:       c.Name,
-			Pool:       c.Pool,
-			Kind:       c.Kind,
-			Priority:   c.Priority,
-			Wait:       c.Wait.String(),
-			Finish:     c.Finish.String(),
-			AtMostOnce: c.AtMostOnce,
-			MaxPrompt:  c.MaxPrompt,
-			MaxOutput:  c.MaxOutput,
-		})
+	var faults jsonfile.Faults
+	for _, p := range problems {
+		if p.Source < 0 {
+			if len(unread) == 0 {
+				faults = append(faults, jsonfile.Fault{File: wholeName(files), Problem: p.Text})
+			}
+			continue
+		}
+		f := files[p.Source]
+		if broken[f.Name+"\n"+p.Field] {
+			continue
+		}
+		faults = append(faults, jsonfile.Fault{File: f.Name, Line: f.Line(p.Field), Field: p.Field, Problem: p.Text})
 	}
-	data, err := json.Marshal(f)
-	return data, errors.Wrap(err, "encode configuration")
+	return faults
 }
 
-// Decode reads the stored form of a configuration.
-func Decode(data []byte, revision uint64) (declare.Configuration, error) {
-	configuration := declare.Configuration{
-		Revision: revision,
-		Accounts: make(map[fleet.AccountID]declare.Account),
-		Classes:  make(map[fleet.ClassName]declare.Class),
+// wholeName names all files together.
+func wholeName(files []*jsonfile.File) string {
+	if len(files) == 1 {
+		return files[0].Name
 	}
-	var f file
-	if err := json.Unmarshal(data, &f); err != nil {
-		return configuration, errors.Wrap(err, "decode configuration")
-	}
-	return configuration, add(&configuration, f)
+	return fmt.Sprintf("%d files", len(files))
 }
 
-// add puts what one file declares into a configuration.
-func add(configuration *declare.Configuration, f file) error {
+// source returns what the file declares.
+func (f file) source(name string) declare.Source {
+	source := declare.Source{Name: name}
 	for _, a := range f.Accounts {
-		configuration.Accounts[a.Name] = declare.Account(a)
+		source.Accounts = append(source.Accounts, declare.Account(a))
 	}
 	for _, c := range f.Classes {
-		wait, err := time.ParseDuration(c.Wait)
-		if err != nil {
-			return errors.Wrapf(err, "class %q: wait", c.Name)
-		}
-		finish, err := time.ParseDuration(c.Finish)
-		if err != nil {
-			return errors.Wrapf(err, "class %q: finish", c.Name)
-		}
-		configuration.Classes[c.Name] = declare.Class{
-			Name:       c.Name,
-			Pool:       c.Pool,
-			Kind:       c.Kind,
-			Priority:   c.Priority,
-			Wait:       wait,
-			Finish:     finish,
-			AtMostOnce: c.AtMostOnce,
-			MaxPrompt:  c.MaxPrompt,
-			MaxOutput:  c.MaxOutput,
+		if c.Kind == fleet.KindEngine && c.MaxOutput == 0 {
+			c.MaxOutput = defaultMaxOutput
 		}
+		source.Classes = append(source.Classes, declare.Class(c))
 	}
-	return nil
+	return source
 }
--- /dev/null
+++ b/io/jsonfile/decode.go
@@ -0,0 +1,171 @@
+package jsonfile
+
+import (
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+// durationType is the type of durations, which are written as strings with a unit.
+var durationType = reflect.TypeFor[time.Duration]()
+
+// decoder fills structs from a parsed file.
+type decoder struct {
+	file *File
+}
+
+// decode fills into from value and checks the rules.
+func (d *decoder) decode(path string, value hujson.Value, into reflect.Value, r rules) {
+	d.file.note(path, value.StartOffset)
+	if text, ok := into.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.decodeText(path, value, text)
+		return
+	}
+	switch into.Kind() {
+	case reflect.Struct:
+		d.decodeObject(path, value, into)
+	case reflect.Slice:
+		d.decodeArray(path, value, into, r)
+	default:
+		d.decodeLiteral(path, value, into, r)
+	}
+}
+
+// decodeText fills a value that reads itself from a string.
+func (d *decoder) decodeText(path string, value hujson.Value, into encoding.TextUnmarshaler) {
+	literal, ok := value.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '"' {
+		d.file.Addf(path, "is %s; want a string", describe(value))
+		return
+	}
+	if err := into.UnmarshalText([]byte(literal.String())); err != nil {
+		d.file.Addf(path, "%q is not valid: %s", literal.String(), strings.TrimSpace(err.Error()))
+	}
+}
+
+// decodeObject fills a struct.
+func (d *decoder) decodeObject(path string, value hujson.Value, into reflect.Value) {
+	object, ok := value.Value.(*hujson.Object)
+	if !ok {
+		d.file.Addf(path, "is %s; want an object", describe(value))
+		return
+	}
+	fields := fieldsOf(into.Type())
+	given := make(map[string]bool, len(object.Members))
+	for _, member := range object.Members {
+		name := memberName(member)
+		at := join(path, name)
+		field, known := fields[name]
+		switch {
+		case !known:
+			d.file.note(at, member.Name.StartOffset)
+			d.file.Addf(at, "unknown field")
+		case given[name]:
+			d.file.note(at, member.Name.StartOffset)
+			d.file.Addf(at, "given twice")
+		default:
+			d.decode(at, member.Value, into.Field(field.index), field.rules)
+		}
+		given[name] = true
+	}
+	for name, field := range fields {
+		if !given[name] {
+			d.fillAbsent(join(path, name), into.Field(field.index), field.rules)
+		}
+	}
+}
+
+// fillAbsent puts the default into a field that the file doesn't give.
+func (d *decoder) fillAbsent(path string, into reflect.Value, r rules) {
+	if r.required {
+		d.file.Addf(path, "missing")
+		return
+	}
+	if r.fallback != "" {
+		setText(into, r.fallback)
+	}
+}
+
+// decodeArray fills a slice.
+func (d *decoder) decodeArray(path string, value hujson.Value, into reflect.Value, r rules) {
+	array, ok := value.Value.(*hujson.Array)
+	if !ok {
+		d.file.Addf(path, "is %s; want an array", describe(value))
+		return
+	}
+	into.Set(reflect.MakeSlice(into.Type(), len(array.Elements), len(array.Elements)))
+	for i, element := range array.Elements {
+		d.decode(fmt.Sprintf("%s[%d]", path, i), element, into.Index(i), r.element())
+	}
+	if problem := r.checkCount(len(array.Elements)); problem != "" {
+		d.file.Addf(path, "%s", problem)
+	}
+}
+
+// decodeLiteral fills a string, number, truth value or duration.
+func (d *decoder) decodeLiteral(path string, value hujson.Value, into reflect.Value, r rules) {
+	literal, ok := value.Value.(hujson.Literal)
+	if !ok || !fits(literal, into) {
+		d.file.Addf(path, "is %s; want %s", describe(value), typeName(into.Type()))
+		return
+	}
+	if into.Type() == durationType {
+		duration, err := time.ParseDuration(literal.String())
+		if err != nil {
+			d.file.Addf(path, "%q is no duration; write a number with a unit, as in \"5s\"", literal.String())
+			return
+		}
+		into.SetInt(int64(duration))
+	} else if err := json.Unmarshal(literal, into.Addr().Interface()); err != nil {
+		d.file.Addf(path, "is %s; want %s", literal, typeName(into.Type()))
+		return
+	}
+	if problem := r.check(into); problem != "" {
+		d.file.Addf(path, "%s", problem)
+	}
+}
+
+// fits tells whether a literal is of the kind that fills a value.
+func fits(literal hujson.Literal, into reflect.Value) bool {
+	switch {
+	case into.Type() == durationType, into.Kind() == reflect.String:
+		return literal.Kind() == '"'
+	case into.Kind() == reflect.Bool:
+		return literal.Kind() == 't' || literal.Kind() == 'f'
+	default:
+		return literal.Kind() == '0'
+	}
+}
+
+// describe names a value for a fault.
+func describe(value hujson.Value) string {
+	switch v := value.Value.(type) {
+	case *hujson.Object:
+		return "an object"
+	case *hujson.Array:
+		return "an array"
+	case hujson.Literal:
+		return string(v)
+	default:
+		return "nothing"
+	}
+}
+
+// memberName returns the name of a member of an object.
+func memberName(member hujson.ObjectMember) string {
+	literal, _ := member.Name.Value.(hujson.Literal)
+	return literal.String()
+}
+
+// join returns the path of a field of an object.
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- a/io/jsonfile/jsonfile.go
+++ b/io/jsonfile/jsonfile.go
@@ -1,31 +1,162 @@
-// Package jsonfile reads files of JSON with comments.
+// Package jsonfile reads files of JSON with comments and tells all that is wrong in them at once.
+//
+// The fields of the structs that it fills carry their rules in a tag named check, whose parts are divided by commas:
+// required, default=VALUE, min=VALUE, max=VALUE, oneof=A|B, name (lower-case letters, digits and . _ -) and digest
+// (SHA-256 in hexadecimal). Bounds of arrays count elements, bounds of durations are durations.
 package jsonfile
 
 import (
-	"bytes"
-	"encoding/json"
+	"fmt"
 	"os"
+	"reflect"
+	"sort"
+	"strings"
 
-	"github.com/pkg/errors"
 	"github.com/tailscale/hujson"
 )
 
-// Read decodes the file at path into the value that into points to; unknown fields are refused.
+const (
+	// maxFileBytes bounds the length of a file.
+	maxFileBytes = 16 << 20
+	// maxDepth bounds how deep arrays and objects are nested.
+	maxDepth = 100
+)
+
+// File is a file that was read; it knows the line of each field and collects faults.
+type File struct {
+	// Name is the path of the file.
+	Name string
+
+	newlines []int
+	lines    map[string]int
+	faults   Faults
+}
+
+// Read decodes the file at path into the struct that into points to; the error is of type Faults.
 func Read(path string, into any) error {
+	return ReadFile(path, into).Faults().Err()
+}
+
+// Decode decodes data, the contents of the file called name, as Read does.
+func Decode(name string, data []byte, into any) error {
+	return Parse(name, data, into).Faults().Err()
+}
+
+// ReadFile reads the file at path into the struct that into points to.
+func ReadFile(path string, into any) *File {
+	info, err := os.Stat(path)
+	if err == nil && info.Size() > maxFileBytes {
+		return failed(path, fmt.Sprintf("the file has %d bytes; at most %d are read", info.Size(), maxFileBytes))
+	}
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return errors.Wrap(err, "read")
+		return failed(path, "cannot be read: "+reason(err))
 	}
-	return Decode(path, data, into)
+	return Parse(path, data, into)
 }
 
-// Decode decodes data, the contents of the file called name, into the value that into points to.
-func Decode(name string, data []byte, into any) error {
-	standard, err := hujson.Standardize(data)
+// Parse decodes data, the contents of the file called name, into the struct that into points to.
+func Parse(name string, data []byte, into any) *File {
+	f := &File{Name: name, lines: make(map[string]int), newlines: newlines(data)}
+	if depth(data) > maxDepth {
+		f.Addf("", "arrays and objects are nested more than %d deep", maxDepth)
+		return f
+	}
+	value, err := hujson.Parse(data)
 	if err != nil {
-		return errors.Wrap(err, name)
+		f.addSyntaxFault(err)
+		return f
+	}
+	d := decoder{file: f}
+	d.decode("", value, reflect.ValueOf(into).Elem(), rules{})
+	return f
+}
+
+// Faults returns the faults so far, in the order of the lines.
+func (f *File) Faults() Faults {
+	sort.SliceStable(f.faults, func(i, j int) bool { return f.faults[i].Line < f.faults[j].Line })
+	return f.faults
+}
+
+// Addf adds a fault of a field; one that is absent gets the line of what encloses it.
+func (f *File) Addf(field, format string, args ...any) {
+	f.faults = append(f.faults, Fault{
+		File:    f.Name,
+		Line:    f.Line(field),
+		Field:   field,
+		Problem: fmt.Sprintf(format, args...),
+	})
+}
+
+// Line returns the line of a field, or of the nearest field that encloses it.
+func (f *File) Line(field string) int {
+	for {
+		if line, found := f.lines[field]; found || field == "" {
+			return line
+		}
+		field = field[:max(strings.LastIndexAny(field, ".["), 0)]
+	}
+}
+
+// Has tells whether the file gives a field.
+func (f *File) Has(field string) bool {
+	_, found := f.lines[field]
+	return found
+}
+
+// failed returns a file that can't be read.
+func failed(name, problem string) *File {
+	return &File{Name: name, faults: Faults{{File: name, Problem: problem}}}
+}
+
+// reason returns the cause of a file error without the path.
+func reason(err error) string {
+	if pathErr, ok := err.(*os.PathError); ok { //nolint:errorlint // os.ReadFile returns it unwrapped.
+		return pathErr.Err.Error()
+	}
+	return err.Error()
+}
+
+// addSyntaxFault adds a fault of the parser, which names line and column.
+func (f *File) addSyntaxFault(err error) {
+	fault := Fault{File: f.Name, Problem: err.Error()}
+	var line, column int
+	if n, _ := fmt.Sscanf(err.Error(), "hujson: line %d, column %d:", &line, &column); n == 2 {
+		_, problem, _ := strings.Cut(err.Error(), ": line")
+		_, problem, _ = strings.Cut(problem, ": ")
+		fault.Line = line
+		fault.Problem = fmt.Sprintf("column %d: %s", column, problem)
+	}
+	f.faults = append(f.faults, fault)
+}
+
+// note keeps the line of a field.
+func (f *File) note(field string, offset int) {
+	f.lines[field] = 1 + sort.SearchInts(f.newlines, offset)
+}
+
+// newlines returns the offsets of all line ends.
+func newlines(data []byte) []int {
+	var offsets []int
+	for i, b := range data {
+		if b == '\n' {
+			offsets = append(offsets, i)
+		}
+	}
+	return offsets
+}
+
+// depth returns how deep brackets are nested, those in strings and comments included.
+func depth(data []byte) int {
+	var now, deepest int
+	for _, b := range data {
+		switch b {
+		case '[', '{':
+			now++
+			deepest = max(deepest, now)
+		case ']', '}':
+			now--
+		}
 	}
-	decoder := json.NewDecoder(bytes.NewReader(standard))
-	decoder.DisallowUnknownFields()
-	return errors.Wrap(decoder.Decode(into), name)
+	return deepest
 }
--- /dev/null
+++ b/io/jsonfile/jsonfile_test.go
@@ -0,0 +1,95 @@
+package jsonfile_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"wisteriadyke/io/jsonfile"
+)
+
+// sample has one field of each kind.
+type sample struct {
+	Name    string         `json:"name" check:"required,name"`
+	Wait    time.Duration  `json:"wait" check:"default=5s,min=1s,max=1m"`
+	Count   int64          `json:"count" check:"min=1,max=9,default=3"`
+	Share   float64        `json:"share" check:"default=1,min=0.5"`
+	On      bool           `json:"on"`
+	Kind    string         `json:"kind" check:"oneof=a|b,default=a"`
+	Address netip.AddrPort `json:"address"`
+	Parts   []part         `json:"parts" check:"max=2"`
+}
+
+// part is an element of an array.
+type part struct {
+	Name string `json:"name" check:"required,name"`
+}
+
+func TestDecodeFillsDefaults(t *testing.T) {
+	var got sample
+	data := "// A comment.\n{\"name\": \"x\", \"on\": false, \"address\": \"127.0.0.1:80\", \"parts\": [{\"name\": \"p\"},],}"
+	if err := jsonfile.Decode("f", []byte(data), &got); err != nil {
+		t.Fatal(err)
+	}
+	want := sample{
+		Name:    "x",
+		Wait:    5 * time.Second,
+		Count:   3,
+		Share:   1,
+		Kind:    "a",
+		Address: netip.MustParseAddrPort("127.0.0.1:80"),
+		Parts:   []part{{Name: "p"}},
+	}
+	if diff := cmp.Diff(want, got, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })); diff != "" {
+		t.Errorf("decoded (-want +got):\n%s", diff)
+	}
+}
+
+func TestDecodeTellsAllFaults(t *testing.T) {
+	tests := map[string]struct {
+		data string
+		want string
+	}{
+		"several at once": {
+			data: "{\n\"name\": \"X\",\n\"wait\": \"5\",\n\"count\": 1.5,\n\"bad\": 1,\n\"parts\": [\n{},\n{\"name\": 3}]}",
+			want: "f:2: name: \"X\" is no name; want 1 to 63 lower-case letters, digits, '.', '_' or '-'\n" +
+				"f:3: wait: \"5\" is no duration; write a number with a unit, as in \"5s\"\n" +
+				"f:4: count: is 1.5; want a whole number\n" +
+				"f:5: bad: unknown field\n" +
+				"f:7: parts[0].name: missing\n" +
+				"f:8: parts[1].name: is 3; want a string",
+		},
+		"out of bounds": {
+			data: `{"name": "x", "wait": "2m", "count": 0, "share": 0.1, "kind": "c", "parts": [{"name":"a"},{"name":"b"},{"name":"c"}]}`,
+			want: "f:1: wait: is 2m0s; want at most 1m\n" +
+				"f:1: count: is 0; want at least 1\n" +
+				"f:1: share: is 0.1; want at least 0.5\n" +
+				"f:1: kind: is \"c\"; want one of a, b\n" +
+				"f:1: parts: has 3 elements; want at most 2",
+		},
+		"wrong kinds": {
+			data: `{"name": null, "on": "true", "address": "here", "parts": {}}`,
+			want: "f:1: name: is null; want a string\n" +
+				"f:1: on: is \"true\"; want true or false\n" +
+				"f:1: address: \"here\" is not valid: not an ip:port\n" +
+				"f:1: parts: is an object; want an array",
+		},
+		"twice":     {data: `{"name": "x", "name": "y"}`, want: "f:1: name: given twice"},
+		"no object": {data: `[]`, want: "f:1: is an array; want an object"},
+		"syntax":    {data: "{\n\"name\" 1}", want: "f:2: column 8: invalid character '1' after object name"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var got sample
+			err := jsonfile.Decode("f", []byte(tc.data), &got)
+			if err == nil {
+				t.Fatal("Decode found no fault")
+			}
+			if diff := cmp.Diff(tc.want, err.Error()); diff != "" {
+				t.Errorf("faults (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
