Refuse an answer that lost its last tokens

The end now has to carry the position that was reached, else the attempt counts as broken and resumes.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -99,6 +99,9 @@
 			}
 		case EventDone:
 			res.release.Outcome = reservation.OutcomeDone
+			if event.Position != a.position {
+				res.release.Outcome = reservation.OutcomeBroken
+			}
 			return res
 		}
 	}
--- a/core/dispatch/ports.go
+++ b/core/dispatch/ports.go
@@ -66,7 +66,7 @@
 type Event struct {
 	// Kind tells what it is.
 	Kind EventKind
-	// Position is the number of tokens generated up to and with this one.
+	// Position is the number of tokens generated up to and with this one; in EventDone it is the length of the answer.
 	Position fleet.Tokens
 	// Text is the piece of the answer.
 	Text string
--- a/io/engine/dispatch.go
+++ b/io/engine/dispatch.go
@@ -74,9 +74,13 @@
 	if err != nil {
 		return dispatch.Event{}, attemptError(err, false)
 	}
+	position := event.Position
+	if event.Type == EventToken {
+		position++
+	}
 	return dispatch.Event{
 		Kind:        eventKinds[event.Type],
-		Position:    event.Position + 1,
+		Position:    position,
 		Text:        event.Text,
 		Cached:      event.CachedTokens,
 		Incarnation: event.Incarnation,
