Compose the entry process with an operator port, status and time line

An entry tells the balancer first, then finishes every request that has begun, and only then ends its controllers. Operators get health, readiness, metrics (text form and JSON), status and the time line; prompts larger than any engine are read in segments with a last pass. standin load plays callers.

--- /dev/null
+++ b/cmd/standin_load.go
@@ -0,0 +1,76 @@
+package cmd
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/standin/load"
+)
+
+// loadFlags are the flags of the load command.
+type loadFlags struct {
+	callers   []string
+	keys      []string
+	callClass string
+	rate      float64
+	duration  time.Duration
+	seed      uint64
+}
+
+// newStandinLoadCommand builds the command that plays callers.
+func newStandinLoadCommand() *cobra.Command {
+	var flags loadFlags
+	command := &cobra.Command{
+		Use:   "load",
+		Short: "Send a mixed load through entries and print the time to first token by length",
+		Long: `Sends prompts of a thousand to a million tokens and at-most-once calls to the given entries in turn, waits for
+every answer, and prints the time to first token by prompt length with all outcomes. It fails if an answer broke off.`,
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return runLoad(c, flags)
+		},
+	}
+	command.Flags().StringSliceVar(&flags.callers, "caller", nil, "caller `address` of an entry; may be repeated")
+	command.Flags().StringSliceVar(&flags.keys, "key", nil, "`key` of a client account; may be repeated")
+	command.Flags().StringVar(&flags.callClass, "call-class", "", "at-most-once `class` to call with every tenth request")
+	command.Flags().Float64Var(&flags.rate, "rate", 10, "requests a `second`")
+	command.Flags().DurationVar(&flags.duration, "duration", 10*time.Second, "how long requests are sent")
+	command.Flags().Uint64Var(&flags.seed, "seed", 1, "`number` that makes the mix repeatable")
+	_ = command.MarkFlagRequired("caller")
+	_ = command.MarkFlagRequired("key")
+	return command
+}
+
+// runLoad sends the load and prints its report.
+func runLoad(c *cobra.Command, flags loadFlags) error {
+	l := &load.Load{
+		Keys:      flags.keys,
+		Bands:     load.Bands,
+		Rate:      flags.rate,
+		Duration:  flags.duration,
+		CallClass: fleet.ClassName(flags.callClass),
+		Seed:      flags.seed,
+	}
+	for _, text := range flags.callers {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return inputErrorf("--caller: %v", err)
+		}
+		l.Callers = append(l.Callers, address)
+	}
+	report, err := l.Run(c.Context())
+	if err != nil {
+		return err
+	}
+	if err := report.Print(c.OutOrStdout()); err != nil {
+		return err
+	}
+	if broken := report.Broken(); broken > 0 {
+		return fmt.Errorf("%d answers broke off", broken)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/segment/generator.go
@@ -0,0 +1,125 @@
+// Package segment serves prompts that are larger than the memory of any one engine.
+package segment
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"golang.org/x/sync/errgroup"
+
+	"wisteriadyke/core/blackboard"
+	"wisteriadyke/core/dispatch"
+	"wisteriadyke/core/fleet"
+)
+
+const (
+	// memoryShare is the part of the smallest engine's memory that one segment may take.
+	memoryShare = 0.4
+	// readingTokens is the length of the reading that an engine makes of one segment.
+	readingTokens fleet.Tokens = 256
+	// segmentsAtOnce bounds the segments of one prompt that are read at the same time.
+	segmentsAtOnce = 4
+)
+
+// Next serves a request that fits an engine; *dispatch.Dispatcher is one.
+type Next interface {
+	// Generate serves one request; an error is a *dispatch.Failure or that of the sink.
+	Generate(ctx context.Context, request dispatch.Request, sink dispatch.Sink) error
+}
+
+// Generator wraps another generator. A prompt that fits no engine of its pool is cut into segments, which are read
+// side by side on several engines, and a last pass answers from their readings. A crash costs the segment that it
+// hit. It reads the endpoints of the blackboard.
+type Generator struct {
+	// Board holds the endpoints.
+	Board *blackboard.Board
+	// Next serves the segments, the last pass and all requests that fit.
+	Next Next
+}
+
+// Generate serves one request; an error is a *dispatch.Failure or that of the sink.
+func (g *Generator) Generate(ctx context.Context, request dispatch.Request, sink dispatch.Sink) error {
+	largest, smallest := g.memory(request.Pool)
+	if largest == 0 || request.PromptTokens+request.MaxTokens <= largest {
+		return g.Next.Generate(ctx, request, sink)
+	}
+	readings, err := g.read(ctx, request, fleet.Tokens(float64(smallest)*memoryShare))
+	if err != nil {
+		return err
+	}
+	last := request
+	last.ID = partID(request.ID, "answer")
+	last.Prompt = strings.Join(readings, "\n")
+	last.PromptTokens = dispatch.CountTokens(last.Prompt)
+	last.StartBy = request.FinishBy
+	return g.Generate(ctx, last, sink)
+}
+
+// memory returns the largest and the smallest memory of the engines of a pool, or 0 if there is none.
+func (g *Generator) memory(pool fleet.PoolName) (largest, smallest fleet.Tokens) {
+	for _, endpoint := range g.Board.Endpoints.View().Rows {
+		if endpoint.Pool != pool || endpoint.Kind != fleet.KindEngine || endpoint.State != fleet.StateLive {
+			continue
+		}
+		largest = max(largest, endpoint.Memory)
+		if smallest == 0 || endpoint.Memory < smallest {
+			smallest = endpoint.Memory
+		}
+	}
+	return largest, smallest
+}
+
+// read returns the readings of all segments in their order.
+func (g *Generator) read(ctx context.Context, request dispatch.Request, size fleet.Tokens) ([]string, error) {
+	segments := cut(request.Prompt, size)
+	readings := make([]string, len(segments))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(segmentsAtOnce)
+	for i, s := range segments {
+		group.Go(func() error {
+			part := request
+			part.ID = partID(request.ID, fmt.Sprintf("segment-%d", i+1))
+			part.Prompt = s
+			part.PromptTokens = dispatch.CountTokens(s)
+			part.MaxTokens = readingTokens
+			part.StartBy = request.FinishBy
+			var reading collector
+			if err := g.Next.Generate(ctx, part, &reading); err != nil {
+				return err
+			}
+			readings[i] = reading.text.String()
+			return nil
+		})
+	}
+	return readings, group.Wait()
+}
+
+// partID names a part of a request, so that the time line shows them together.
+func partID(id fleet.RequestID, part string) fleet.RequestID {
+	return fleet.RequestID(fmt.Sprintf("%s/%s", id, part))
+}
+
+// cut divides a prompt into the fewest segments of at most size tokens and nearly equal length.
+func cut(prompt string, size fleet.Tokens) []string {
+	tokens := dispatch.CountTokens(prompt)
+	count := (tokens + size - 1) / size
+	length := int((tokens+count-1)/count) * dispatch.BytesPerToken
+	var segments []string
+	for len(prompt) > length {
+		segments = append(segments, prompt[:length])
+		prompt = prompt[length:]
+	}
+	return append(segments, prompt)
+}
+
+// collector collects the reading of one segment.
+type collector struct {
+	text strings.Builder
+}
+
+// Token adds one piece of the reading.
+func (c *collector) Token(_ fleet.Tokens, text string) error {
+	c.text.WriteString(text)
+	return nil
+}
--- /dev/null
+++ b/entry/process.go
@@ -0,0 +1,171 @@
+// Package entry composes the controllers and servers of one entry instance.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"wisteriadyke/core/blackboard"
+	"wisteriadyke/core/dispatch"
+	"wisteriadyke/core/placement"
+	"wisteriadyke/core/retry"
+	"wisteriadyke/core/scheduler"
+	"wisteriadyke/core/segment"
+	"wisteriadyke/core/timeline"
+	"wisteriadyke/io/caller"
+	"wisteriadyke/io/engine"
+	"wisteriadyke/io/jsonhttp"
+	"wisteriadyke/io/operator"
+	"wisteriadyke/io/peer"
+	"wisteriadyke/io/platform"
+	"wisteriadyke/io/service"
+	"wisteriadyke/io/settings"
+)
+
+const (
+	// retryRatio is the number of retries that each request earns.
+	retryRatio = 0.1
+	// retryBurst is the number of retries that can be saved up.
+	retryBurst = 50
+)
+
+// Process is one entry instance. Its fields are set before Run.
+type Process struct {
+	// Settings are those of the entry.
+	Settings settings.Entry
+	// Log takes the messages of all parts.
+	Log zerolog.Logger
+	// BalancerDelay is how long the balancer takes to send no new requests once the entry is not ready.
+	BalancerDelay time.Duration
+
+	board    *blackboard.Board
+	timeline *timeline.Recorder
+	metrics  metrics.Registry
+	suspects *retry.Suspects
+	pool     *scheduler.Pool
+	client   *peer.Client
+	engines  *engine.Engines
+	operator *operator.Server
+}
+
+// Run serves until ctx ends, then shuts down gracefully: the balancer is told first, requests that have begun are
+// finished, and only then do the controllers end. It returns the first error of a part.
+func (p *Process) Run(ctx context.Context) error {
+	p.build()
+	support, stopSupport := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopSupport()
+	group, support := errgroup.WithContext(support)
+	for _, run := range p.controllers() {
+		group.Go(func() error { return run(support) })
+	}
+	group.Go(func() error {
+		defer stopSupport()
+		return p.serveCallers(ctx, support)
+	})
+	err := group.Wait()
+	p.Log.Info().Msg("entry: stopped")
+	return err
+}
+
+// build makes the parts that others need.
+func (p *Process) build() {
+	p.board = &blackboard.Board{}
+	p.timeline = &timeline.Recorder{Entry: p.Settings.Entry}
+	p.metrics = metrics.NewRegistry()
+	p.suspects = &retry.Suspects{Entry: p.Settings.Entry}
+	p.engines = &engine.Engines{HTTP: &http.Client{Transport: engine.NewTransport()}}
+	p.pool = &scheduler.Pool{Entry: p.Settings.Entry, Lister: p.engines}
+	p.client = peer.NewClient()
+	p.operator = &operator.Server{
+		Address:  p.Settings.OperatorAddress,
+		Status:   p.status,
+		Timeline: p.timeline,
+		Metrics:  p.metrics,
+	}
+}
+
+// controllers returns all parts that run beside the serving of callers.
+func (p *Process) controllers() []func(context.Context) error {
+	poller := &platform.Poller{
+		Client: &platform.Client{Addresses: []netip.AddrPort{p.Settings.Platform}, HTTP: jsonhttp.NewPooled()},
+		Board:  p.board,
+		Log:    p.Log,
+	}
+	peers := &peer.Server{Address: p.Settings.PeerAddress, Owner: p.pool}
+	return []func(context.Context) error{poller.Run, p.pool.Run, peers.Run, p.operator.Run}
+}
+
+// serveCallers serves until ctx ends and finishes what has begun; it ends early when support does.
+func (p *Process) serveCallers(ctx, support context.Context) error {
+	serving, stopServing := context.WithCancel(support)
+	defer stopServing()
+	group, serving := errgroup.WithContext(serving)
+	group.Go(func() error { return p.callers().Run(serving) })
+	group.Go(func() error {
+		defer stopServing()
+		p.timeline.Record(timeline.Event{Kind: timeline.KindEntryStarted})
+		p.operator.SetReady(true)
+		p.Log.Info().Str("entry", string(p.Settings.Entry)).Msg("entry: serving")
+		select {
+		case <-ctx.Done():
+		case <-serving.Done():
+			return nil
+		}
+		p.leaveBalancer(serving)
+		return nil
+	})
+	return group.Wait()
+}
+
+// leaveBalancer tells the balancer and waits until it sends no new requests.
+func (p *Process) leaveBalancer(ctx context.Context) {
+	p.operator.SetReady(false)
+	p.timeline.Record(timeline.Event{Kind: timeline.KindEntryStopping})
+	p.Log.Info().Msg("entry: shutting down gracefully")
+	timer := time.NewTimer(p.BalancerDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// callers returns the server of callers.
+func (p *Process) callers() *caller.Server {
+	policy := placement.LeastLoaded{}
+	return &caller.Server{
+		Address: p.Settings.CallerAddress,
+		Entry:   p.Settings.Entry,
+		Board:   p.board,
+		Generator: &segment.Generator{
+			Board: p.board,
+			Next: &dispatch.Dispatcher{
+				Board:     p.board,
+				Entry:     p.Settings.Entry,
+				Zone:      p.Settings.Zone,
+				Owners:    &peer.Owners{Board: p.board, Entry: p.Settings.Entry, Local: p.pool, Client: p.client},
+				Engines:   p.engines,
+				Placement: policy,
+				Budget:    &retry.Budget{Ratio: retryRatio, Burst: retryBurst},
+				Suspects:  p.suspects,
+				Timeline:  p.timeline,
+				Metrics:   p.metrics,
+			},
+		},
+		Caller: &dispatch.ServiceDispatcher{
+			Board: p.board,
+			Zone:  p.Settings.Zone,
+			Services: &service.Services{
+				Once:       &service.Client{HTTP: jsonhttp.NewFresh()},
+				Repeatable: &service.Client{HTTP: jsonhttp.NewPooled()},
+			},
+			Placement: policy,
+		},
+	}
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+
+	"wisteriadyke/core/blackboard"
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/ownership"
+	"wisteriadyke/core/scheduler"
+	"wisteriadyke/io/operator"
+)
+
+// status returns what operators see of this entry.
+func (p *Process) status() operator.Status {
+	status := operator.Status{
+		Entry:                 p.Settings.Entry,
+		Zone:                  p.Settings.Zone,
+		ConfigurationRevision: p.board.Configuration.View().Rows[blackboard.Only{}].Revision,
+		Zones:                 p.zones(),
+		Entries:               p.entries(),
+		Endpoints:             p.endpoints(),
+	}
+	for _, note := range p.suspects.Notes() {
+		switch {
+		case note.Quarantined():
+			status.Quarantined++
+		case !note.Cleared:
+			status.Suspects++
+		}
+	}
+	return status
+}
+
+// zones returns the operators' decisions on availability zones, by name.
+func (p *Process) zones() []operator.ZoneStatus {
+	var found []operator.ZoneStatus
+	for _, z := range p.board.Zones.View().Rows {
+		found = append(found, operator.ZoneStatus{Zone: z.Zone, Drained: z.Drained, Revision: z.Revision})
+	}
+	slices.SortFunc(found, func(a, b operator.ZoneStatus) int { return cmp.Compare(a.Zone, b.Zone) })
+	return found
+}
+
+// entries returns the known entries, by name.
+func (p *Process) entries() []operator.EntryStatus {
+	var found []operator.EntryStatus
+	for _, e := range p.board.Entries.View().Rows {
+		found = append(found, operator.EntryStatus{Entry: e.ID, Zone: e.Zone, State: e.State})
+	}
+	slices.SortFunc(found, func(a, b operator.EntryStatus) int { return cmp.Compare(a.Entry, b.Entry) })
+	return found
+}
+
+// endpoints returns the known endpoints, by name, with the account of those that this entry owns.
+func (p *Process) endpoints() []operator.EndpointStatus {
+	owned := make(map[fleet.EndpointID]scheduler.Status)
+	for _, s := range p.pool.Status() {
+		owned[s.Endpoint] = s
+	}
+	entries := p.board.Entries.View().Rows
+	var found []operator.EndpointStatus
+	for id, endpoint := range p.board.Endpoints.View().Rows {
+		row := operator.EndpointStatus{
+			Endpoint: id,
+			Zone:     endpoint.Zone,
+			Pool:     endpoint.Pool,
+			State:    endpoint.State,
+			Memory:   endpoint.Memory,
+			Owner:    ownership.Rendezvous(endpoint, entries),
+		}
+		if s, ok := owned[id]; ok {
+			row = withAccount(row, s)
+		}
+		found = append(found, row)
+	}
+	slices.SortFunc(found, func(a, b operator.EndpointStatus) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return found
+}
+
+// withAccount adds what only the owner knows.
+func withAccount(row operator.EndpointStatus, s scheduler.Status) operator.EndpointStatus {
+	row.Owned = true
+	row.Used = s.Used
+	row.Running = s.Running
+	row.Queue = s.Queue
+	row.Warmth = "warm"
+	if s.Warmth.Cold {
+		row.Warmth = "cold"
+		row.ColdLimit = s.Warmth.Attempts
+	}
+	if s.Resyncing {
+		row.Warmth = "resynchronizing"
+	}
+	return row
+}
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -17,9 +18,6 @@
 	"wisteriadyke/core/fleet"
 )
 
-// bytesPerToken is the length of a token when prompts are measured without the engine's tokenizer.
-const bytesPerToken = 4
-
 // requestBody is the JSON form of a model request.
 type requestBody struct {
 	Class     fleet.ClassName `json:"class"`
@@ -92,6 +90,9 @@
 
 // readBody reads the JSON body, or answers the call with a refusal.
 func readBody(ctx iris.Context, into any) bool {
+	control := http.NewResponseController(ctx.ResponseWriter().Naive())
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	decoder := json.NewDecoder(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxBodyBytes))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(into)
@@ -104,6 +105,10 @@
 		writeRefusal(ctx, iris.StatusBadRequest, "bad_body", err.Error())
 		return false
 	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		writeRefusal(ctx, iris.StatusBadRequest, "bad_body", "the body goes on behind its JSON value")
+		return false
+	}
 	return true
 }
 
@@ -121,7 +126,7 @@
 		Pool:         class.Pool,
 		Priority:     class.Priority,
 		Prompt:       body.Prompt,
-		PromptTokens: fleet.Tokens((len(body.Prompt) + bytesPerToken - 1) / bytesPerToken),
+		PromptTokens: dispatch.CountTokens(body.Prompt),
 		MaxTokens:    output,
 		StartBy:      now.Add(class.Wait),
 		FinishBy:     now.Add(class.Finish),
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -20,7 +20,7 @@
 const (
 	// headerTimeout bounds the time to read a request's header.
 	headerTimeout = 5 * time.Second
-	// bodyTimeout bounds the time to read a whole request.
+	// bodyTimeout bounds the time to read a request's body.
 	bodyTimeout = 30 * time.Second
 	// idleTimeout bounds the time that an unused connection is kept.
 	idleTimeout = 90 * time.Second
@@ -73,7 +73,6 @@
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
--- /dev/null
+++ b/io/operator/server.go
@@ -0,0 +1,141 @@
+// Package operator serves operators over HTTP: health, metrics, status and the time line.
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/kataras/iris/v12"
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"wisteriadyke/core/timeline"
+)
+
+const (
+	// headerTimeout bounds the time to read a call's header.
+	headerTimeout = 5 * time.Second
+	// idleTimeout bounds the time that an unused connection is kept.
+	idleTimeout = 90 * time.Second
+	// shutdownTimeout bounds the time that calls may take after the end.
+	shutdownTimeout = time.Second
+	// bearerPrefix stands before the key in the Authorization header.
+	bearerPrefix = "Bearer "
+)
+
+// Server serves operators. Its fields are set before Run.
+type Server struct {
+	// Address is where it listens.
+	Address netip.AddrPort
+	// KeyDigest is the SHA-256 digest of the operators' key in hexadecimal; "" leaves the calls open.
+	KeyDigest string
+	// Profiling serves the runtime's profiles.
+	Profiling bool
+	// Status tells the state of the entry.
+	Status func() Status
+	// Timeline holds the events of the entry.
+	Timeline *timeline.Recorder
+	// Metrics holds the metrics of the entry.
+	Metrics metrics.Registry
+
+	ready atomic.Bool
+}
+
+// SetReady tells the balancer whether the entry takes new requests.
+func (s *Server) SetReady(ready bool) {
+	s.ready.Store(ready)
+}
+
+// Run serves until ctx ends; it returns an error when the address can't be used.
+func (s *Server) Run(ctx context.Context) error {
+	handler, err := s.Handler()
+	if err != nil {
+		return err
+	}
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", s.Address.String())
+	if err != nil {
+		return errors.Wrap(err, "operator server")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	var group errgroup.Group
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "operator server")
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		defer cancel()
+		_ = server.Shutdown(stop)
+		return nil
+	})
+	return group.Wait()
+}
+
+// Handler returns the HTTP handler of all calls.
+func (s *Server) Handler() (http.Handler, error) {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Get("/healthz", func(ctx iris.Context) { ctx.StatusCode(iris.StatusOK) })
+	app.Get("/readyz", s.handleReady)
+	app.Get("/metrics", s.handleMetricsText)
+	guarded := app.Party("/v1", s.authenticate)
+	guarded.Get("/status", s.handleStatus)
+	guarded.Get("/timeline", s.handleTimeline)
+	guarded.Get("/metrics", s.handleMetricsJSON)
+	if s.Profiling {
+		s.serveProfiles(app.Party("/debug/pprof", s.authenticate))
+	}
+	if err := app.Build(); err != nil {
+		return nil, errors.Wrap(err, "operator server")
+	}
+	return app, nil
+}
+
+// handleReady serves GET /readyz, by which the balancer decides.
+func (s *Server) handleReady(ctx iris.Context) {
+	if !s.ready.Load() {
+		ctx.StatusCode(iris.StatusServiceUnavailable)
+		return
+	}
+	ctx.StatusCode(iris.StatusOK)
+}
+
+// authenticate lets calls pass that carry the operators' key.
+func (s *Server) authenticate(ctx iris.Context) {
+	if s.KeyDigest == "" {
+		ctx.Next()
+		return
+	}
+	key := strings.TrimPrefix(ctx.GetHeader("Authorization"), bearerPrefix)
+	sum := sha256.Sum256([]byte(key))
+	digest := hex.EncodeToString(sum[:])
+	if subtle.ConstantTimeCompare([]byte(digest), []byte(s.KeyDigest)) != 1 {
+		ctx.StatusCode(iris.StatusUnauthorized)
+		ctx.StopExecution()
+		return
+	}
+	ctx.Next()
+}
+
+// serveProfiles adds the runtime's profiles.
+func (s *Server) serveProfiles(party iris.Party) {
+	party.Get("/", iris.FromStd(pprof.Index))
+	party.Get("/profile", iris.FromStd(pprof.Profile))
+	party.Get("/{name:string}", func(ctx iris.Context) {
+		pprof.Handler(ctx.Params().Get("name")).ServeHTTP(ctx.ResponseWriter(), ctx.Request())
+	})
+}
