--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -88,11 +88,11 @@
 	return configuration, account, true
 }
 
-// readBody reads the JSON body, or answers the call with a refusal.
+// readBody reads the JSON body, or answers the call with a refusal. The time limit of a body that was not read whole
+// stays in force, since the server reads on behind a refusal.
 func readBody(ctx iris.Context, into any) bool {
 	control := http.NewResponseController(ctx.ResponseWriter().Naive())
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	decoder := json.NewDecoder(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxBodyBytes))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(into)
@@ -109,6 +109,7 @@
 		writeRefusal(ctx, iris.StatusBadRequest, "bad_body", "the body goes on behind its JSON value")
 		return false
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	return true
 }
 
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -61,15 +61,20 @@
 // Run serves until ctx ends, then finishes every request that has begun; it returns an error when the address
 // can't be used.
 func (s *Server) Run(ctx context.Context) error {
-	handler, err := s.Handler()
-	if err != nil {
-		return err
-	}
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp", s.Address.String())
 	if err != nil {
 		return errors.Wrap(err, "caller server")
 	}
+	return s.Serve(ctx, listener)
+}
+
+// Serve serves the connections of listener until ctx ends, then finishes every request that has begun.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	handler, err := s.Handler()
+	if err != nil {
+		return err
+	}
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
