Place by predicted finish among a few endpoints drawn by lot

The thin policy took the endpoint with the least memory in use of a view that lags, so that all requests between two reports went to the same one, and it looked at every endpoint. The new one compares a few drawn from an index by pool and availability zone, adds what it has placed itself since the last report, and takes an endpoint that may hold a prefix of the prompt into the draw.

Ruled out: looking at every endpoint (grows with the fleet); trusting cache events beyond the reading that they save.

--- /dev/null
+++ b/core/placement/index.go
@@ -0,0 +1,142 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"wisteriadyke/core/declare"
+	"wisteriadyke/core/fleet"
+)
+
+// Index holds the endpoints that take new work by pool and availability zone. It is built when the blackboard
+// changes, and never written, so that a decision does not look at every endpoint.
+type Index struct {
+	pools map[fleet.PoolName]*pool
+}
+
+// pool holds the endpoints of one pool.
+type pool struct {
+	// zones holds the availability zones, the local one first if it has endpoints.
+	zones []*zone
+	// places holds where each endpoint is.
+	places map[fleet.EndpointID]*row
+}
+
+// zone holds the endpoints of one pool in one availability zone.
+type zone struct {
+	// state is the operators' decision on the zone.
+	state declare.ZoneState
+	// remote tells that it is not the zone of the deciding entry.
+	remote bool
+	// rows holds the endpoints by name.
+	rows []row
+	// short and long sum up the zone for the two kinds of prompts.
+	short, long aggregate
+}
+
+// row is one endpoint of an index.
+type row struct {
+	endpoint fleet.Endpoint
+	report   Report
+	zone     *zone
+}
+
+// aggregate is what an availability zone offers to a band.
+type aggregate struct {
+	// wait is the mean predicted wait of the better half of the endpoints.
+	wait time.Duration
+	// free is the largest free memory of one endpoint.
+	free fleet.Tokens
+}
+
+// NewIndex builds the index of a view; it ignores view.Index.
+func NewIndex(view View) *Index {
+	x := &Index{pools: make(map[fleet.PoolName]*pool)}
+	byZone := make(map[fleet.PoolName]map[fleet.Zone]*zone)
+	for id, endpoint := range view.Endpoints {
+		report, reported := view.Reports[id]
+		if !reported {
+			report = unreported(endpoint, view.Loads[id])
+		}
+		if !open(view, endpoint) || !report.Open {
+			continue
+		}
+		zones := byZone[endpoint.Pool]
+		if zones == nil {
+			zones = make(map[fleet.Zone]*zone)
+			byZone[endpoint.Pool] = zones
+		}
+		z := zones[endpoint.Zone]
+		if z == nil {
+			z = &zone{state: view.Zones[endpoint.Zone], remote: endpoint.Zone != view.Local}
+			z.state.Zone = endpoint.Zone
+			zones[endpoint.Zone] = z
+		}
+		z.rows = append(z.rows, row{endpoint: endpoint, report: report, zone: z})
+	}
+	for name, zones := range byZone {
+		x.pools[name] = newPool(zones)
+	}
+	return x
+}
+
+// newPool puts the availability zones of a pool in order.
+func newPool(zones map[fleet.Zone]*zone) *pool {
+	p := &pool{places: make(map[fleet.EndpointID]*row)}
+	for _, z := range zones {
+		slices.SortFunc(z.rows, func(a, b row) int { return cmp.Compare(a.endpoint.ID, b.endpoint.ID) })
+		z.short = z.sum(false)
+		z.long = z.sum(true)
+		for i := range z.rows {
+			p.places[z.rows[i].endpoint.ID] = &z.rows[i]
+		}
+		p.zones = append(p.zones, z)
+	}
+	slices.SortFunc(p.zones, func(a, b *zone) int {
+		if a.remote != b.remote {
+			return cmp.Compare(remoteness(a), remoteness(b))
+		}
+		return cmp.Compare(a.state.Zone, b.state.Zone)
+	})
+	return p
+}
+
+// remoteness is 1 for a zone other than that of the deciding entry.
+func remoteness(z *zone) int {
+	if z.remote {
+		return 1
+	}
+	return 0
+}
+
+// sum returns what the zone offers to a band.
+func (z *zone) sum(long bool) aggregate {
+	var a aggregate
+	waits := make([]time.Duration, 0, len(z.rows))
+	for i := range z.rows {
+		report := &z.rows[i].report
+		waits = append(waits, report.wait(long))
+		if long {
+			a.free = max(a.free, report.FreeLong)
+		} else {
+			a.free = max(a.free, report.FreeShort)
+		}
+	}
+	slices.Sort(waits)
+	better := (len(waits) + 1) / 2
+	var sum time.Duration
+	for _, wait := range waits[:better] {
+		sum += wait
+	}
+	a.wait = sum / time.Duration(max(1, better))
+	return a
+}
+
+// aggregate returns what the zone offers to a band.
+func (z *zone) aggregate(long bool) aggregate {
+	if long {
+		return z.long
+	}
+	return z.short
+}
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"wisteriadyke/core/declare"
 	"wisteriadyke/core/fleet"
@@ -17,8 +18,12 @@
 	Loads map[fleet.EndpointID]fleet.Load
 	// Zones holds the operators' decisions on availability zones.
 	Zones map[fleet.Zone]declare.ZoneState
+	// Reports holds what owners last told of endpoints.
+	Reports map[fleet.EndpointID]Report
 	// Local is the availability zone of the deciding entry.
 	Local fleet.Zone
+	// Index is built of the fields above; a policy that needs one builds it at every decision if it is nil.
+	Index *Index
 }
 
 // Need is what a request asks of an endpoint.
@@ -31,8 +36,10 @@
 	Prompt fleet.Tokens
 	// Output is the largest length of the answer.
 	Output fleet.Tokens
-	// Prefix is the digest of the prompt's beginning, or "".
-	Prefix string
+	// Prefixes holds the digests of the prompt's beginnings, the shortest first.
+	Prefixes []Prefix
+	// At is when the decision is made; zero stands for now.
+	At time.Time
 	// Excluded holds endpoints that have refused or failed this request.
 	Excluded map[fleet.EndpointID]bool
 }
