--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -11,6 +11,6 @@
 	standin.AddCommand(newStandinEngineCommand())
 	standin.AddCommand(newStandinPlatformCommand())
 	standin.AddCommand(newStandinServiceCommand())
-	standin.AddCommand(newStandinLoadCommand())
+	standin.AddCommand(newStandinLoadCommand(), newStandinRegisterCommand())
 	return standin
 }
