Bound the deaths that copies of one request cause

A caller that resends while its first request still runs had copies on several endpoints: each could kill one before the others were told. A noted death now ends the other copies, here and through other entries, and only one trial of a request runs at a time.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -25,6 +25,9 @@
 // errLapsed ends an attempt whose reservation the owner does not know any more.
 var errLapsed = errors.New("reservation has lapsed")
 
+// errSuspected ends an attempt of which another copy ran where an endpoint died.
+var errSuspected = errors.New("request is suspected of crashing endpoints")
+
 // errStalled ends an attempt whose answer stands still.
 var errStalled = errors.New("answer has stalled")
 
@@ -50,9 +53,11 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a.lastEvent.Store(time.Now().UnixNano())
+	died, stop := a.Suspects.Watch(a.fingerprint)
+	defer stop()
 	var group errgroup.Group
 	group.Go(func() error {
-		a.renew(ctx, cancel)
+		a.renew(ctx, died, cancel)
 		return nil
 	})
 	res := a.stream(ctx)
@@ -148,14 +153,18 @@
 	a.record(timeline.Event{Kind: timeline.KindFirstToken, Attempt: a.id, Endpoint: a.endpoint.ID, Took: took})
 }
 
-// renew reports progress to the owner until ctx ends; it ends the attempt when its reservation is gone or it stalls.
-func (a *attempt) renew(ctx context.Context, end context.CancelCauseFunc) {
+// renew reports progress to the owner until ctx ends; it ends the attempt when its reservation is gone, when it stalls
+// and when a copy of the request is found to crash endpoints.
+func (a *attempt) renew(ctx context.Context, died <-chan struct{}, end context.CancelCauseFunc) {
 	ticker := time.NewTicker(a.renewInterval())
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-died:
+			end(errSuspected)
+			return
 		case <-ticker.C:
 		}
 		if a.stalled() {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -72,6 +72,9 @@
 	}
 	r.record(timeline.Event{Kind: timeline.KindRequestArrived, Tokens: request.PromptTokens})
 	err := r.serve(ctx)
+	if r.onTrial {
+		d.Suspects.EndTrial(r.fingerprint)
+	}
 	r.finish(err)
 	return err
 }
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -5,10 +5,13 @@
 	"errors"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"wisteriadyke/core/blackboard"
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/placement"
@@ -29,6 +32,7 @@
 
 // fakeEngines plays one behavior an attempt, in order; the last one goes on.
 type fakeEngines struct {
+	mu          sync.Mutex
 	script      []behavior
 	attempts    []Attempt
 	canceled    []fleet.AttemptID
@@ -37,6 +41,8 @@
 }
 
 func (f *fakeEngines) Generate(ctx context.Context, attempt Attempt) (Stream, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	b := f.script[min(len(f.attempts), len(f.script)-1)]
 	f.attempts = append(f.attempts, attempt)
 	if b.refuse {
@@ -46,17 +52,46 @@
 }
 
 func (f *fakeEngines) Cancel(_ context.Context, _ fleet.Endpoint, attempt fleet.AttemptID) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.canceled = append(f.canceled, attempt)
 	return nil
 }
 
 func (f *fakeEngines) Incarnation(_ context.Context, endpoint fleet.Endpoint) (fleet.Incarnation, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.unreachable {
 		return 0, errors.New("unreachable")
 	}
 	return f.incarnation[endpoint.ID], nil
 }
 
+// deaths counts the deaths of all engines.
+func (f *fakeEngines) deaths() int {
+	total := 0
+	for _, life := range f.incarnation {
+		total += int(life) - 1
+	}
+	return total
+}
+
+// dead tells whether a life of an engine has ended.
+func (f *fakeEngines) dead(id fleet.EndpointID, life fleet.Incarnation) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.incarnation[id] != life
+}
+
+// die ends a life of an engine, if that has not ended yet.
+func (f *fakeEngines) die(id fleet.EndpointID, life fleet.Incarnation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.incarnation[id] == life {
+		f.incarnation[id]++
+	}
+}
+
 // fakeStream yields the tokens of one attempt from its position on.
 type fakeStream struct {
 	ctx      context.Context
@@ -75,6 +110,8 @@
 	}
 	position := s.attempt.From + s.sent
 	switch {
+	case s.ctx.Err() != nil || s.engines.dead(s.attempt.Endpoint.ID, s.life):
+		return Event{}, &AttemptError{Certainty: Uncertain, Err: io.ErrUnexpectedEOF}
 	case position == s.attempt.MaxTokens:
 		return Event{Kind: EventDone, Position: position, Incarnation: s.life}, nil
 	case s.behavior.shortened && position == s.attempt.MaxTokens-2:
@@ -86,7 +123,7 @@
 		return Event{}, &AttemptError{Certainty: Uncertain, Err: s.ctx.Err()}
 	case s.behavior.tokens > 0 && s.sent == s.behavior.tokens || s.behavior.die && s.behavior.tokens == 0:
 		if s.behavior.die {
-			s.engines.incarnation[s.attempt.Endpoint.ID]++
+			s.engines.die(s.attempt.Endpoint.ID, s.life)
 		}
 		return Event{}, &AttemptError{Certainty: Uncertain, Err: io.ErrUnexpectedEOF}
 	}
@@ -103,6 +140,7 @@
 
 // fakeOwners grants everything, but refuses first as often as told.
 type fakeOwners struct {
+	mu       sync.Mutex
 	refusals []reservation.Reason
 	asked    []reservation.Request
 	released []reservation.Release
@@ -111,6 +149,8 @@
 }
 
 func (f *fakeOwners) Reserve(_ context.Context, request reservation.Request) (reservation.Grant, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.asked = append(f.asked, request)
 	if len(f.asked) <= len(f.refusals) {
 		return reservation.Grant{}, &reservation.Refusal{Reason: f.refusals[len(f.asked)-1], RetryAfter: 7 * time.Second}
@@ -119,6 +159,8 @@
 }
 
 func (f *fakeOwners) Renew(context.Context, reservation.Progress) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.renewed++
 	if f.lapse {
 		f.lapse = false
@@ -128,6 +170,8 @@
 }
 
 func (f *fakeOwners) Release(_ context.Context, release reservation.Release) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.released = append(f.released, release)
 	return nil
 }
@@ -320,6 +364,74 @@
 	})
 }
 
+func TestCopiesOfACrashingRequestLoseTwoEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &fakeEngines{script: []behavior{{tokens: 3, die: true}}}
+		first := fixture(engines, &fakeOwners{})
+		second := fixture(engines, &fakeOwners{})
+		second.Entry = "other"
+		second.Suspects = &retry.Suspects{Entry: "other"}
+		first.Suspects.Spreader = spreadTo{second.Suspects}
+		second.Suspects.Spreader = spreadTo{first.Suspects}
+		first.Placement = &rotation{}
+		second.Placement = &rotation{turn: 2}
+		var group errgroup.Group
+		for i := range 8 {
+			d := []*Dispatcher{first, second}[i%2]
+			group.Go(func() error {
+				time.Sleep(time.Duration(i) * 7 * time.Millisecond)
+				if err := d.Generate(t.Context(), request(), &collector{}); err == nil {
+					return errors.New("a copy of the crashing request was served")
+				}
+				return nil
+			})
+		}
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+		if deaths := engines.deaths(); deaths > 2 {
+			t.Errorf("%d endpoints died, want at most 2", deaths)
+		}
+	})
+}
+
+func TestOnlyOneTrialAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &fakeEngines{script: []behavior{{}}}
+		d := fixture(engines, &fakeOwners{})
+		d.Suspects.Died(t.Context(), retry.FingerprintOf("c", "prompt"), retry.Death{Endpoint: "a1", Incarnation: 1})
+		var group errgroup.Group
+		group.Go(func() error { return d.Generate(t.Context(), request(), &collector{}) })
+		synctest.Wait()
+		checkFailure(t, d.Generate(t.Context(), request(), &collector{}), &Failure{State: StateNotRun, Reason: ReasonOnTrial})
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+		if err := d.Generate(t.Context(), request(), &collector{}); err != nil {
+			t.Errorf("a cleared request got %v", err)
+		}
+	})
+}
+
+// rotation prefers another endpoint with every choice.
+type rotation struct {
+	placement.LeastLoaded
+	mu   sync.Mutex
+	turn int
+}
+
+func (p *rotation) Candidates(view placement.View, need placement.Need) []fleet.Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found := p.LeastLoaded.Candidates(view, need)
+	if len(found) == 0 {
+		return nil
+	}
+	p.turn++
+	at := p.turn % len(found)
+	return append(found[at:len(found):len(found)], found[:at]...)
+}
+
 // spreadTo tells one other entry of notes.
 type spreadTo struct {
 	other *retry.Suspects
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -39,6 +39,7 @@
 	arrivedAt   time.Time
 	attempts    int
 	ran         bool
+	onTrial     bool
 	refusals    int
 	transient   int
 	position    fleet.Tokens
@@ -75,6 +76,10 @@
 func (r *run) standing() (exclusive bool, err error) {
 	switch r.Suspects.Standing(r.fingerprint) {
 	case retry.StandingTrial:
+		if !r.onTrial && !r.Suspects.BeginTrial(r.fingerprint) {
+			return false, r.failure(ReasonOnTrial, jitter(comeBackAfter))
+		}
+		r.onTrial = true
 		return true, nil
 	case retry.StandingElsewhere:
 		return false, r.failure(ReasonOnTrial, jitter(comeBackAfter))
--- a/core/retry/suspects.go
+++ b/core/retry/suspects.go
@@ -136,8 +136,10 @@
 	// Spreader tells the other entries; nil tells none.
 	Spreader Spreader
 
-	mu    sync.Mutex
-	notes map[Fingerprint]Note
+	mu      sync.Mutex
+	notes   map[Fingerprint]Note
+	watches map[Fingerprint]map[*watch]struct{}
+	trials  map[Fingerprint]struct{}
 }
 
 // Standing returns how a request may be run.
@@ -194,10 +196,14 @@
 	if s.notes == nil {
 		s.notes = make(map[Fingerprint]Note)
 	}
-	if known, found := s.notes[note.Fingerprint]; found {
+	known, found := s.notes[note.Fingerprint]
+	if found {
 		note = Merge(known, note)
 	}
 	s.notes[note.Fingerprint] = note
+	if !note.Cleared && len(note.Deaths) > len(known.Deaths) {
+		s.tell(note.Fingerprint)
+	}
 	return note
 }
 
