--- /dev/null
+++ b/io/operator/server_test.go
@@ -0,0 +1,129 @@
+package operator
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"wisteriadyke/core/timeline"
+)
+
+// newServer returns a server with one event and one metric of each kind.
+func newServer() *Server {
+	sum := sha256.Sum256([]byte("secret"))
+	s := &Server{
+		KeyDigest: hex.EncodeToString(sum[:]),
+		Status: func() Status {
+			return Status{Entry: "e", Zone: "a", ConfigurationRevision: 7, Endpoints: []EndpointStatus{{Endpoint: "n1", Owned: true, Used: 5}}}
+		},
+		Timeline: &timeline.Recorder{Entry: "e"},
+		Metrics:  metrics.NewRegistry(),
+	}
+	s.Timeline.Record(timeline.Event{Kind: timeline.KindRequestFailed, Request: "r1", Reason: "too_late", Took: time.Second, RetryAfter: 2 * time.Second, Predicted: 3 * time.Second})
+	s.Timeline.Record(timeline.Event{Kind: timeline.KindRequestDone, Request: "r2", Tokens: 9})
+	metrics.GetOrRegisterCounter("dispatch.requests", s.Metrics).Inc(3)
+	metrics.GetOrRegisterGauge("scheduler.queue", s.Metrics).Update(4)
+	metrics.GetOrRegisterTimer("dispatch.first_token", s.Metrics).Update(250 * time.Millisecond)
+	return s
+}
+
+// start serves a server on loopback and returns a client with the given key.
+func start(t *testing.T, s *Server, key string) *Client {
+	t.Helper()
+	handler, err := s.Handler()
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
+	return &Client{Address: address, Key: key, HTTP: server.Client()}
+}
+
+func TestStatusAndTimelineReachTheClient(t *testing.T) {
+	s := newServer()
+	s.SetReady(true)
+	client := start(t, s, "secret")
+	status, err := client.Status(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := s.Status()
+	want.Ready = true
+	if diff := cmp.Diff(want, status); diff != "" {
+		t.Errorf("status differs: %s", diff)
+	}
+	events, err := client.Timeline(t.Context(), timeline.Filter{Request: "r1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(s.Timeline.Events(timeline.Filter{Request: "r1"}), events); diff != "" {
+		t.Errorf("time line differs: %s", diff)
+	}
+}
+
+func TestKeyIsAskedFor(t *testing.T) {
+	tests := map[string]struct {
+		key     string
+		refused bool
+	}{
+		"right": {key: "secret"},
+		"wrong": {key: "other", refused: true},
+		"none":  {refused: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			client := start(t, newServer(), tc.key)
+			_, err := client.Status(t.Context())
+			if errors.Is(err, ErrUnauthorized) != tc.refused {
+				t.Errorf("status: %v", err)
+			}
+			if _, err = client.Timeline(t.Context(), timeline.Filter{}); errors.Is(err, ErrUnauthorized) != tc.refused {
+				t.Errorf("time line: %v", err)
+			}
+		})
+	}
+}
+
+func TestReadinessIsOpenToTheBalancer(t *testing.T) {
+	s := newServer()
+	client := start(t, s, "")
+	for _, ready := range []bool{false, true, false} {
+		s.SetReady(ready)
+		body, err := client.get(t.Context(), "/readyz", nil)
+		if (err == nil) != ready {
+			t.Errorf("ready %t: answered %v", ready, err)
+		}
+		if err == nil {
+			_ = body.Close()
+		}
+	}
+}
+
+func TestMetricsText(t *testing.T) {
+	handler, err := newServer().Handler()
+	if err != nil {
+		t.Fatal(err)
+	}
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/metrics", http.NoBody))
+	for _, want := range []string{
+		"wisteriadyke_dispatch_requests_total 3",
+		"wisteriadyke_scheduler_queue 4",
+		`wisteriadyke_dispatch_first_token_seconds{quantile="0.95"} 0.25`,
+		"wisteriadyke_dispatch_first_token_seconds_count 1",
+	} {
+		if !strings.Contains(recorder.Body.String(), want) {
+			t.Errorf("metrics lack %q:\n%s", want, recorder.Body)
+		}
+	}
+}
