Send at-most-once calls behind a claim and record all calls

At-most-once calls pass through core/idempotency before the dispatcher of plain services; the idempotency key is a UUID of version 7, so that it carries its time.

--- a/core/dispatch/call.go
+++ b/core/dispatch/call.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/idempotency"
 )
 
 // Call is one caller's call of a plain service.
@@ -19,7 +20,7 @@
 	// AtMostOnce marks a call that may not be repeated.
 	AtMostOnce bool
 	// IdempotencyKey is the caller's key of an at-most-once call.
-	IdempotencyKey string
+	IdempotencyKey idempotency.Key
 	// Body is passed to the plain service as it is.
 	Body []byte
 	// FinishBy is when the answer is due.
@@ -48,6 +49,8 @@
 	ReasonOnTrial = "on_trial"
 	// ReasonQuarantined means that the request crashes endpoints and is not run any more.
 	ReasonQuarantined = "quarantined"
+	// ReasonServiceFailed means that the plain service answered with a failure.
+	ReasonServiceFailed = "service_failed"
 	// ReasonNoAnswer means that an at-most-once call was sent and its answer never came.
 	ReasonNoAnswer = "no_answer"
 )
--- a/core/dispatch/ports.go
+++ b/core/dispatch/ports.go
@@ -93,6 +93,8 @@
 	CertainNotRun Certainty = "not_run"
 	// CertainRefused means that the endpoint answered with a refusal and did not run it.
 	CertainRefused Certainty = "refused"
+	// CertainFailed means that the endpoint ran it and answered with a failure.
+	CertainFailed Certainty = "failed"
 	// Uncertain means that the attempt may have run or may still run.
 	Uncertain Certainty = "uncertain"
 )
@@ -103,6 +105,8 @@
 	Certainty Certainty
 	// Code is the endpoint's code of a refusal, or "".
 	Code string
+	// Answer is what the endpoint answered with CertainFailed.
+	Answer []byte
 	// Err is the cause.
 	Err error
 }
@@ -170,6 +174,8 @@
 	Reason string
 	// RetryAfter is when to come back; zero means never with this request.
 	RetryAfter time.Duration
+	// Detail is the answer of an endpoint that failed the request, or nil.
+	Detail []byte
 }
 
 // Error returns state and reason.
--- /dev/null
+++ b/core/dispatch/recorded.go
@@ -0,0 +1,60 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"wisteriadyke/core/timeline"
+)
+
+// The names of the metrics of calls.
+const (
+	// metricCallsDone counts calls that were answered.
+	metricCallsDone = "calls.done"
+	// metricCallsFailed counts calls that got a failure.
+	metricCallsFailed = "calls.failed"
+	// metricCallTime measures the time from arrival to the answer.
+	metricCallTime = "calls.time"
+)
+
+// RecordedCaller wraps another caller and records the calls in the time line and the metrics.
+type RecordedCaller struct {
+	// Next serves the calls.
+	Next ServiceCaller
+	// Timeline records events; nil records none.
+	Timeline *timeline.Recorder
+	// Metrics counts.
+	Metrics metrics.Registry
+}
+
+// Call serves one call; an error is a *Failure.
+func (c *RecordedCaller) Call(ctx context.Context, call Call) (CallResult, error) {
+	begun := time.Now()
+	event := timeline.Event{Request: call.ID, Account: call.Account, Class: call.Class}
+	c.record(event, timeline.KindRequestArrived)
+	result, err := c.Next.Call(ctx, call)
+	event.Took = time.Since(begun)
+	metrics.GetOrRegisterTimer(metricCallTime, c.Metrics).Update(event.Took)
+	if err == nil {
+		metrics.GetOrRegisterCounter(metricCallsDone, c.Metrics).Inc(1)
+		c.record(event, timeline.KindRequestDone)
+		return result, nil
+	}
+	metrics.GetOrRegisterCounter(metricCallsFailed, c.Metrics).Inc(1)
+	var failure *Failure
+	if errors.As(err, &failure) {
+		event.Reason = string(failure.State) + ": " + failure.Reason
+		event.RetryAfter = failure.RetryAfter
+	}
+	c.record(event, timeline.KindRequestFailed)
+	return result, err
+}
+
+// record appends an event of the given kind.
+func (c *RecordedCaller) record(event timeline.Event, kind timeline.Kind) {
+	event.Kind = kind
+	c.Timeline.Record(event)
+}
--- /dev/null
+++ b/core/dispatch/services_test.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"wisteriadyke/core/blackboard"
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/idempotency"
+	"wisteriadyke/core/placement"
+	"wisteriadyke/core/retry"
+)
+
+// fakeServices answers each call with the next certainty of its script; "" is an answer.
+type fakeServices struct {
+	script []Certainty
+	calls  []fleet.EndpointID
+}
+
+func (f *fakeServices) Call(_ context.Context, endpoint fleet.Endpoint, _ fleet.AttemptID, _ Call) ([]byte, error) {
+	certainty := f.script[min(len(f.calls), len(f.script)-1)]
+	f.calls = append(f.calls, endpoint.ID)
+	if certainty == "" {
+		return []byte("result"), nil
+	}
+	return nil, &AttemptError{Certainty: certainty, Answer: []byte("why"), Err: errors.New("failed")}
+}
+
+// serviceFixture is a dispatcher over three plain services.
+func serviceFixture(services Services) *ServiceDispatcher {
+	board := &blackboard.Board{}
+	for _, id := range []fleet.EndpointID{"s1", "s2", "s3"} {
+		board.Endpoints.Set(id, fleet.Endpoint{ID: id, Kind: fleet.KindService, Pool: "s", Zone: "a", State: fleet.StateLive})
+	}
+	return &ServiceDispatcher{
+		Board:     board,
+		Entry:     "e",
+		Zone:      "a",
+		Services:  services,
+		Placement: placement.LeastLoaded{},
+		Budget:    &retry.Budget{Ratio: 0.1, Burst: 10},
+	}
+}
+
+func TestServiceDispatcherCall(t *testing.T) {
+	tests := map[string]struct {
+		script     []Certainty
+		atMostOnce bool
+		calls      int
+		failure    *Failure
+	}{
+		"answered":                    {script: []Certainty{""}, calls: 1},
+		"not sent, then answered":     {script: []Certainty{CertainNotRun, ""}, calls: 2},
+		"once: not sent, answered":    {script: []Certainty{CertainNotRun, ""}, atMostOnce: true, calls: 2},
+		"uncertain, then answered":    {script: []Certainty{Uncertain, ""}, calls: 2},
+		"once: uncertain":             {script: []Certainty{Uncertain, ""}, atMostOnce: true, calls: 1, failure: &Failure{State: StateOutcomeUnknown, Reason: ReasonNoAnswer}},
+		"once: not sent, uncertain":   {script: []Certainty{CertainNotRun, Uncertain}, atMostOnce: true, calls: 2, failure: &Failure{State: StateOutcomeUnknown, Reason: ReasonNoAnswer}},
+		"failed by the service":       {script: []Certainty{CertainFailed, ""}, calls: 1, failure: &Failure{State: StateFailed, Reason: ReasonServiceFailed}},
+		"once: failed by the service": {script: []Certainty{CertainFailed, ""}, atMostOnce: true, calls: 1, failure: &Failure{State: StateFailed, Reason: ReasonServiceFailed}},
+		"never sent":                  {script: []Certainty{CertainNotRun}, atMostOnce: true, calls: 3, failure: &Failure{State: StateNotRun, Reason: ReasonNoEndpoint}},
+		"uncertain everywhere":        {script: []Certainty{Uncertain}, calls: 3, failure: &Failure{State: StateFailed, Reason: ReasonNoEndpoint}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				services := &fakeServices{script: tc.script}
+				call := Call{ID: "c", Class: "filing", Pool: "s", AtMostOnce: tc.atMostOnce, FinishBy: time.Now().Add(time.Minute)}
+				result, err := serviceFixture(services).Call(t.Context(), call)
+				checkServiceFailure(t, err, tc.failure)
+				if tc.failure == nil && string(result.Body) != "result" {
+					t.Errorf("result %q", result.Body)
+				}
+				if len(services.calls) != tc.calls {
+					t.Errorf("sent %d times, want %d", len(services.calls), tc.calls)
+				}
+			})
+		})
+	}
+}
+
+// checkServiceFailure compares state and reason of an error with the failure that is wanted.
+func checkServiceFailure(t *testing.T, err error, want *Failure) {
+	t.Helper()
+	var got *Failure
+	if errors.As(err, &got) != (want != nil) {
+		t.Fatalf("error %v, want %v", err, want)
+	}
+	if want != nil && (got.State != want.State || got.Reason != want.Reason) {
+		t.Errorf("failure %v, want %v", got, want)
+	}
+}
+
+// fakeOnce plays a result without asking a store.
+type fakeOnce struct {
+	result idempotency.Result
+	send   bool
+	sent   idempotency.SendOutcome
+}
+
+func (f *fakeOnce) Do(
+	ctx context.Context, _ idempotency.Key, _ idempotency.Digest,
+	send func(context.Context) (idempotency.Answer, idempotency.SendOutcome),
+) (idempotency.Result, error) {
+	if f.send {
+		f.result.Answer, f.sent = send(ctx)
+	}
+	return f.result, nil
+}
+
+func TestOnceCaller(t *testing.T) {
+	tests := map[string]struct {
+		script  []Certainty
+		once    fakeOnce
+		sent    idempotency.SendOutcome
+		failure *Failure
+	}{
+		"answered":      {script: []Certainty{""}, once: fakeOnce{send: true, result: idempotency.Result{State: idempotency.StateDone}}, sent: idempotency.SendAnswered},
+		"unanswered":    {script: []Certainty{Uncertain}, once: fakeOnce{send: true, result: idempotency.Result{State: idempotency.StateOutcomeUnknown, Reason: "no_answer"}}, sent: idempotency.SendUnknown, failure: &Failure{State: StateOutcomeUnknown, Reason: "no_answer"}},
+		"never sent":    {script: []Certainty{CertainNotRun}, once: fakeOnce{send: true, result: idempotency.Result{State: idempotency.StateNotRun, Reason: "not_sent"}}, sent: idempotency.SendNotSent, failure: &Failure{State: StateNotRun, Reason: "not_sent"}},
+		"service fails": {script: []Certainty{CertainFailed}, once: fakeOnce{send: true, result: idempotency.Result{State: idempotency.StateFailed, Reason: "service_failed"}}, sent: idempotency.SendAnswered, failure: &Failure{State: StateFailed, Reason: "service_failed"}},
+		"store is out":  {script: []Certainty{""}, once: fakeOnce{result: idempotency.Result{State: idempotency.StateNotRun, Reason: "store_unavailable"}}, failure: &Failure{State: StateNotRun, Reason: "store_unavailable"}},
+		"in progress":   {script: []Certainty{""}, once: fakeOnce{result: idempotency.Result{State: idempotency.StateInProgress, Reason: "in_progress"}}, failure: &Failure{State: StateOutcomeUnknown, Reason: "in_progress"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				caller := &OnceCaller{Once: &tc.once, Next: serviceFixture(&fakeServices{script: tc.script})}
+				call := Call{ID: "c", Class: "filing", Pool: "s", AtMostOnce: true, FinishBy: time.Now().Add(time.Minute)}
+				_, err := caller.Call(t.Context(), call)
+				checkServiceFailure(t, err, tc.failure)
+				if tc.once.sent != tc.sent {
+					t.Errorf("told %q of the sending, want %q", tc.once.sent, tc.sent)
+				}
+			})
+		})
+	}
+}
--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -23,8 +23,6 @@
 	startTime = 30 * time.Second
 	// pollTime is the time between two looks.
 	pollTime = 50 * time.Millisecond
-	// endTime bounds the time until a process ends by itself.
-	endTime = 60 * time.Second
 	// accountKey is the key of the account that all tests use.
 	accountKey = "cierzo-key"
 )
@@ -44,7 +42,7 @@
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
 	binary = filepath.Join(folder, "wisteriadyke")
-	build := exec.Command("go", "build", "-o", binary, "wisteriadyke")
+	build := exec.CommandContext(context.Background(), "go", "build", "-o", binary, "wisteriadyke")
 	build.Stderr = os.Stderr
 	if build.Run() != nil {
 		return 1
@@ -150,7 +148,7 @@
 // start starts one process, which is killed at the end of the test.
 func (d *deployment) start(name string, arguments ...string) *process {
 	d.t.Helper()
-	p := &process{name: name, command: exec.Command(binary, arguments...), log: filepath.Join(d.folder, name+".log")}
+	p := &process{name: name, command: exec.CommandContext(context.WithoutCancel(d.t.Context()), binary, arguments...), log: filepath.Join(d.folder, name+".log")}
 	log, err := os.OpenFile(p.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		d.t.Fatal(err)
@@ -177,7 +175,7 @@
 	var out []byte
 	var err error
 	for end := time.Now().Add(startTime); time.Now().Before(end); time.Sleep(pollTime) {
-		if out, err = exec.Command(binary, arguments...).CombinedOutput(); err == nil {
+		if out, err = exec.CommandContext(d.t.Context(), binary, arguments...).CombinedOutput(); err == nil {
 			return
 		}
 	}
--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -173,13 +174,13 @@
 	d.control(d.platform, `{"outage":true}`)
 	l := startLoad(t, 6, d.entries...)
 	d.eventually("requests are served without the platform", func() bool { return l.served.Load() > 20 })
-	a := call(t.Context(), d.entries[0].caller, "credit_filing", newKey("outage"))
+	a := call(t.Context(), d.entries[0].caller, "credit_filing", newKey())
 	if a.state != "not_run" || a.retry <= 0 {
 		t.Errorf("an at-most-once call without the store got %s", a)
 	}
 	d.control(d.platform, `{"outage":false}`)
 	d.eventually("at-most-once calls are taken again", func() bool {
-		return call(t.Context(), d.entries[0].caller, "credit_filing", newKey("after")).whole
+		return call(t.Context(), d.entries[0].caller, "credit_filing", newKey()).whole
 	})
 	l.end()
 	l.check(t)
@@ -225,7 +226,7 @@
 	return total
 }
 
-// newKey returns an idempotency key that carries its time.
-func newKey(name string) string {
-	return time.Now().UTC().Format("20060102T150405Z") + "-" + name
+// newKey returns an idempotency key, which carries its time.
+func newKey() string {
+	return uuid.Must(uuid.NewV7()).String()
 }
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -10,6 +10,7 @@
 
 	"wisteriadyke/core/dispatch"
 	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/idempotency"
 )
 
 // idempotencyHeader names the header that carries the caller's idempotency key.
@@ -39,9 +40,10 @@
 		writeRefusal(ctx, iris.StatusBadRequest, "unknown_class", fmt.Sprintf("class %q calls no plain service", name))
 		return
 	}
-	key := ctx.GetHeader(idempotencyHeader)
-	if class.AtMostOnce && key == "" {
-		writeRefusal(ctx, iris.StatusBadRequest, "idempotency_key", fmt.Sprintf("class %q needs an %s header", name, idempotencyHeader))
+	key, err := idempotency.ParseKey(account.Name, ctx.GetHeader(idempotencyHeader))
+	if class.AtMostOnce && err != nil {
+		message := fmt.Sprintf("class %q needs an %s header that holds a UUID of version 7", name, idempotencyHeader)
+		writeRefusal(ctx, iris.StatusBadRequest, "idempotency_key", message)
 		return
 	}
 	var body callBody
--- a/io/caller/failure.go
+++ b/io/caller/failure.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"encoding/json"
 	"math"
 	"strconv"
 	"time"
@@ -24,6 +25,7 @@
 	Reason       string          `json:"reason"`
 	Message      string          `json:"message,omitempty"`
 	RetryAfterMS int64           `json:"retry_after_ms,omitempty"`
+	Result       json.RawMessage `json:"result,omitempty"`
 }
 
 // detail turns a failure into its JSON form.
@@ -33,9 +35,19 @@
 		State:        failure.State,
 		Reason:       failure.Reason,
 		RetryAfterMS: failure.RetryAfter.Milliseconds(),
+		Result:       asJSON(failure.Detail),
 	}
 }
 
+// asJSON returns an endpoint's answer as JSON, as a text if it is none.
+func asJSON(answer []byte) json.RawMessage {
+	if len(answer) == 0 || json.Valid(answer) {
+		return answer
+	}
+	text, _ := json.Marshal(string(answer))
+	return text
+}
+
 // asFailure returns the failure in err; any other error is a failure of this entry.
 func asFailure(err error) *dispatch.Failure {
 	var failure *dispatch.Failure
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -38,12 +38,6 @@
 	Generate(ctx context.Context, request dispatch.Request, sink dispatch.Sink) error
 }
 
-// Caller serves calls of plain services.
-type Caller interface {
-	// Call serves one call; an error is a *dispatch.Failure.
-	Call(ctx context.Context, call dispatch.Call) (dispatch.CallResult, error)
-}
-
 // Server serves callers. Its fields are set before Run.
 type Server struct {
 	// Address is where it listens.
@@ -55,7 +49,7 @@
 	// Generator serves model requests.
 	Generator Generator
 	// Caller serves calls of plain services.
-	Caller Caller
+	Caller dispatch.ServiceCaller
 }
 
 // Run serves until ctx ends, then finishes every request that has begun; it returns an error when the address
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -100,29 +100,31 @@
 func TestHandlerRefuses(t *testing.T) {
 	good := `{"class":"summary","prompt":"hi"}`
 	tests := map[string]struct {
-		path   string
-		key    string
-		body   string
-		status int
-		reason string
+		path        string
+		key         string
+		idempotency string
+		body        string
+		status      int
+		reason      string
 	}{
-		"no key":             {path: "/v1/requests", body: good, status: 401, reason: "unauthorized"},
-		"wrong key":          {path: "/v1/requests", key: "other", body: good, status: 401, reason: "unauthorized"},
-		"unknown class":      {path: "/v1/requests", key: "key", body: `{"class":"x","prompt":"hi"}`, status: 400, reason: "unknown_class"},
-		"class of a service": {path: "/v1/requests", key: "key", body: `{"class":"filing","prompt":"hi"}`, status: 400, reason: "unknown_class"},
-		"class of a model":   {path: "/v1/calls/summary", key: "key", body: `{}`, status: 400, reason: "unknown_class"},
-		"empty prompt":       {path: "/v1/requests", key: "key", body: `{"class":"summary","prompt":""}`, status: 413, reason: "prompt_length"},
-		"long prompt":        {path: "/v1/requests", key: "key", body: `{"class":"summary","prompt":"` + strings.Repeat("x", 401) + `"}`, status: 413, reason: "prompt_length"},
-		"unknown field":      {path: "/v1/requests", key: "key", body: `{"class":"summary","prompt":"hi","x":1}`, status: 400, reason: "bad_body"},
-		"no JSON":            {path: "/v1/requests", key: "key", body: `hello`, status: 400, reason: "bad_body"},
-		"two values":         {path: "/v1/requests", key: "key", body: good + good, status: 400, reason: "bad_body"},
-		"body too large":     {path: "/v1/requests", key: "key", body: `{"prompt":"` + strings.Repeat("x", maxBodyBytes), status: 413, reason: "body_too_large"},
-		"no idempotency key": {path: "/v1/calls/filing", key: "key", body: `{}`, status: 400, reason: "idempotency_key"},
-		"refused in time":    {path: "/v1/requests", key: "key", body: `{"class":"summary","prompt":"refuse","stream":true}`, status: 503, reason: "too_late"},
+		"no key":              {path: "/v1/requests", body: good, status: 401, reason: "unauthorized"},
+		"wrong key":           {path: "/v1/requests", key: "other", body: good, status: 401, reason: "unauthorized"},
+		"unknown class":       {path: "/v1/requests", key: "key", body: `{"class":"x","prompt":"hi"}`, status: 400, reason: "unknown_class"},
+		"class of a service":  {path: "/v1/requests", key: "key", body: `{"class":"filing","prompt":"hi"}`, status: 400, reason: "unknown_class"},
+		"class of a model":    {path: "/v1/calls/summary", key: "key", body: `{}`, status: 400, reason: "unknown_class"},
+		"empty prompt":        {path: "/v1/requests", key: "key", body: `{"class":"summary","prompt":""}`, status: 413, reason: "prompt_length"},
+		"long prompt":         {path: "/v1/requests", key: "key", body: `{"class":"summary","prompt":"` + strings.Repeat("x", 401) + `"}`, status: 413, reason: "prompt_length"},
+		"unknown field":       {path: "/v1/requests", key: "key", body: `{"class":"summary","prompt":"hi","x":1}`, status: 400, reason: "bad_body"},
+		"no JSON":             {path: "/v1/requests", key: "key", body: `hello`, status: 400, reason: "bad_body"},
+		"two values":          {path: "/v1/requests", key: "key", body: good + good, status: 400, reason: "bad_body"},
+		"body too large":      {path: "/v1/requests", key: "key", body: `{"prompt":"` + strings.Repeat("x", maxBodyBytes), status: 413, reason: "body_too_large"},
+		"no idempotency key":  {path: "/v1/calls/filing", key: "key", body: `{}`, status: 400, reason: "idempotency_key"},
+		"bad idempotency key": {path: "/v1/calls/filing", key: "key", idempotency: "k1", body: `{}`, status: 400, reason: "idempotency_key"},
+		"refused in time":     {path: "/v1/requests", key: "key", body: `{"class":"summary","prompt":"refuse","stream":true}`, status: 503, reason: "too_late"},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			answer := post(t, newServer(echo), tc.path, tc.key, "", tc.body)
+			answer := post(t, newServer(echo), tc.path, tc.key, tc.idempotency, tc.body)
 			var body failureBody
 			if err := json.Unmarshal(answer.Body.Bytes(), &body); err != nil {
 				t.Fatal(err)
@@ -158,7 +160,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			answer := post(t, newServer(echo), tc.path, "key", "k1", tc.body)
+			answer := post(t, newServer(echo), tc.path, "key", "019f0000-0000-7000-8000-000000000001", tc.body)
 			for _, want := range tc.want {
 				if !strings.Contains(answer.Body.String(), want) {
 					t.Errorf("answer %s lacks %s", answer.Body, want)
--- a/io/service/dispatch.go
+++ b/io/service/dispatch.go
@@ -34,15 +34,20 @@
 		Body:      call.Body,
 	})
 	if err != nil {
-		return nil, &dispatch.AttemptError{Certainty: attemptCertainty(err), Err: err}
+		return nil, attemptError(err)
 	}
 	return answer.Result, nil
 }
 
-// attemptCertainty tells what an error of this layer says about the attempt.
-func attemptCertainty(err error) dispatch.Certainty {
-	if errors.Is(err, ErrNotSent) {
-		return dispatch.CertainNotRun
+// attemptError turns an error of this layer into one of the dispatcher's.
+func attemptError(err error) *dispatch.AttemptError {
+	var refusal *RefusalError
+	switch {
+	case errors.Is(err, ErrNotSent):
+		return &dispatch.AttemptError{Certainty: dispatch.CertainNotRun, Err: err}
+	case errors.As(err, &refusal):
+		return &dispatch.AttemptError{Certainty: dispatch.CertainFailed, Answer: refusal.Body, Err: err}
+	default:
+		return &dispatch.AttemptError{Certainty: dispatch.Uncertain, Err: err}
 	}
-	return dispatch.Uncertain
 }
--- a/standin/load/request.go
+++ b/standin/load/request.go
@@ -5,11 +5,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/google/uuid"
+
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/io/jsonhttp"
 )
@@ -134,7 +135,7 @@
 	target := jsonhttp.URL(address, "/v1/calls/"+string(l.CallClass), nil)
 	begun := time.Now()
 	result := Result{Outcome: OutcomeBroken, Reason: "no_answer"}
-	response, err := l.post(ctx, target, key, idempotencyKey(number), []byte(`{"body":{"amount":1}}`))
+	response, err := l.post(ctx, target, key, idempotencyKey(), []byte(`{"body":{"amount":1}}`))
 	if err == nil {
 		defer func() { _ = response.Body.Close() }()
 		if response.StatusCode == http.StatusOK {
@@ -147,9 +148,9 @@
 	l.add(result)
 }
 
-// idempotencyKey returns a key that carries its time, as the entries ask for.
-func idempotencyKey(number int) string {
-	return fmt.Sprintf("%s-load-%d", time.Now().UTC().Format("20060102T150405Z"), number)
+// idempotencyKey returns a new key, which carries its time.
+func idempotencyKey() string {
+	return uuid.Must(uuid.NewV7()).String()
 }
 
 // post sends one request.
