--- a/core/membership/controller.go
+++ b/core/membership/controller.go
@@ -211,8 +211,10 @@
 	listed := c.hint()
 	var target, stray fleet.Entry
 	var probe, try bool
+	var survey []fleet.Entry
 	c.with(time.Now(), func(m *Members, now time.Time) {
 		m.Tick(now)
+		survey = m.Survey(now)
 		target, probe = m.Next()
 		stray, try = m.Stray(listed)
 	})
@@ -223,6 +225,9 @@
 	if probe {
 		group.Go(func() error { c.check(ctx, target); return nil })
 	}
+	for _, entry := range survey {
+		group.Go(func() error { c.check(ctx, entry); return nil })
+	}
 	if try && stray.Address != c.Entry.Address {
 		group.Go(func() error { _ = c.probe(ctx, stray, true); return nil })
 	}
@@ -310,14 +315,16 @@
 
 // helpers returns the entries that are asked to probe the target: some of the zone and some of other zones.
 func (c *Controller) helpers(target fleet.EntryID) []fleet.Entry {
-	var helpers []fleet.Entry
-	c.with(time.Now(), func(m *Members, _ time.Time) { helpers = m.Helpers(target, zoneHelpers) })
 	var outside []fleet.Entry
 	for _, entry := range c.Board.Entries.View().Rows {
-		if entry.Zone != c.Entry.Zone {
+		if entry.Zone != c.Entry.Zone && entry.State == fleet.StateLive {
 			outside = append(outside, entry)
 		}
 	}
-	c.Random.Shuffle(len(outside), func(i, j int) { outside[i], outside[j] = outside[j], outside[i] })
+	var helpers []fleet.Entry
+	c.with(time.Now(), func(m *Members, _ time.Time) {
+		helpers = m.Helpers(target, zoneHelpers)
+		m.Random.Shuffle(len(outside), func(i, j int) { outside[i], outside[j] = outside[j], outside[i] })
+	})
 	return append(helpers, outside[:min(outsideHelpers, len(outside))]...)
 }
--- a/core/membership/majority.go
+++ b/core/membership/majority.go
@@ -74,6 +74,9 @@
 			m.apply(now, dead)
 		case row.update.Status >= StatusDead && age >= forgetTime:
 			delete(m.rows, id)
+		case row.update.Status == StatusLeft && age >= leaveTime && !row.gone:
+			row.gone = true
+			m.version++
 		}
 	}
 	m.renew(now)
@@ -82,15 +85,19 @@
 // renew extends the lease if the entry reaches the majority of its zone, and then forgets those in the count
 // who have been dead for the settle time. Without that delay a minority would forget the majority one by one.
 func (m *Members) renew(now time.Time) {
-	if !m.ready || m.left {
+	if !m.ready {
 		return
 	}
-	if !m.hasMajority() {
-		if now.Sub(m.majority) < SoloTime {
-			return
-		}
+	switch {
+	case !m.hasMajority() && now.Sub(m.majority) < SoloTime:
+		m.minority = true
+		return
+	case !m.hasMajority():
 		m.excuseSilent()
+	case m.minority:
+		m.doubtAnew(now)
 	}
+	m.minority = false
 	m.majority = now
 	others := 0
 	for _, row := range m.rows {
@@ -108,6 +115,37 @@
 	m.Lease.extend(now, m.acked.Add(LeaseTime))
 }
 
+// doubtAnew makes suspects of all that this entry took for dead while it had no majority: it may itself have been cut off.
+func (m *Members) doubtAnew(now time.Time) {
+	for _, row := range m.rows {
+		if row.update.Status == StatusDead && row.known {
+			row.update.Status = StatusSuspect
+			row.since = now
+			m.version++
+		}
+	}
+}
+
+// Survey returns all entries believed alive if so many others are silent at once that this entry may be in a minority.
+// It does so once in surveyInterval.
+func (m *Members) Survey(now time.Time) []fleet.Entry {
+	silent, total := 0, 1
+	for _, row := range m.rows {
+		if !row.known || row.excused {
+			continue
+		}
+		total++
+		if row.update.Status != StatusAlive {
+			silent++
+		}
+	}
+	if silent*surveyShare <= total || now.Sub(m.surveyed) < surveyInterval {
+		return nil
+	}
+	m.surveyed = now
+	return m.Helpers("", total)
+}
+
 // hasMajority tells whether the entry reaches more than half of the known entries that nobody excused.
 func (m *Members) hasMajority() bool {
 	reached, total := 1, 1
--- a/core/membership/members.go
+++ b/core/membership/members.go
@@ -20,8 +20,14 @@
 	SoloTime = 30 * time.Second
 	// settleTime is how long a dead entry still counts in the majority.
 	settleTime = 10 * time.Second
+	// leaveTime is how long an entry that has left is still shown, since it finishes what it runs.
+	leaveTime = time.Minute
 	// forgetTime is how long a dead or departed entry is remembered.
 	forgetTime = 10 * time.Minute
+	// surveyShare is the part of the zone whose silence starts a survey, as one in so many.
+	surveyShare = 5
+	// surveyInterval is the time between two surveys.
+	surveyInterval = 3 * time.Second
 	// maxSync bounds the members that one answer carries to an entry with another view.
 	maxSync = 16
 	// maxJoin bounds the members that one answer carries to a joining entry.
@@ -39,6 +45,8 @@
 	excused bool
 	// listed tells that the instance list has shown it.
 	listed bool
+	// gone tells that it left long ago.
+	gone bool
 }
 
 // Members is the state machine of one entry's view of its zone. It takes times as arguments, does no input or
@@ -56,6 +64,8 @@
 	order    []fleet.EntryID
 	acked    time.Time
 	majority time.Time
+	surveyed time.Time
+	minority bool
 	ready    bool
 	left     bool
 	version  uint64
@@ -80,11 +90,14 @@
 	return m.version
 }
 
-// Live returns the entries of the zone that are not known to be dead, this one included. A suspect is live.
+// Live returns the entries of the zone that are not known to be dead, this one included. A suspect is live, and one that
+// has left is shown as leaving for a while.
 func (m *Members) Live() []fleet.Entry {
 	entries := []fleet.Entry{m.Self}
 	for _, row := range m.rows {
-		if row.update.Status <= StatusSuspect && row.update.Entry.Incarnation > 0 {
+		switch {
+		case row.update.Entry.Incarnation == 0 || row.update.Status == StatusDead || row.gone:
+		default:
 			entries = append(entries, row.update.Entry)
 		}
 	}
@@ -176,11 +189,11 @@
 	return answer
 }
 
-// sample returns up to limit beliefs, chosen at random.
+// sample returns up to limit beliefs that are no doubts, chosen at random.
 func (m *Members) sample(limit int) []Update {
 	updates := make([]Update, 0, len(m.rows))
 	for _, row := range m.rows {
-		if row.update.Entry.Incarnation > 0 {
+		if !row.update.doubts() {
 			updates = append(updates, row.update)
 		}
 	}
@@ -195,6 +208,10 @@
 		m.apply(now, Update{Entry: message.From, Status: StatusAlive})
 	}
 	for _, update := range message.Updates {
+		// Each entry waits for the refutation itself: what an entry says that was cut off is wrong when the cut heals.
+		if update.Status == StatusDead && update.Entry.ID != m.Self.ID {
+			update.Status = StatusSuspect
+		}
 		m.apply(now, update)
 	}
 }
@@ -237,8 +254,10 @@
 		return
 	}
 	row.set(now, update)
-	m.rumors.add(update)
 	m.version++
+	if update.Status != StatusDead {
+		m.rumors.add(update)
+	}
 }
 
 // set takes a belief into the row.
@@ -251,6 +270,7 @@
 	case StatusAlive:
 		r.known = true
 		r.excused = false
+		r.gone = false
 	case StatusLeft:
 		r.known = false
 	}
--- a/core/membership/message.go
+++ b/core/membership/message.go
@@ -40,6 +40,11 @@
 	return u.Status > old.Status
 }
 
+// doubts tells whether the update says that an entry may not be alive.
+func (u Update) doubts() bool {
+	return u.Status == StatusSuspect || u.Status == StatusDead
+}
+
 // Message is a probe or its answer; both carry gossip.
 type Message struct {
 	// From is the sender.
--- /dev/null
+++ b/core/ownership/gate_test.go
@@ -0,0 +1,61 @@
+package ownership
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"wisteriadyke/core/membership"
+	"wisteriadyke/core/reservation"
+)
+
+// grantAll grants everything after a wait.
+type grantAll struct {
+	wait     time.Duration
+	released int
+}
+
+func (g *grantAll) Reserve(_ context.Context, r reservation.Request) (reservation.Grant, error) {
+	time.Sleep(g.wait)
+	return reservation.Grant{Endpoint: r.Endpoint}, nil
+}
+
+func (g *grantAll) Renew(context.Context, reservation.Progress) error { return nil }
+
+func (g *grantAll) Release(context.Context, reservation.Release) error {
+	g.released++
+	return nil
+}
+
+func TestGateGrantsNothingAfterAFreeze(t *testing.T) {
+	tests := map[string]struct {
+		frozenBefore, frozenInside time.Duration
+		granted                    bool
+		released                   int
+	}{
+		"not frozen":                     {granted: true},
+		"frozen before the request":      {frozenBefore: 2 * membership.LeaseTime},
+		"frozen while the request waits": {frozenInside: 2 * membership.LeaseTime, released: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				z := newZone(1, 1, 1)
+				n := z.nodes[0]
+				z.run(t, func(func(*node)) { time.Sleep(10*time.Second + 100*time.Millisecond) })
+				// From here on no controller runs, as in a frozen process.
+				inner := &grantAll{wait: tc.frozenInside}
+				gate := &Gate{Owner: inner, Entry: n.ownership.Entry, Active: n.ownership.Active}
+				time.Sleep(tc.frozenBefore)
+				_, err := gate.Reserve(t.Context(), reservation.Request{Endpoint: z.endpoints[0]})
+				if granted := err == nil; granted != tc.granted {
+					t.Errorf("granted: %t (%v), want %t", granted, err, tc.granted)
+				}
+				if inner.released != tc.released {
+					t.Errorf("%d releases, want %d", inner.released, tc.released)
+				}
+			})
+		})
+	}
+}
--- a/core/ownership/rendezvous.go
+++ b/core/ownership/rendezvous.go
@@ -2,7 +2,9 @@
 package ownership
 
 import (
+	"cmp"
 	"hash/fnv"
+	"slices"
 
 	"wisteriadyke/core/fleet"
 )
@@ -27,6 +29,29 @@
 	return owner
 }
 
+// Rank returns the first count entries in the order in which they would own the endpoint if those before them were
+// gone. While views differ, the owner is most likely among the first.
+func Rank(endpoint fleet.Endpoint, entries map[fleet.EntryID]fleet.Entry, count int) []fleet.EntryID {
+	type candidate struct {
+		entry fleet.EntryID
+		score uint64
+	}
+	var candidates []candidate
+	for id, entry := range entries {
+		if entry.Zone == endpoint.Zone && entry.State == fleet.StateLive {
+			candidates = append(candidates, candidate{entry: id, score: rendezvousScore(endpoint.ID, id)})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.entry, b.entry))
+	})
+	ranked := make([]fleet.EntryID, min(count, len(candidates)))
+	for i := range ranked {
+		ranked[i] = candidates[i].entry
+	}
+	return ranked
+}
+
 // rendezvousScore hashes the pair of an endpoint and an entry.
 func rendezvousScore(endpoint fleet.EndpointID, entry fleet.EntryID) uint64 {
 	h := fnv.New64a()
--- a/core/spread/controller.go
+++ b/core/spread/controller.go
@@ -113,12 +113,12 @@
 // others returns the other live entries of this zone and of all others.
 func (c *Controller) others() (zone, outside []fleet.Entry) {
 	for id, entry := range c.Board.Members.View().Rows {
-		if id != c.Entry.ID {
+		if id != c.Entry.ID && entry.State == fleet.StateLive {
 			zone = append(zone, entry)
 		}
 	}
 	for _, entry := range c.Board.Entries.View().Rows {
-		if entry.Zone != c.Entry.Zone {
+		if entry.Zone != c.Entry.Zone && entry.State == fleet.StateLive {
 			outside = append(outside, entry)
 		}
 	}
