Grant endpoints from an exact account and a fair queue

Pool granted everything at once. It now owns endpoints: each has a ledger of its memory with leases and reclaim, an estimate of its warmth that limits cold starts, and a queue that is fair over accounts by work.

Found by the tests on the way and mended: Ahead of a reading counted prompts that were read already, so that the learned reading pace rose tenfold; reservations seen in a former life of the endpoint kept their memory until their lease lapsed; memory claimed for a long request did not count the long ones in force; idle accounts were forgotten while they were added.

--- /dev/null
+++ b/core/admission/item.go
@@ -0,0 +1,58 @@
+// Package admission orders the requests that wait for one endpoint: account first by weighted fair service counted
+// in tokens of work, within an account by class priority and then least slack.
+package admission
+
+import (
+	"time"
+
+	"wisteriadyke/core/reservation"
+)
+
+// Band is the length band of a prompt; the bands wait apart.
+type Band int
+
+// The bands.
+const (
+	// Quick prompts are read ahead of all others.
+	Quick Band = iota
+	// Medium prompts share with the quick ones the headroom that long ones can't take.
+	Medium
+	// Long prompts are read a few at once.
+	Long
+	// Bands is the number of bands.
+	Bands
+)
+
+// Item is a request that waits.
+type Item struct {
+	// Ticket names it.
+	Ticket uint64
+	// Request is what is asked for.
+	Request reservation.Request
+	// Band is the length band of its prompt.
+	Band Band
+	// Cost is its work in prompt tokens or their like.
+	Cost float64
+	// QueuedAt is when it came.
+	QueuedAt time.Time
+	// LastStart is when it must be granted to be in time.
+	LastStart time.Time
+
+	// account is where it waits.
+	account *account
+	// place is the place among the items of its account and band.
+	place int
+	// due is the place in the heap of last starts.
+	due int
+}
+
+// before tells whether i goes before other within an account.
+func (i *Item) before(other *Item) bool {
+	if i.Request.Priority != other.Request.Priority {
+		return i.Request.Priority > other.Request.Priority
+	}
+	if !i.LastStart.Equal(other.LastStart) {
+		return i.LastStart.Before(other.LastStart)
+	}
+	return i.Ticket < other.Ticket
+}
--- /dev/null
+++ b/core/admission/queue_test.go
@@ -0,0 +1,132 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/reservation"
+)
+
+// start is when the tests begin.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// push adds an item of an account.
+func push(q *Queue, id fleet.AccountID, weight, cost float64, change func(i *Item)) *Item {
+	q.Visit(start, id, weight)
+	i := &Item{Ticket: uint64(q.Len()), Request: reservation.Request{Account: id, Weight: weight}, Cost: cost, LastStart: start.Add(time.Minute)}
+	if change != nil {
+		change(i)
+	}
+	q.Push(i)
+	return i
+}
+
+// take grants the item that goes first in a band.
+func take(q *Queue) *Item {
+	i, _ := q.Head(Quick)
+	q.Take(i)
+	return i
+}
+
+// TestManyAccounts asserts that a queue takes more accounts than it remembers when they are idle.
+func TestManyAccounts(t *testing.T) {
+	q := NewQueue(0, 2*cleanEvery, 10)
+	for n := range cleanEvery + 10 {
+		push(q, fleet.AccountID(fmt.Sprint(n)), 1, 1, nil)
+	}
+	if q.Len() != cleanEvery+10 {
+		t.Errorf("%d items wait, want %d", q.Len(), cleanEvery+10)
+	}
+}
+
+// TestShares asserts that accounts that always wait are given work by their weights.
+func TestShares(t *testing.T) {
+	tests := map[string]struct {
+		weights [2]float64
+		costs   [2]float64
+	}{
+		"equal":             {weights: [2]float64{1, 1}, costs: [2]float64{10, 10}},
+		"unequal weights":   {weights: [2]float64{3, 1}, costs: [2]float64{10, 10}},
+		"unequal requests":  {weights: [2]float64{1, 1}, costs: [2]float64{100, 7}},
+		"both are unequal":  {weights: [2]float64{1, 5}, costs: [2]float64{50, 3}},
+		"a tiny weight too": {weights: [2]float64{0.01, 1}, costs: [2]float64{10, 10}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			q := NewQueue(0, 100, 10)
+			ids := [2]fleet.AccountID{"a", "b"}
+			for n, id := range ids {
+				push(q, id, tc.weights[n], tc.costs[n], nil)
+			}
+			given := make(map[fleet.AccountID]float64)
+			for range 20_000 {
+				i := take(q)
+				id := i.Request.Account
+				given[id] += i.Cost
+				push(q, id, i.Request.Weight, i.Cost, nil)
+			}
+			gap := given["a"]/tc.weights[0] - given["b"]/tc.weights[1]
+			bound := tc.costs[0]/tc.weights[0] + tc.costs[1]/tc.weights[1]
+			if gap > bound || gap < -bound {
+				t.Errorf("shares differ by %.1f, want at most %.1f", gap, bound)
+			}
+		})
+	}
+}
+
+// TestNoHoard asserts that an account which comes back gets no more than its credit ahead of another.
+func TestNoHoard(t *testing.T) {
+	q := NewQueue(30, 1000, 1000)
+	push(q, "idle", 1, 10, nil)
+	take(q)
+	for range 200 {
+		push(q, "busy", 1, 10, nil)
+	}
+	for range 100 {
+		take(q)
+	}
+	for range 50 {
+		push(q, "idle", 1, 10, nil)
+	}
+	ahead := 0
+	for take(q).Request.Account == "idle" {
+		ahead++
+	}
+	if ahead > 30/10+1 {
+		t.Errorf("%d items of the account that came back went ahead, want at most 4", ahead)
+	}
+}
+
+// TestOrderWithinAccount asserts that priority goes before slack, and slack before the order of coming.
+func TestOrderWithinAccount(t *testing.T) {
+	q := NewQueue(0, 100, 100)
+	want := []*Item{2: nil, 3: nil}
+	want[3] = push(q, "a", 1, 1, func(i *Item) { i.LastStart = start.Add(2 * time.Second) })
+	want[1] = push(q, "a", 1, 1, func(i *Item) { i.Request.Priority = 1; i.LastStart = start.Add(time.Hour) })
+	want[2] = push(q, "a", 1, 1, func(i *Item) { i.LastStart = start.Add(time.Second) })
+	want[0] = push(q, "a", 1, 1, func(i *Item) { i.Request.Priority = 1; i.LastStart = start.Add(time.Minute) })
+	for n, i := range want {
+		if got := take(q); got != i {
+			t.Errorf("item %d is ticket %d, want %d", n, got.Ticket, i.Ticket)
+		}
+	}
+}
+
+// TestOverdue asserts that items are found once their last start has passed, the first one first.
+func TestOverdue(t *testing.T) {
+	q := NewQueue(0, 100, 100)
+	late := push(q, "a", 1, 1, func(i *Item) { i.LastStart = start.Add(2 * time.Second) })
+	soon := push(q, "b", 1, 1, func(i *Item) { i.LastStart = start.Add(time.Second) })
+	if got := q.Overdue(start); got != nil {
+		t.Errorf("ticket %d is overdue at the start", got.Ticket)
+	}
+	if got := q.Overdue(start.Add(time.Second)); got != soon {
+		t.Error("the item with the first last start is not overdue")
+	}
+	q.Remove(soon)
+	if got := q.NextDue(); !got.Equal(late.LastStart) {
+		t.Errorf("next due at %s, want %s", got, late.LastStart)
+	}
+}
--- a/core/ledger/listing.go
+++ b/core/ledger/listing.go
@@ -48,3 +48,9 @@
 	// Attempt is the attempt that made it, or "".
 	Attempt fleet.AttemptID
 }
+
+// Dropper frees KV caches that an endpoint holds outside of attempts; a Lister may implement it too.
+type Dropper interface {
+	// Drop frees a KV cache once no attempt uses it.
+	Drop(ctx context.Context, endpoint fleet.Endpoint, handle string) error
+}
--- /dev/null
+++ b/core/ledger/reclaim.go
@@ -0,0 +1,246 @@
+package ledger
+
+import (
+	"time"
+
+	"wisteriadyke/core/fleet"
+)
+
+// strayID names memory that no reservation explains.
+type strayID struct {
+	attempt fleet.AttemptID
+	handle  string
+}
+
+// Reclaim names what is to be ended at the endpoint.
+type Reclaim struct {
+	// Attempts are to be cancelled; each is confirmed with Confirm.
+	Attempts []fleet.AttemptID
+	// Handles are KV caches to be dropped.
+	Handles []string
+}
+
+// Observe takes a listing that was asked for at begun, and returns what is to be reclaimed.
+func (l *Ledger) Observe(now, begun time.Time, listing Listing) Reclaim {
+	if listing.Incarnation < l.incarnation {
+		l.ObserveFailure()
+		return Reclaim{}
+	}
+	l.Reincarnate(now, listing.Incarnation)
+	size := len(listing.Attempts) + len(listing.HeldKV)
+	if size == 0 && l.listed > 0 && l.skipped < l.Settings.MaxSkips {
+		l.skipped++
+		return Reclaim{}
+	}
+	l.listed = size
+	l.skipped = 0
+	l.good++
+	return l.compare(now, begun, listing)
+}
+
+// ObserveFailure tells that a listing failed; too many in a row break the count of consecutive listings.
+func (l *Ledger) ObserveFailure() {
+	l.skipped++
+	if l.skipped <= l.Settings.MaxSkips {
+		return
+	}
+	l.good = 0
+	for _, stray := range l.strays {
+		stray.Listings = 0
+	}
+	for _, row := range l.rows {
+		row.confirmed = 0
+	}
+}
+
+// Doubt forgets the count of good listings, since another owner may have granted meanwhile.
+func (l *Ledger) Doubt() {
+	l.good = 0
+}
+
+// Listings counts the consecutive good listings since the ledger began or listings failed too often.
+func (l *Ledger) Listings() int {
+	return l.good
+}
+
+// compare matches a listing with the reservations and returns what is to be reclaimed.
+func (l *Ledger) compare(now, begun time.Time, listing Listing) Reclaim {
+	var reclaim Reclaim
+	seen := make(map[Key]bool, len(listing.Attempts))
+	known := make(map[fleet.AttemptID]bool, len(listing.Attempts))
+	strays := make(map[strayID]bool)
+	for _, attempt := range listing.Attempts {
+		if row := l.explain(now, attempt); row != nil {
+			seen[row.Key] = true
+			known[attempt.ID] = true
+			l.confirmHeld(row, &reclaim)
+			continue
+		}
+		if l.releasedSince(attempt.Key, begun) {
+			continue
+		}
+		id := strayID{attempt: attempt.ID}
+		strays[id] = true
+		if l.see(now, id, attempt.Key, attempt.Memory) {
+			reclaim.Attempts = append(reclaim.Attempts, attempt.ID)
+		}
+	}
+	for _, kv := range listing.HeldKV {
+		if known[kv.Attempt] || l.runs(kv.Attempt) {
+			continue
+		}
+		id := strayID{handle: kv.Handle}
+		strays[id] = true
+		if l.see(now, id, Key{}, kv.Memory) {
+			reclaim.Handles = append(reclaim.Handles, kv.Handle)
+		}
+	}
+	l.forget(now, begun, seen, strays)
+	return reclaim
+}
+
+// explain returns the reservation of a listed attempt, or nil.
+func (l *Ledger) explain(now time.Time, attempt Attempt) *Reservation {
+	if row := l.rows[attempt.Key]; row != nil {
+		return row
+	}
+	if _, claimed := l.claims[attempt.Key]; !claimed {
+		return nil
+	}
+	delete(l.claims, attempt.Key)
+	return l.admit(now, attempt.ID, attempt.Key, attempt.Memory)
+}
+
+// runs tells whether an attempt has a reservation.
+func (l *Ledger) runs(attempt fleet.AttemptID) bool {
+	for _, row := range l.rows {
+		if row.Attempt == attempt {
+			return attempt != ""
+		}
+	}
+	return false
+}
+
+// confirmHeld asks to cancel a held attempt that enough listings have shown.
+func (l *Ledger) confirmHeld(row *Reservation, reclaim *Reclaim) {
+	if !row.Held {
+		return
+	}
+	row.confirmed++
+	if row.confirmed >= l.Settings.Confirmations {
+		reclaim.Attempts = append(reclaim.Attempts, row.Attempt)
+	}
+}
+
+// releasedSince tells whether a reservation was released after a listing was asked for.
+func (l *Ledger) releasedSince(key Key, begun time.Time) bool {
+	at, found := l.released[key]
+	return found && !at.Before(begun)
+}
+
+// see counts a listing that shows unexplained memory and tells whether it is to be reclaimed.
+func (l *Ledger) see(now time.Time, id strayID, key Key, memory fleet.Tokens) bool {
+	stray := l.strays[id]
+	if stray == nil || stray.Key != key {
+		l.dropStray(id)
+		l.putStray(&Stray{Attempt: id.attempt, Handle: id.handle, Key: key, Memory: memory, SeenAt: now, Listings: 1})
+		return false
+	}
+	l.strayed += memory - stray.Memory
+	stray.Memory = memory
+	stray.Listings++
+	return stray.Listings >= l.Settings.Confirmations && now.Sub(stray.SeenAt) >= l.Settings.NewbornGrace
+}
+
+// forget frees what a listing shows to be gone.
+func (l *Ledger) forget(now, begun time.Time, seen map[Key]bool, strays map[strayID]bool) {
+	for key, row := range l.rows {
+		if row.Held && !seen[key] && row.HeldAt.Before(begun) {
+			l.remove(now, row)
+		}
+	}
+	for id := range l.strays {
+		if !strays[id] {
+			l.dropStray(id)
+		}
+	}
+	for key, at := range l.claims {
+		if now.Sub(at) > releasedMemory {
+			delete(l.claims, key)
+		}
+	}
+}
+
+// Confirm tells that the endpoint holds nothing more for an attempt.
+func (l *Ledger) Confirm(now time.Time, attempt fleet.AttemptID) {
+	l.dropStray(strayID{attempt: attempt})
+	for _, row := range l.rows {
+		if row.Attempt == attempt && row.Held {
+			l.remove(now, row)
+		}
+	}
+}
+
+// Reincarnate tells the life of the endpoint; a later one has lost all that was seen to run in the former.
+func (l *Ledger) Reincarnate(now time.Time, incarnation fleet.Incarnation) {
+	if incarnation <= l.incarnation {
+		return
+	}
+	first := l.incarnation == 0
+	l.incarnation = incarnation
+	if first {
+		return
+	}
+	l.listed = 0
+	for id := range l.strays {
+		l.dropStray(id)
+	}
+	for _, row := range l.rows {
+		if row.Incarnation != 0 {
+			l.remove(now, row)
+		}
+	}
+}
+
+// adopt turns unexplained memory into a reservation, since its entry has shown progress; until a listing shows the
+// memory, the claim is kept.
+func (l *Ledger) adopt(now time.Time, p Progress) *Reservation {
+	if at, done := l.released[p.Key]; done && now.Sub(at) < releasedMemory {
+		return nil
+	}
+	for id, stray := range l.strays {
+		if stray.Key == p.Key && id.attempt != "" {
+			l.dropStray(id)
+			return l.admit(now, id.attempt, p.Key, stray.Memory)
+		}
+	}
+	l.claims[p.Key] = now
+	return nil
+}
+
+// admit adds a reservation that a former owner has granted.
+func (l *Ledger) admit(now time.Time, attempt fleet.AttemptID, key Key, memory fleet.Tokens) *Reservation {
+	row := &Reservation{Key: key, Attempt: attempt, Output: memory, StartedAt: now, Incarnation: l.incarnation}
+	row.GrantedAt = now
+	row.ExpiresAt = now.Add(l.Settings.Lease)
+	l.insert(row)
+	return row
+}
+
+// putStray counts unexplained memory as used.
+func (l *Ledger) putStray(stray *Stray) {
+	id := strayID{attempt: stray.Attempt, handle: stray.Handle}
+	l.dropStray(id)
+	l.strays[id] = stray
+	l.strayed += stray.Memory
+}
+
+// dropStray frees unexplained memory, if it is known.
+func (l *Ledger) dropStray(id strayID) {
+	stray := l.strays[id]
+	if stray == nil {
+		return
+	}
+	delete(l.strays, id)
+	l.strayed -= stray.Memory
+}
--- a/core/ledger/reservation.go
+++ b/core/ledger/reservation.go
@@ -30,6 +30,18 @@
 	Output fleet.Tokens
 	// Uncached is the number of prompt tokens that are expected to be read.
 	Uncached fleet.Tokens
+	// Charged is the work that its account was charged, in prompt tokens or their like.
+	Charged float64
+	// Ahead is the number of prompt tokens that were to be read before its own when it was granted.
+	Ahead fleet.Tokens
+	// Others is the number of attempts that ran when its first token came.
+	Others int
+	// Weight is the share of its account.
+	Weight float64
+	// Quick tells that its prompt is read in the quick band.
+	Quick bool
+	// Long tells that its prompt is read in the long band.
+	Long bool
 	// Exclusive tells that nothing else may run beside it.
 	Exclusive bool
 	// Held tells that its lease has lapsed or its stream broke, and that the endpoint may still hold its memory.
@@ -46,9 +58,15 @@
 	ExpiresAt time.Time
 	// Position is the number of tokens generated so far.
 	Position fleet.Tokens
+	// SampledAt is when the pace was last measured, at SampledPosition.
+	SampledAt time.Time
+	// SampledPosition is the number of tokens generated then.
+	SampledPosition fleet.Tokens
 	// Incarnation is the life of the endpoint that answered it, or 0.
 	Incarnation fleet.Incarnation
 
+	// confirmed counts the consecutive listings that showed it while held.
+	confirmed int
 	// index is the place in the heap of expiries.
 	index int
 }
--- /dev/null
+++ b/core/scheduler/bench_test.go
@@ -0,0 +1,85 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/reservation"
+)
+
+// BenchmarkReservation measures one reservation from its offer to its release, with an account that waits for each
+// of many accounts.
+func BenchmarkReservation(b *testing.B) {
+	for _, endpoints := range []int{25, 1_300} {
+		for _, accounts := range []int{10, 100, 1_000, 4_300} {
+			b.Run(fmt.Sprintf("endpoints=%d/accounts=%d", endpoints, accounts), func(b *testing.B) {
+				now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+				owned := benchEndpoints(b, now, endpoints, accounts)
+				ids := benchAccounts(accounts)
+				b.ReportAllocs()
+				n := 0
+				for b.Loop() {
+					now = now.Add(100 * time.Microsecond)
+					benchReserve(owned[n%endpoints], now, ids[n%accounts])
+					n++
+				}
+			})
+		}
+	}
+}
+
+// benchAccounts returns the names of accounts.
+func benchAccounts(count int) []fleet.AccountID {
+	var ids []fleet.AccountID
+	for n := range count {
+		ids = append(ids, fleet.AccountID(fmt.Sprint("account-", n)))
+	}
+	return ids
+}
+
+// benchEndpoints returns endpoints on whose first one long requests of all accounts wait.
+func benchEndpoints(b *testing.B, now time.Time, count, accounts int) []*Endpoint {
+	var owned []*Endpoint
+	for n := range count {
+		endpoint := fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprint("engine-", n)), State: fleet.StateLive, Memory: 400_000}
+		e := &Endpoint{Entry: "entry-1", Settings: DefaultSettings()}
+		e.Settings.MaxQueue = 10_000
+		e.Start(now, endpoint, 1, Takeover{Handover: &Handover{}})
+		owned = append(owned, e)
+	}
+	for _, id := range benchAccounts(accounts) {
+		for _, e := range owned[:min(count, 25)] {
+			if _, refusal := e.Offer(now, benchRequest(now, id, 300_000)); refusal != nil {
+				b.Fatal(refusal)
+			}
+			e.Advance(now)
+		}
+	}
+	return owned
+}
+
+// benchRequest returns a request with distant bounds.
+func benchRequest(now time.Time, id fleet.AccountID, prompt fleet.Tokens) reservation.Request {
+	return reservation.Request{
+		Request:  "request",
+		Attempt:  "request.1",
+		Account:  id,
+		Weight:   1,
+		Prompt:   prompt,
+		Output:   50,
+		StartBy:  now.Add(1_000_000 * time.Hour),
+		FinishBy: now.Add(1_000_000 * time.Hour),
+	}
+}
+
+// benchReserve offers a request and releases what was granted.
+func benchReserve(e *Endpoint, now time.Time, id fleet.AccountID) {
+	_, _ = e.Offer(now, benchRequest(now, id, 1_000))
+	for _, d := range e.Advance(now) {
+		if d.Refusal == nil {
+			_ = e.Release(now, unused(d.Grant))
+		}
+	}
+}
--- /dev/null
+++ b/core/scheduler/observe.go
@@ -0,0 +1,171 @@
+package scheduler
+
+import (
+	"time"
+
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/ledger"
+	"wisteriadyke/core/reservation"
+	"wisteriadyke/core/warmup"
+)
+
+// sampleTokens is the number of generated tokens after which the pace of a running attempt is looked at.
+const sampleTokens fleet.Tokens = 8
+
+// Renew records progress; the refusal tells that there is no such reservation of that generation.
+func (e *Endpoint) Renew(now time.Time, p reservation.Progress) *reservation.Refusal {
+	e.alive(now, p.Incarnation)
+	key := ledger.Key{Reservation: p.Reservation, Generation: p.Generation}
+	row := e.ledger.Get(key)
+	first := row != nil && row.StartedAt.IsZero() && p.Started
+	row = e.ledger.Renew(now, ledger.Progress{
+		Key:         key,
+		Started:     p.Started,
+		Position:    p.Position,
+		Incarnation: p.Incarnation,
+	})
+	if row == nil {
+		return &reservation.Refusal{Reason: reservation.ReasonUnknown}
+	}
+	if first {
+		e.noteFirstToken(now, row)
+	}
+	e.notePace(now, row)
+	e.pump(now)
+	return nil
+}
+
+// noteFirstToken looks whether the first token came far off the warm pace.
+func (e *Endpoint) noteFirstToken(now time.Time, row *ledger.Reservation) {
+	row.Others = e.ledger.Total().Running - 1
+	row.SampledAt = now
+	row.SampledPosition = row.Position
+	if row.Long || row.Uncached < row.Prompt {
+		return
+	}
+	e.sample(now, warmup.Sample{
+		Read:     row.Uncached,
+		Ahead:    row.Ahead,
+		ReadTime: now.Sub(row.GrantedAt),
+		Partial:  true,
+	})
+}
+
+// notePace looks whether a running attempt is far off the warm pace.
+func (e *Endpoint) notePace(now time.Time, row *ledger.Reservation) {
+	generated := row.Position - row.SampledPosition
+	if row.SampledAt.IsZero() || generated < sampleTokens {
+		return
+	}
+	e.sample(now, warmup.Sample{
+		Generated:    generated,
+		GenerateTime: now.Sub(row.SampledAt),
+		Others:       e.ledger.Total().Running - 1,
+		Partial:      true,
+	})
+	row.SampledAt = now
+	row.SampledPosition = row.Position
+}
+
+// Release ends a reservation; the refusal tells that there is none of that generation.
+func (e *Endpoint) Release(now time.Time, r reservation.Release) *reservation.Refusal {
+	key := ledger.Key{Reservation: r.Reservation, Generation: r.Generation}
+	if r.Outcome == reservation.OutcomeDone || r.Incarnation > e.ledger.Incarnation() {
+		e.alive(now, r.Incarnation)
+	}
+	before := e.ledger.Total().Running
+	row := e.ledger.Get(key)
+	if row != nil && r.Incarnation != 0 {
+		row.Incarnation = r.Incarnation
+	}
+	row = e.ledger.Release(now, key, r.Outcome != reservation.OutcomeBroken)
+	if row == nil {
+		return &reservation.Refusal{Reason: reservation.ReasonUnknown}
+	}
+	e.noteOutcome(now, row, r, before-1)
+	if row.Account != "" {
+		e.queue.Correct(row.Account, e.cost(min(row.Uncached, r.Read), r.Generated)-row.Charged)
+	}
+	e.pump(now)
+	return nil
+}
+
+// noteOutcome learns the pace and the warmth from how an attempt ended.
+func (e *Endpoint) noteOutcome(now time.Time, row *ledger.Reservation, r reservation.Release, others int) {
+	switch r.Outcome {
+	case reservation.OutcomeBroken, reservation.OutcomeNotRun:
+		current := r.Incarnation == 0 || r.Incarnation >= e.ledger.Incarnation()
+		if current && e.warmth.Broken(now) {
+			e.shed()
+		}
+	case reservation.OutcomeDone:
+		e.sample(now, e.sampleOf(row, r, others))
+	}
+}
+
+// sampleOf returns what a whole answer showed of the pace.
+func (e *Endpoint) sampleOf(row *ledger.Reservation, r reservation.Release, others int) warmup.Sample {
+	s := warmup.Sample{Others: (others + row.Others) / 2}
+	if row.Uncached == row.Prompt && !row.Long {
+		s.Read = r.Read
+		s.Ahead = row.Ahead
+		s.ReadTime = r.ReadTime
+	}
+	if r.Generated > 1 {
+		s.Generated = r.Generated - 1
+		s.GenerateTime = r.GenerateTime
+	}
+	return s
+}
+
+// sample passes on what an attempt showed of the pace, and refuses what a cold endpoint can't bear.
+func (e *Endpoint) sample(now time.Time, s warmup.Sample) {
+	if e.warmth.Observe(now, s) {
+		e.shed()
+	}
+}
+
+// alive tells the life that the endpoint was seen in.
+func (e *Endpoint) alive(now time.Time, incarnation fleet.Incarnation) {
+	e.ledger.Reincarnate(now, incarnation)
+	if e.warmth.Alive(now, incarnation) {
+		e.shed()
+	}
+}
+
+// ObserveLoad takes a load report, which tells the life of the endpoint.
+func (e *Endpoint) ObserveLoad(now time.Time, load fleet.Load) {
+	if load.Incarnation > e.ledger.Incarnation() {
+		e.alive(now, load.Incarnation)
+	}
+	e.pump(now)
+}
+
+// NextSweep returns when the endpoint is to be listed next.
+func (e *Endpoint) NextSweep() time.Time {
+	if e.resyncing || e.warmth.Suspect() || e.ledger.Held() > 0 {
+		return e.sweptAt.Add(e.Settings.UrgentSweepEvery)
+	}
+	return e.sweptAt.Add(e.Settings.SweepEvery)
+}
+
+// ObserveListing takes a listing that was asked for at begun and returns what is to be reclaimed.
+func (e *Endpoint) ObserveListing(now, begun time.Time, listing ledger.Listing) ledger.Reclaim {
+	e.sweptAt = now
+	e.alive(now, listing.Incarnation)
+	reclaim := e.ledger.Observe(now, begun, listing)
+	e.pump(now)
+	return reclaim
+}
+
+// ObserveListingFailure tells that the endpoint could not be listed.
+func (e *Endpoint) ObserveListingFailure(now time.Time) {
+	e.sweptAt = now
+	e.ledger.ObserveFailure()
+}
+
+// Canceled tells that the endpoint holds nothing more for an attempt.
+func (e *Endpoint) Canceled(now time.Time, attempt fleet.AttemptID) {
+	e.ledger.Confirm(now, attempt)
+	e.pump(now)
+}
--- /dev/null
+++ b/core/scheduler/pool_test.go
@@ -0,0 +1,214 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"wisteriadyke/core/dispatch"
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/ledger"
+	"wisteriadyke/core/reservation"
+)
+
+var _ dispatch.Owners = (*Pool)(nil)
+
+// emptyLister is an endpoint that runs nothing.
+type emptyLister struct{}
+
+// List returns an empty listing of the first life.
+func (emptyLister) List(context.Context, fleet.Endpoint) (ledger.Listing, error) {
+	return ledger.Listing{Incarnation: 1}, nil
+}
+
+// Cancel confirms.
+func (emptyLister) Cancel(context.Context, fleet.Endpoint, fleet.AttemptID) error {
+	return nil
+}
+
+// poolEndpoint is the endpoint of the pool tests.
+var poolEndpoint = fleet.Endpoint{ID: "engine-1", State: fleet.StateLive, Memory: 100_000}
+
+// poolRequest returns a request for the endpoint of the pool tests.
+func poolRequest(prompt fleet.Tokens) reservation.Request {
+	return reservation.Request{
+		Endpoint: poolEndpoint.ID,
+		Request:  "request",
+		Attempt:  "request.1",
+		Account:  "account",
+		Weight:   1,
+		Prompt:   prompt,
+		Output:   100,
+		StartBy:  time.Now().Add(20 * time.Second),
+		FinishBy: time.Now().Add(time.Minute),
+	}
+}
+
+// withPool runs a test on a pool that owns one warm endpoint.
+func withPool(t *testing.T, test func(ctx context.Context, p *Pool)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p := &Pool{Entry: "entry-1", Lister: emptyLister{}}
+		group, ctx := errgroup.WithContext(ctx)
+		group.Go(func() error { return p.Run(ctx) })
+		handover := &Handover{}
+		handover.Warmth.Incarnation = 1
+		p.Own(poolEndpoint, 1, Takeover{Handover: handover})
+		synctest.Wait()
+		test(ctx, p)
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// wantReason asserts that an error is a refusal for a reason.
+func wantReason(t *testing.T, err error, want reservation.Reason) {
+	t.Helper()
+	var refusal *reservation.Refusal
+	if !errors.As(err, &refusal) || refusal.Reason != want {
+		t.Errorf("got %v, want a refusal for %s", err, want)
+	}
+}
+
+// TestPoolRefusals asserts what each kind of request is refused for.
+func TestPoolRefusals(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(p *Pool)
+		change  func(r *reservation.Request)
+		want    reservation.Reason
+	}{
+		"unknown endpoint": {change: func(r *reservation.Request) { r.Endpoint = "other" }, want: reservation.ReasonNotOwner},
+		"too large":        {change: func(r *reservation.Request) { r.Prompt = 100_000 }, want: reservation.ReasonTooLarge},
+		"too late":         {change: func(r *reservation.Request) { r.StartBy = time.Now() }, want: reservation.ReasonTooLate},
+		"no time to finish": {
+			change: func(r *reservation.Request) { r.FinishBy = time.Now().Add(time.Second) },
+			want:   reservation.ReasonTooLate,
+		},
+		"suspended": {prepare: (*Pool).Suspend, want: reservation.ReasonNotOwner},
+		"resumed but not owned again": {
+			prepare: func(p *Pool) { p.Suspend(); p.Resume() },
+			want:    reservation.ReasonNotOwner,
+		},
+		"disowned": {prepare: func(p *Pool) { p.Disown(poolEndpoint.ID) }, want: reservation.ReasonNotOwner},
+		"leaving": {
+			prepare: func(p *Pool) {
+				leaving := poolEndpoint
+				leaving.State = fleet.StateLeaving
+				p.Update(leaving)
+			},
+			want: reservation.ReasonLeaving,
+		},
+		"not listed yet": {
+			prepare: func(p *Pool) { p.Own(poolEndpoint, 2, Takeover{Resync: true}) },
+			want:    reservation.ReasonResynchronizing,
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			withPool(t, func(ctx context.Context, p *Pool) {
+				if tc.prepare != nil {
+					tc.prepare(p)
+				}
+				r := poolRequest(1_000)
+				if tc.change != nil {
+					tc.change(&r)
+				}
+				_, err := p.Reserve(ctx, r)
+				wantReason(t, err, tc.want)
+			})
+		})
+	}
+}
+
+// TestPoolGenerations asserts that a late release of an older generation frees nothing else.
+func TestPoolGenerations(t *testing.T) {
+	withPool(t, func(ctx context.Context, p *Pool) {
+		first, err := p.Reserve(ctx, poolRequest(1_000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		second, err := p.Reserve(ctx, poolRequest(2_000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := p.Release(ctx, unused(first)); err != nil {
+			t.Error(err)
+		}
+		wantReason(t, p.Release(ctx, unused(first)), reservation.ReasonUnknown)
+		if used := p.Status()[0].Used; used != 2_100 {
+			t.Errorf("%d tokens are used, want 2100", used)
+		}
+		if err := p.Release(ctx, unused(second)); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// TestPoolQueue asserts that a request waits for memory, that one that is given up is taken out, and that what waits
+// when the endpoint is disowned is refused at once.
+func TestPoolQueue(t *testing.T) {
+	withPool(t, func(ctx context.Context, p *Pool) {
+		held, err := p.Reserve(ctx, poolRequest(90_000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		short, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		if _, err := p.Reserve(short, poolRequest(60_000)); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("got %v, want the error of the context", err)
+		}
+		group, groupCtx := errgroup.WithContext(ctx)
+		group.Go(func() error {
+			_, err := p.Reserve(groupCtx, poolRequest(60_000))
+			wantReason(t, err, reservation.ReasonNotOwner)
+			return nil
+		})
+		synctest.Wait()
+		if queue := p.Status()[0].Queue; queue != 1 {
+			t.Errorf("%d requests wait, want 1", queue)
+		}
+		handover := p.Disown(poolEndpoint.ID)
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+		if len(handover.Reservations) != 1 || handover.Reservations[0].Key.Generation != held.Generation {
+			t.Errorf("handover has %v, want the reservation that is held", handover.Reservations)
+		}
+	})
+}
+
+// TestPoolExpiry asserts that the memory of an entry that died is free 30 seconds later.
+func TestPoolExpiry(t *testing.T) {
+	withPool(t, func(ctx context.Context, p *Pool) {
+		if _, err := p.Reserve(ctx, poolRequest(1_000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(30 * time.Second)
+		if used := p.Status()[0].Used; used != 0 {
+			t.Errorf("%d tokens are used, want 0", used)
+		}
+	})
+}
+
+// TestPoolResync asserts that an endpoint is granted again after the listings of its new owner.
+func TestPoolResync(t *testing.T) {
+	withPool(t, func(ctx context.Context, p *Pool) {
+		p.Suspend()
+		p.Resume()
+		p.Own(poolEndpoint, 2, Takeover{Resync: true})
+		time.Sleep(30 * time.Second)
+		grant, err := p.Reserve(ctx, poolRequest(1_000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if grant.Fence != 2 {
+			t.Errorf("granted with fence %d, want 2", grant.Fence)
+		}
+	})
+}
--- /dev/null
+++ b/core/scheduler/pump.go
@@ -0,0 +1,311 @@
+package scheduler
+
+import (
+	"time"
+
+	"wisteriadyke/core/admission"
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/ledger"
+	"wisteriadyke/core/reservation"
+)
+
+// allowanceStep is the time after which an empty allowance of reading is looked at again.
+const allowanceStep = 10 * time.Millisecond
+
+// readBound is the number of times of the predicted reading in which a reservation may be renewed without a token.
+const readBound = 4
+
+// pump brings the account up to now and decides on what waits.
+func (e *Endpoint) pump(now time.Time) {
+	e.ledger.Expire(now)
+	e.warmth.Idle(now, e.ledger.Attempts() == 0)
+	e.endResync(now)
+	e.refill(now)
+	if refusal := e.closed(); refusal != "" {
+		e.refuseAll(refusal)
+		return
+	}
+	for i := e.queue.Overdue(now); i != nil; i = e.queue.Overdue(now) {
+		e.refuse(i, &reservation.Refusal{Reason: reservation.ReasonTooLate, RetryAfter: e.jitter(e.drainTime())})
+	}
+	granted := e.grantAll(now)
+	e.throughput.note(now, e.queue.Len() > 0, granted, e.warmth.Pace().Prefill)
+}
+
+// endResync ends the resynchronisation once the former owner's grants have lapsed and listings agree.
+func (e *Endpoint) endResync(now time.Time) {
+	if e.resyncing && !now.Before(e.lapseAt) && e.ledger.Listings() >= e.Settings.Ledger.Confirmations {
+		e.resyncing = false
+	}
+}
+
+// closed returns why nothing is granted, or "".
+func (e *Endpoint) closed() reservation.Reason {
+	switch {
+	case !e.owned:
+		return reservation.ReasonNotOwner
+	case e.endpoint.State == fleet.StateLeaving:
+		return reservation.ReasonLeaving
+	default:
+		return ""
+	}
+}
+
+// refuseAll refuses everything that waits.
+func (e *Endpoint) refuseAll(reason reservation.Reason) {
+	for i := e.queue.Last(); i != nil; i = e.queue.Last() {
+		e.refuse(i, &reservation.Refusal{Reason: reason})
+	}
+}
+
+// shed refuses what waits beyond what the endpoint bears since it turned cold.
+func (e *Endpoint) shed() {
+	for _, i := range e.items {
+		if e.beyondCold(i.Request.Prompt+i.Request.Output, 0) {
+			e.refuse(i, e.coldRefusal())
+		}
+	}
+}
+
+// refuse takes an item out of the queue and decides against it.
+func (e *Endpoint) refuse(i *admission.Item, refusal *reservation.Refusal) {
+	e.decisions = append(e.decisions, Decision{Ticket: Ticket(i.Ticket), Refusal: refusal})
+	e.drop(i)
+}
+
+// grantAll grants in order until nothing more fits, and returns the work granted.
+func (e *Endpoint) grantAll(now time.Time) float64 {
+	var granted float64
+	var blocked [admission.Bands]bool
+	var owed debt
+	for {
+		i, counter := e.head(blocked)
+		if i == nil {
+			return granted
+		}
+		verdict := e.fits(now, i, owed.before(counter))
+		switch verdict {
+		case fitsNow:
+			granted += i.Cost
+			e.grant(now, i)
+			continue
+		case needsAlone:
+			return granted
+		}
+		blocked[i.Band] = true
+		if i.Band == admission.Long {
+			owed = e.owe(i, counter, verdict)
+		}
+	}
+}
+
+// debt is what a long item at the head of the order waits for, which the items after it leave to it.
+type debt struct {
+	// counter is the work that its account was given.
+	counter float64
+	// memory is to be kept for it besides that of the long band, or 0.
+	memory fleet.Tokens
+	// running is the number of reservations at which it is generated at its share of the pace alone, or 0 for any.
+	running int
+}
+
+// owe returns what is kept for a long item that can't be granted now.
+func (e *Endpoint) owe(i *admission.Item, counter float64, verdict verdict) debt {
+	share := i.Request.Weight / max(e.queue.Weights(), i.Request.Weight)
+	owed := debt{counter: counter}
+	owed.running = max(minBeside, int(e.warmth.Pace().Batch*(1/share-1)))
+	if verdict == needsClaim {
+		owed.memory = i.Request.Prompt + i.Request.Output
+	}
+	return owed
+}
+
+// before returns the debt that binds an item whose account was given some work: all of it if that is more than the
+// long item's account was given, else only the memory.
+func (d debt) before(counter float64) debt {
+	if counter <= d.counter {
+		d.running = 0
+	}
+	return d
+}
+
+// minBeside is the least number of reservations that are granted while a long item waits.
+const minBeside = 8
+
+// head returns the item of an unblocked band whose account was given the least, and that counter, or nil.
+func (e *Endpoint) head(blocked [admission.Bands]bool) (*admission.Item, float64) {
+	var best *admission.Item
+	var least float64
+	for band := range admission.Bands {
+		if blocked[band] {
+			continue
+		}
+		i, counter := e.queue.Head(band)
+		if i != nil && (best == nil || counter < least) {
+			best, least = i, counter
+		}
+	}
+	return best, least
+}
+
+// verdict tells whether an item can be granted now, and if not, what it waits for.
+type verdict int
+
+// The verdicts.
+const (
+	// fitsNow means that it can be granted.
+	fitsNow verdict = iota
+	// needsTurn means that memory must be freed or reading must get on.
+	needsTurn
+	// needsClaim means that memory must be freed and kept for it.
+	needsClaim
+	// needsAlone means that the endpoint must become empty first.
+	needsAlone
+)
+
+// fits tells whether an item can be granted now while something is owed to a long one.
+func (e *Endpoint) fits(now time.Time, i *admission.Item, owed debt) verdict {
+	total := e.ledger.Total()
+	memory := i.Request.Prompt + i.Request.Output
+	attempts, tokens, limited := e.warmth.Limit()
+	switch {
+	case total.Exclusive > 0:
+		return needsAlone
+	case i.Request.Exclusive && e.ledger.Attempts() > 0:
+		return needsAlone
+	case limited && (e.ledger.Attempts() >= attempts || e.ledger.Used()+memory > tokens):
+		return needsTurn
+	case e.unlisted():
+		return needsTurn
+	case i.Band == admission.Long:
+		return e.fitsLong(i, total)
+	default:
+		return e.fitsShort(now, i, total, owed)
+	}
+}
+
+// fitsLong tells whether a long item can be granted now.
+func (e *Endpoint) fitsLong(i *admission.Item, total ledger.Total) verdict {
+	slots := e.longSlots()
+	if e.queue.Light(i.Request.Account) {
+		slots++
+	}
+	if total.ReadingLong >= slots || total.Running >= e.Settings.MaxRunning {
+		return needsTurn
+	}
+	memory := i.Request.Prompt + i.Request.Output
+	limit := e.longMemory()
+	if total.Long > 0 && total.Long+memory > limit {
+		return needsTurn
+	}
+	if e.ledger.Used()+memory > e.endpoint.Memory {
+		return needsClaim
+	}
+	return fitsNow
+}
+
+// fitsShort tells whether a quick or medium item can be granted now while something is owed to a long one.
+func (e *Endpoint) fitsShort(now time.Time, i *admission.Item, total ledger.Total, owed debt) verdict {
+	light := e.queue.Light(i.Request.Account)
+	memory := i.Request.Prompt + i.Request.Output
+	limit := e.endpoint.Memory
+	running := e.Settings.MaxRunning
+	window := e.window()
+	if light {
+		window *= 2
+	} else {
+		running -= int(float64(running) * e.Settings.LightHeadroom)
+	}
+	if !light && e.queue.Shared(now, e.Settings.SharedWithin) {
+		limit -= e.part(e.Settings.LightHeadroom)
+	}
+	if memory > limit {
+		limit = e.endpoint.Memory
+	}
+	if owed.running > 0 && !light {
+		running = min(running, owed.running)
+	}
+	if e.ledger.Used()+memory+owed.memory > limit {
+		return needsTurn
+	}
+	if total.Running >= running {
+		return needsTurn
+	}
+	unread := total.UnreadShort
+	if i.Band == admission.Quick {
+		unread = total.UnreadQuick
+	}
+	if unread > 0 && unread+uncached(i.Request) > window {
+		return needsTurn
+	}
+	if total.ReadingLong > 0 && !light && e.allowance <= 0 {
+		return needsTurn
+	}
+	return fitsNow
+}
+
+// grant reserves memory for an item and decides for it.
+func (e *Endpoint) grant(now time.Time, i *admission.Item) {
+	light := e.queue.Light(i.Request.Account)
+	e.queue.Take(i)
+	e.generation++
+	r := i.Request
+	total := e.ledger.Total()
+	read := uncached(r)
+	row := e.ledger.Grant(now, ledger.Reservation{
+		Key:       ledger.Key{Reservation: fleet.ReservationID(r.Request), Generation: e.generation},
+		Attempt:   r.Attempt,
+		Account:   r.Account,
+		Entry:     r.Entry,
+		Prompt:    r.Prompt,
+		Output:    r.Output,
+		Uncached:  read,
+		Charged:   i.Cost,
+		Ahead:     total.UnreadShort,
+		Weight:    r.Weight,
+		Quick:     i.Band == admission.Quick,
+		Long:      i.Band == admission.Long,
+		Exclusive: r.Exclusive,
+	})
+	unread := total.UnreadShort + total.UnreadLong + read
+	row.ReadBy = now.Add(readBound*e.warmth.Present().ReadTime(unread) + e.Settings.Ledger.Lease)
+	if !row.Long {
+		e.allowance = max(e.allowance-float64(read), -float64(e.window()))
+	}
+	e.decisions = append(e.decisions, Decision{
+		Ticket: Ticket(i.Ticket),
+		Grant: reservation.Grant{
+			Endpoint:    e.endpoint.ID,
+			Reservation: row.Key.Reservation,
+			Generation:  row.Key.Generation,
+			Fence:       e.fence,
+			Owner:       e.Entry,
+			Priority:    enginePriority(r.Prompt, light),
+			Lease:       e.Settings.Ledger.Lease,
+		},
+	})
+	e.forget(i)
+}
+
+// longShare returns the share of reading that is left to the long prompts which are being read, by the weights of
+// their accounts.
+func (e *Endpoint) longShare() float64 {
+	reading := e.ledger.Total().ReadingLongWeight
+	waiting := e.queue.Weights()
+	if i, _ := e.queue.Head(admission.Long); i == nil {
+		waiting += reading
+	}
+	share := reading / max(waiting, reading, minWeight)
+	return min(max(share, e.Settings.LongShare), 1-e.Settings.LongShare)
+}
+
+// refill adds the reading that short requests may take beside long prompts.
+func (e *Endpoint) refill(now time.Time) {
+	elapsed := now.Sub(e.allowanceAt)
+	e.allowanceAt = now
+	if elapsed <= 0 {
+		return
+	}
+	pace := e.warmth.Pace().Prefill * (1 - e.longShare())
+	e.allowance = min(e.allowance+pace*elapsed.Seconds(), float64(e.window()))
+}
--- a/core/scheduler/takeover.go
+++ b/core/scheduler/takeover.go
@@ -12,6 +12,8 @@
 	Endpoint fleet.EndpointID
 	// Fence is the fencing number of the owner that gives it up.
 	Fence fleet.Fence
+	// Generation is the last one granted.
+	Generation fleet.Generation
 	// Reservations are those not yet released.
 	Reservations []ledger.Reservation
 	// Strays is the memory that no reservation explains.
