--- a/entry/process.go
+++ b/entry/process.go
@@ -13,10 +13,12 @@
 
 	"wisteriadyke/core/blackboard"
 	"wisteriadyke/core/dispatch"
+	"wisteriadyke/core/idempotency"
 	"wisteriadyke/core/placement"
 	"wisteriadyke/core/retry"
 	"wisteriadyke/core/scheduler"
 	"wisteriadyke/core/segment"
+	"wisteriadyke/core/spread"
 	"wisteriadyke/core/timeline"
 	"wisteriadyke/io/caller"
 	"wisteriadyke/io/engine"
@@ -33,6 +35,10 @@
 	retryRatio = 0.1
 	// retryBurst is the number of retries that can be saved up.
 	retryBurst = 50
+	// claimWrites bounds the transactions a second of this entry's at-most-once calls.
+	claimWrites = 30
+	// claimReads bounds the batch reads a second of this entry's at-most-once calls.
+	claimReads = 100
 )
 
 // Process is one entry instance. Its fields are set before Run.
@@ -47,7 +53,11 @@
 	board    *blackboard.Board
 	timeline *timeline.Recorder
 	metrics  metrics.Registry
+	store    *spread.Store
+	notes    *suspects
 	suspects *retry.Suspects
+	platform *platform.Client
+	once     *idempotency.Caller
 	pool     *scheduler.Pool
 	client   *peer.Client
 	engines  *engine.Engines
@@ -78,7 +88,17 @@
 	p.board = &blackboard.Board{}
 	p.timeline = &timeline.Recorder{Entry: p.Settings.Entry}
 	p.metrics = metrics.NewRegistry()
-	p.suspects = &retry.Suspects{Entry: p.Settings.Entry}
+	p.store = &spread.Store{}
+	p.notes = &suspects{Entry: p.Settings.Entry, Store: p.store, Log: p.Log}
+	p.suspects = &retry.Suspects{Entry: p.Settings.Entry, Spreader: p.notes}
+	p.notes.Suspects = p.suspects
+	p.platform = &platform.Client{Addresses: []netip.AddrPort{p.Settings.Platform}, HTTP: jsonhttp.NewPooled()}
+	p.once = &idempotency.Caller{
+		Store:   &platform.Claims{Tables: p.platform},
+		Limits:  idempotency.Limits{Writes: claimWrites, Reads: claimReads},
+		Metrics: p.metrics,
+		Log:     p.Log,
+	}
 	p.engines = &engine.Engines{HTTP: &http.Client{Transport: engine.NewTransport()}}
 	p.pool = &scheduler.Pool{Entry: p.Settings.Entry, Lister: p.engines}
 	p.client = peer.NewClient()
@@ -93,12 +113,12 @@
 // controllers returns all parts that run beside the serving of callers.
 func (p *Process) controllers() []func(context.Context) error {
 	poller := &platform.Poller{
-		Client: &platform.Client{Addresses: []netip.AddrPort{p.Settings.Platform}, HTTP: jsonhttp.NewPooled()},
+		Client: p.platform,
 		Board:  p.board,
 		Log:    p.Log,
 	}
 	peers := &peer.Server{Address: p.Settings.PeerAddress, Owner: p.pool}
-	return []func(context.Context) error{poller.Run, p.pool.Run, peers.Run, p.operator.Run}
+	return []func(context.Context) error{poller.Run, p.pool.Run, peers.Run, p.operator.Run, p.notes.Run, p.once.Run}
 }
 
 // serveCallers serves until ctx ends and finishes what has begun; it ends early when support does.
@@ -158,14 +178,25 @@
 				Metrics:   p.metrics,
 			},
 		},
-		Caller: &dispatch.ServiceDispatcher{
-			Board: p.board,
-			Zone:  p.Settings.Zone,
-			Services: &service.Services{
-				Once:       &service.Client{HTTP: jsonhttp.NewFresh()},
-				Repeatable: &service.Client{HTTP: jsonhttp.NewPooled()},
-			},
-			Placement: policy,
+		Caller: &dispatch.RecordedCaller{
+			Next:     &dispatch.OnceCaller{Once: p.once, Next: p.services(policy)},
+			Timeline: p.timeline,
+			Metrics:  p.metrics,
+		},
+	}
+}
+
+// services returns the dispatcher of calls to plain services.
+func (p *Process) services(policy placement.Policy) *dispatch.ServiceDispatcher {
+	return &dispatch.ServiceDispatcher{
+		Board: p.board,
+		Entry: p.Settings.Entry,
+		Zone:  p.Settings.Zone,
+		Services: &service.Services{
+			Once:       &service.Client{HTTP: jsonhttp.NewFresh()},
+			Repeatable: &service.Client{HTTP: jsonhttp.NewPooled()},
 		},
+		Placement: policy,
+		Budget:    &retry.Budget{Ratio: retryRatio, Burst: retryBurst},
 	}
 }
