--- a/core/segment/generator.go
+++ b/core/segment/generator.go
@@ -3,8 +3,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
+	"sync/atomic"
 
 	"golang.org/x/sync/errgroup"
 
@@ -44,16 +46,41 @@
 	if largest == 0 || request.PromptTokens+request.MaxTokens <= largest {
 		return g.Next.Generate(ctx, request, sink)
 	}
-	readings, err := g.read(ctx, request, fleet.Tokens(float64(smallest)*memoryShare))
+	var parts parts
+	readings, err := g.read(ctx, request, fleet.Tokens(float64(smallest)*memoryShare), &parts)
 	if err != nil {
-		return err
+		return parts.failure(err)
 	}
 	last := request
 	last.ID = partID(request.ID, "answer")
 	last.Prompt = strings.Join(readings, "\n")
 	last.PromptTokens = dispatch.CountTokens(last.Prompt)
 	last.StartBy = request.FinishBy
-	return g.Generate(ctx, last, sink)
+	return parts.failure(g.Generate(ctx, last, sink))
+}
+
+// parts knows whether any part of a request has run.
+type parts struct {
+	ran atomic.Bool
+}
+
+// ended notes how one part ended.
+func (p *parts) ended(err error) {
+	var failure *dispatch.Failure
+	if !errors.As(err, &failure) || failure.State != dispatch.StateNotRun {
+		p.ran.Store(true)
+	}
+}
+
+// failure returns the failure of the whole request, which has run if any part has.
+func (p *parts) failure(err error) error {
+	var failure *dispatch.Failure
+	if !errors.As(err, &failure) || !p.ran.Load() {
+		return err
+	}
+	whole := *failure
+	whole.State = dispatch.StateFailed
+	return &whole
 }
 
 // memory returns the largest and the smallest memory of the engines of a pool, or 0 if there is none.
@@ -71,7 +98,7 @@
 }
 
 // read returns the readings of all segments in their order.
-func (g *Generator) read(ctx context.Context, request dispatch.Request, size fleet.Tokens) ([]string, error) {
+func (g *Generator) read(ctx context.Context, request dispatch.Request, size fleet.Tokens, parts *parts) ([]string, error) {
 	segments := cut(request.Prompt, size)
 	readings := make([]string, len(segments))
 	group, ctx := errgroup.WithContext(ctx)
@@ -85,7 +112,9 @@
 			part.MaxTokens = readingTokens
 			part.StartBy = request.FinishBy
 			var reading collector
-			if err := g.Next.Generate(ctx, part, &reading); err != nil {
+			err := g.Next.Generate(ctx, part, &reading)
+			parts.ended(err)
+			if err != nil {
 				return err
 			}
 			readings[i] = reading.text.String()
