--- a/core/segment/generator_test.go
+++ b/core/segment/generator_test.go
@@ -111,7 +111,7 @@
 	}{
 		"failed segment":   {part: "segment-2", state: dispatch.StateFailed, want: dispatch.StateFailed},
 		"failed last pass": {part: "answer", state: dispatch.StateFailed, want: dispatch.StateFailed},
-		"refused segment":  {part: "segment-8", state: dispatch.StateNotRun, want: dispatch.StateFailed},
+		"refused segment":  {part: "segment-7", state: dispatch.StateNotRun, want: dispatch.StateFailed},
 		"refused answer":   {part: "answer", state: dispatch.StateNotRun, want: dispatch.StateFailed},
 		"all refused":      {part: "", state: dispatch.StateNotRun, want: dispatch.StateNotRun},
 	}
