--- /dev/null
+++ b/io/peer/claims.go
@@ -0,0 +1,69 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/ownership"
+	"wisteriadyke/core/scheduler"
+)
+
+// claimTimeout bounds one claim.
+const claimTimeout = time.Second
+
+// Claims answers claims of other entries.
+type Claims interface {
+	// Answer gives an endpoint up or tells who owns it.
+	Answer(by fleet.EntryID, id fleet.EndpointID) ownership.Answer
+}
+
+// Claim asks an entry to give up an endpoint.
+func (c *Client) Claim(
+	ctx context.Context, to netip.AddrPort, by fleet.EntryID, id fleet.EndpointID,
+) (ownership.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	conn := c.gossipConn(ctx, to)
+	reply, err := NewDRPCClaimClient(conn).Claim(ctx, &ClaimRequest{Claimant: string(by), Endpoint: string(id)})
+	if err != nil {
+		return ownership.Answer{}, errors.Wrapf(err, "claim %s from %s", id, to)
+	}
+	answer := ownership.Answer{Kept: reply.Kept}
+	if reply.Owner != nil {
+		answer.Owner = fromEntryRecord(reply.Owner)
+	}
+	if len(reply.Handover) > 0 {
+		answer.Handover = &scheduler.Handover{}
+		err = gob.NewDecoder(bytes.NewReader(reply.Handover)).Decode(answer.Handover)
+	}
+	return answer, errors.Wrapf(err, "handover of %s", id)
+}
+
+// claimHandler answers for this entry.
+type claimHandler struct {
+	claims Claims
+}
+
+// Claim gives an endpoint up or tells who owns it.
+func (h *claimHandler) Claim(_ context.Context, m *ClaimRequest) (*ClaimReply, error) {
+	answer := h.claims.Answer(fleet.EntryID(m.Claimant), fleet.EndpointID(m.Endpoint))
+	reply := &ClaimReply{Kept: answer.Kept}
+	if answer.Owner.ID != "" {
+		reply.Owner = toEntryRecord(answer.Owner)
+	}
+	if answer.Handover == nil {
+		return reply, nil
+	}
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(answer.Handover); err != nil {
+		return nil, errors.Wrapf(err, "handover of %s", m.Endpoint)
+	}
+	reply.Handover = b.Bytes()
+	return reply, nil
+}
--- a/io/peer/owners.go
+++ b/io/peer/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,6 +14,15 @@
 	"wisteriadyke/core/reservation"
 )
 
+const (
+	// ownerLookups bounds how often the owner of an endpoint is looked up for one reservation.
+	ownerLookups = 5
+	// ownerLookupInterval is the time before the first repeated look; it grows by as much with every one.
+	ownerLookupInterval = 50 * time.Millisecond
+	// ownerCandidates is the number of entries that are asked in one look, since an endpoint may just change its owner.
+	ownerCandidates = 2
+)
+
 // Owners reaches the owner of each endpoint, this entry or another. It reads the endpoints and entries of the blackboard.
 type Owners struct {
 	// Board holds the endpoints and the live entries.
@@ -25,9 +35,42 @@
 	Client *Client
 }
 
-// Reserve asks the owner of the endpoint and waits until it grants or refuses.
+// Reserve asks the owner of the endpoint and waits until it grants or refuses. While the endpoint changes its owner, it
+// looks again a bounded number of times.
 func (o *Owners) Reserve(ctx context.Context, request reservation.Request) (reservation.Grant, error) {
-	owner := o.owner(request.Endpoint)
+	err := error(unreachable())
+	for lookup := range ownerLookups {
+		if lookup > 0 && !o.wait(ctx, request, time.Duration(lookup)*ownerLookupInterval) {
+			break
+		}
+		for _, owner := range o.candidates(request.Endpoint) {
+			var grant reservation.Grant
+			grant, err = o.reserveAt(ctx, owner, request)
+			if !hasReason(err, reservation.ReasonNotOwner) {
+				return grant, err
+			}
+		}
+	}
+	return reservation.Grant{}, err
+}
+
+// wait waits before the next look; it reports false if the request is too late for one.
+func (o *Owners) wait(ctx context.Context, request reservation.Request, span time.Duration) bool {
+	if !request.StartBy.IsZero() && time.Now().Add(span).After(request.StartBy) {
+		return false
+	}
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// reserveAt asks one entry.
+func (o *Owners) reserveAt(ctx context.Context, owner fleet.EntryID, request reservation.Request) (reservation.Grant, error) {
 	if owner == o.Entry {
 		return o.Local.Reserve(ctx, request)
 	}
@@ -42,37 +85,69 @@
 	return fromReserveReply(request.Endpoint, reply, time.Now())
 }
 
-// Renew reports progress to the entry that granted the reservation.
+// Renew reports progress to the entry that granted the reservation, or to the present owner.
 func (o *Owners) Renew(ctx context.Context, progress reservation.Progress) error {
-	if progress.Owner == o.Entry {
-		return o.Local.Renew(ctx, progress)
-	}
-	client, err := o.remote(ctx, progress.Owner)
-	if err != nil {
-		return err
-	}
-	return ownerResult(client.Renew(ctx, toRenewRequest(progress)))
+	return o.tell(progress.Endpoint, progress.Owner, func(owner fleet.EntryID) error {
+		if owner == o.Entry {
+			return o.Local.Renew(ctx, progress)
+		}
+		client, err := o.remote(ctx, owner)
+		if err != nil {
+			return err
+		}
+		return ownerResult(client.Renew(ctx, toRenewRequest(progress)))
+	})
 }
 
-// Release gives a reservation back to the entry that granted it.
+// Release gives a reservation back to the entry that granted it, or to the present owner.
 func (o *Owners) Release(ctx context.Context, release reservation.Release) error {
-	if release.Owner == o.Entry {
-		return o.Local.Release(ctx, release)
-	}
-	client, err := o.remote(ctx, release.Owner)
-	if err != nil {
+	return o.tell(release.Endpoint, release.Owner, func(owner fleet.EntryID) error {
+		if owner == o.Entry {
+			return o.Local.Release(ctx, release)
+		}
+		client, err := o.remote(ctx, owner)
+		if err != nil {
+			return err
+		}
+		return ownerResult(client.Release(ctx, toReleaseRequest(release)))
+	})
+}
+
+// tell calls the granting entry, and if that is gone or does not own the endpoint any more, those that may.
+func (o *Owners) tell(endpoint fleet.EndpointID, granting fleet.EntryID, call func(owner fleet.EntryID) error) error {
+	err := call(granting)
+	if !moved(err) {
 		return err
 	}
-	return ownerResult(client.Release(ctx, toReleaseRequest(release)))
+	for _, owner := range o.candidates(endpoint) {
+		if owner == granting {
+			continue
+		}
+		if again := call(owner); !moved(again) {
+			return again
+		}
+	}
+	return err
+}
+
+// moved tells whether another entry may know the reservation.
+func moved(err error) bool {
+	return hasReason(err, reservation.ReasonNotOwner, reservation.ReasonUnreachable, reservation.ReasonUnknown)
+}
+
+// hasReason tells whether an error is a refusal for one of the reasons.
+func hasReason(err error, reasons ...reservation.Reason) bool {
+	var refusal *reservation.Refusal
+	return errors.As(err, &refusal) && slices.Contains(reasons, refusal.Reason)
 }
 
-// owner returns the owner of an endpoint, or "".
-func (o *Owners) owner(id fleet.EndpointID) fleet.EntryID {
+// candidates returns the entries that may own an endpoint, the most likely first.
+func (o *Owners) candidates(id fleet.EndpointID) []fleet.EntryID {
 	endpoint, found := o.Board.Endpoints.Get(id)
 	if !found {
-		return ""
+		return nil
 	}
-	return ownership.Rendezvous(endpoint, o.Board.Entries.View().Rows)
+	return ownership.Rank(endpoint, o.Board.Entries.View().Rows, ownerCandidates)
 }
 
 // remote returns the client of another entry.
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -21,6 +21,14 @@
 	Address netip.AddrPort
 	// Owner answers for the endpoints that this entry owns.
 	Owner dispatch.Owners
+	// Prober answers probes; nil means that none are answered, nor passed on.
+	Prober Prober
+	// Spreader answers the exchange of items; nil means that it is not answered.
+	Spreader Spreader
+	// Claims answers claims of endpoints; nil means that they are not answered.
+	Claims Claims
+	// Client passes probes on.
+	Client *Client
 }
 
 // Run serves until ctx ends; it returns an error when the address can't be used.
@@ -36,12 +44,33 @@
 // Serve answers the connections of listener until ctx ends.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	mux := drpcmux.New()
-	if err := DRPCRegisterOwner(mux, &ownerHandler{owner: s.Owner}); err != nil {
+	if err := s.register(mux); err != nil {
 		return errors.Wrap(err, "peer server")
 	}
 	return errors.Wrap(drpcserver.New(mux).Serve(ctx, listener), "peer server")
 }
 
+// register adds the services that are answered.
+func (s *Server) register(mux *drpcmux.Mux) error {
+	if err := DRPCRegisterOwner(mux, &ownerHandler{owner: s.Owner}); err != nil {
+		return err
+	}
+	if s.Prober != nil {
+		if err := DRPCRegisterMember(mux, &memberHandler{prober: s.Prober, client: s.Client}); err != nil {
+			return err
+		}
+	}
+	if s.Spreader != nil {
+		if err := DRPCRegisterSpread(mux, &spreadHandler{spreader: s.Spreader}); err != nil {
+			return err
+		}
+	}
+	if s.Claims == nil {
+		return nil
+	}
+	return DRPCRegisterClaim(mux, &claimHandler{claims: s.Claims})
+}
+
 // ownerHandler turns messages into calls of the local owner.
 type ownerHandler struct {
 	owner dispatch.Owners
--- /dev/null
+++ b/io/peer/spreader.go
@@ -0,0 +1,114 @@
+package peer
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/pkg/errors"
+
+	"wisteriadyke/core/spread"
+)
+
+// Spreader answers the exchange of items with other entries.
+type Spreader interface {
+	// AnswerCompare returns what differs from a digest.
+	AnswerCompare(digest spread.Digest) spread.Difference
+	// AnswerOffer returns the offered keys that are wanted.
+	AnswerOffer(stamps []spread.Stamp) []string
+	// AnswerExchange takes items and returns those that are wanted.
+	AnswerExchange(items []spread.Item, wanted []string) []spread.Item
+}
+
+// Compare sends a digest and returns what differs.
+func (c *Client) Compare(ctx context.Context, to netip.AddrPort, digest spread.Digest) (spread.Difference, error) {
+	conn := c.gossipConn(ctx, to)
+	reply, err := NewDRPCSpreadClient(conn).Compare(ctx, &CompareRequest{Groups: digest[:]})
+	if err != nil {
+		return spread.Difference{}, errors.Wrapf(err, "compare with %s", to)
+	}
+	return spread.Difference{Groups: reply.Groups, Stamps: fromStamps(reply.Stamps)}, nil
+}
+
+// Offer sends stamps and returns the keys that the other entry wants.
+func (c *Client) Offer(ctx context.Context, to netip.AddrPort, stamps []spread.Stamp) ([]string, error) {
+	conn := c.gossipConn(ctx, to)
+	reply, err := NewDRPCSpreadClient(conn).Offer(ctx, &OfferRequest{Stamps: toStamps(stamps)})
+	if err != nil {
+		return nil, errors.Wrapf(err, "offer to %s", to)
+	}
+	return reply.Wanted, nil
+}
+
+// Exchange sends items and returns those that were wanted.
+func (c *Client) Exchange(
+	ctx context.Context, to netip.AddrPort, items []spread.Item, wanted []string,
+) ([]spread.Item, error) {
+	conn := c.gossipConn(ctx, to)
+	request := &ExchangeRequest{Items: toItems(items), Wanted: wanted}
+	reply, err := NewDRPCSpreadClient(conn).Exchange(ctx, request)
+	if err != nil {
+		return nil, errors.Wrapf(err, "exchange with %s", to)
+	}
+	return fromItems(reply.Items), nil
+}
+
+// spreadHandler answers for this entry.
+type spreadHandler struct {
+	spreader Spreader
+}
+
+// Compare returns what differs from a digest.
+func (h *spreadHandler) Compare(_ context.Context, m *CompareRequest) (*CompareReply, error) {
+	var digest spread.Digest
+	if len(m.Groups) != len(digest) {
+		return nil, errors.Errorf("digest of %d groups, want %d", len(m.Groups), len(digest))
+	}
+	difference := h.spreader.AnswerCompare(spread.Digest(m.Groups))
+	return &CompareReply{Groups: difference.Groups, Stamps: toStamps(difference.Stamps)}, nil
+}
+
+// Offer returns the offered keys that are wanted.
+func (h *spreadHandler) Offer(_ context.Context, m *OfferRequest) (*OfferReply, error) {
+	return &OfferReply{Wanted: h.spreader.AnswerOffer(fromStamps(m.Stamps))}, nil
+}
+
+// Exchange takes items and returns those that are wanted.
+func (h *spreadHandler) Exchange(_ context.Context, m *ExchangeRequest) (*ExchangeReply, error) {
+	return &ExchangeReply{Items: toItems(h.spreader.AnswerExchange(fromItems(m.Items), m.Wanted))}, nil
+}
+
+// toStamps turns stamps into their wire form.
+func toStamps(stamps []spread.Stamp) []*ItemStamp {
+	wire := make([]*ItemStamp, len(stamps))
+	for i, s := range stamps {
+		wire[i] = &ItemStamp{Key: s.Key, Revision: s.Revision}
+	}
+	return wire
+}
+
+// fromStamps turns the wire form into stamps.
+func fromStamps(wire []*ItemStamp) []spread.Stamp {
+	stamps := make([]spread.Stamp, len(wire))
+	for i, w := range wire {
+		stamps[i] = spread.Stamp{Key: w.Key, Revision: w.Revision}
+	}
+	return stamps
+}
+
+// toItems turns items into their wire form.
+func toItems(items []spread.Item) []*SpreadItem {
+	wire := make([]*SpreadItem, len(items))
+	for i, item := range items {
+		wire[i] = &SpreadItem{Key: item.Key, Revision: item.Revision, Urgent: item.Urgent, Payload: item.Payload}
+	}
+	return wire
+}
+
+// fromItems turns the wire form into items.
+func fromItems(wire []*SpreadItem) []spread.Item {
+	items := make([]spread.Item, len(wire))
+	for i, w := range wire {
+		items[i] = spread.Item{Key: w.Key, Revision: w.Revision, Urgent: w.Urgent, Payload: w.Payload}
+	}
+	return items
+}
