Publish under compare-and-set, keep zones as records, poll once a zone

publish wrote without reading back a lost answer, named no other operator and gave every failure the exit code 1; zones had no commands; every entry polled and took the instance list as it came.

A write whose answer is lost is read back by its token and repeated under the same condition.

Ruled out: the row's version as the revision (versions belong to the platform and jump), and one row for head and content (each poll would carry all accounts).

Seen failing without the mechanism, each on a scratch copy, by the tests of io/platform: no comparison of revisions (configuration and zones), no compare-and-set, a lost answer taken for not applied and for applied, a conflict believed without reading back, no standby polls, nothing heard of other entries, absence or an empty list or a return believed at once, the operator's clock used for a return, every entry polling, a stored form that isn't validated. The standby case was not caught at first; a polling entry that lives and can't reach the platform was added to the cases for it.

--- /dev/null
+++ b/cmd/check.go
@@ -0,0 +1,101 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"wisteriadyke/io/declaration"
+	"wisteriadyke/io/jsonfile"
+	"wisteriadyke/io/settings"
+)
+
+// checkFlags holds the flags of the check command.
+type checkFlags struct {
+	settings bool
+	output   output
+}
+
+// checkResult is the result of a check in JSON.
+type checkResult struct {
+	Valid    bool         `json:"valid"`
+	Files    int          `json:"files"`
+	Accounts int          `json:"accounts"`
+	Classes  int          `json:"classes"`
+	Faults   []checkFault `json:"faults"`
+}
+
+// checkFault is one fault in JSON.
+type checkFault struct {
+	File    string `json:"file"`
+	Line    int    `json:"line,omitempty"`
+	Field   string `json:"field,omitempty"`
+	Problem string `json:"problem"`
+}
+
+// newCheckCommand builds the command that validates files without reaching anything.
+func newCheckCommand() *cobra.Command {
+	var flags checkFlags
+	command := &cobra.Command{
+		Use:   "check DIR|FILE...",
+		Short: "Check declaration or settings files offline",
+		Long: "Check reads all files as publish would and lists everything that is wrong with them, one fault a line as\n" +
+			"\"file:line: field: what is wrong\". A directory stands for every *.hujson file in it and below.\n" +
+			"It reaches no other process and changes nothing. The exit code is 2 if there is any fault.",
+		Example: "  wisteriadyke check examples/cierzo/declarations\n" +
+			"  wisteriadyke check --settings examples/cierzo/settings",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error { return flags.run(c.OutOrStdout(), args) },
+	}
+	command.Flags().BoolVar(&flags.settings, "settings", false, "the files are settings of entries, not declarations")
+	addOutputFlag(command, &flags.output)
+	return command
+}
+
+// run checks the files that the arguments stand for and prints the result.
+func (f *checkFlags) run(w io.Writer, args []string) error {
+	result, err := f.check(args)
+	var faults jsonfile.Faults
+	if f.output == outputJSON {
+		result.Valid = err == nil
+		result.Faults = []checkFault{}
+		if errors.As(err, &faults) {
+			for _, fault := range faults {
+				result.Faults = append(result.Faults, checkFault(fault))
+			}
+		}
+		if printErr := printJSON(w, result); printErr != nil {
+			return printErr
+		}
+		return err
+	}
+	if err != nil {
+		return err
+	}
+	if f.settings {
+		_, err = fmt.Fprintf(w, "valid: %d settings files\n", result.Files)
+		return err
+	}
+	_, err = fmt.Fprintf(w, "valid: %d accounts and %d classes in %d files\n", result.Accounts, result.Classes, result.Files)
+	return err
+}
+
+// check checks the files that the arguments stand for.
+func (f *checkFlags) check(args []string) (checkResult, error) {
+	paths, err := declaration.Collect(args)
+	if err != nil {
+		return checkResult{}, err
+	}
+	if f.settings {
+		_, err := settings.ReadEntries(paths)
+		return checkResult{Files: len(paths)}, err
+	}
+	configuration, err := declaration.Merge(paths)
+	return checkResult{
+		Files:    len(paths),
+		Accounts: len(configuration.Accounts),
+		Classes:  len(configuration.Classes),
+	}, err
+}
--- a/cmd/publish.go
+++ b/cmd/publish.go
@@ -1,55 +1,181 @@
 package cmd
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"maps"
 	"net/netip"
+	"slices"
+	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
+	"wisteriadyke/core/declare"
 	"wisteriadyke/io/declaration"
-	"wisteriadyke/io/jsonhttp"
 	"wisteriadyke/io/platform"
 )
 
+// publishFlags holds the flags of the publish command.
+type publishFlags struct {
+	operatorFlags
+	expect  int64
+	wait    bool
+	entries []string
+}
+
+// publishResult is the result of publish in JSON.
+type publishResult struct {
+	Outcome  string `json:"outcome"`
+	Revision uint64 `json:"revision"`
+	Accounts int    `json:"accounts"`
+	Classes  int    `json:"classes"`
+}
+
+// The outcomes of publish.
+const (
+	// outcomeAccepted means that a new revision is confirmed.
+	outcomeAccepted = "accepted"
+	// outcomeUnchanged means that the same was in force already.
+	outcomeUnchanged = "unchanged"
+)
+
 // newPublishCommand builds the command that puts declarations in force.
 func newPublishCommand() *cobra.Command {
-	var address string
+	var flags publishFlags
 	command := &cobra.Command{
-		Use:   "publish --platform ADDRESS FILE...",
+		Use:   "publish --platform ADDRESS DIR|FILE...",
 		Short: "Put operators' declarations in force",
-		Args:  cobra.MinimumNArgs(1),
-		RunE: func(c *cobra.Command, paths []string) error {
-			at, err := netip.ParseAddrPort(address)
-			if err != nil {
-				return errors.Wrap(err, "--platform")
-			}
-			configuration, err := declaration.Merge(paths)
-			if err != nil {
-				return err
-			}
-			value, err := declaration.Encode(configuration)
-			if err != nil {
-				return err
-			}
-			client := &platform.Client{Addresses: []netip.AddrPort{at}, HTTP: jsonhttp.NewPooled()}
-			rows, err := client.Read(c.Context(), []platform.RowKey{platform.ConfigurationRow})
-			if err != nil {
-				return err
-			}
-			versions, err := client.Transact(c.Context(), "publish", []platform.Write{{
-				Key:       platform.ConfigurationRow,
-				Value:     value,
-				IfVersion: rows[0].Version,
-			}})
-			if err != nil {
-				return err
-			}
-			_, err = fmt.Fprintf(c.OutOrStdout(), "accepted: revision %d\n", versions[0])
-			return err
+		Long: "Publish collects declaration files, checks them as a whole and puts them in force in the place of all that was\n" +
+			"declared before. \"accepted: revision N\" is printed only after the platform has confirmed the write. Nothing is\n" +
+			"changed if anything is wrong or another operator's change came first.\n\n" +
+			"Exit codes: 1 failed and nothing changed, 2 bad input, 3 another change came first, 4 outcome not known.",
+		Example: "  wisteriadyke publish --platform 127.0.0.1:7000 examples/cierzo/declarations\n" +
+			"  wisteriadyke publish --platform 127.0.0.1:7000 --wait --entries 127.0.0.1:8301,127.0.0.1:8302 declarations",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			ctx, cancel := context.WithTimeout(c.Context(), flags.timeout)
+			defer cancel()
+			return flags.run(ctx, c.OutOrStdout(), args)
 		},
 	}
-	command.Flags().StringVar(&address, "platform", "", "`address` of the platform's store")
-	_ = command.MarkFlagRequired("platform")
+	flags.addChange(command, "removes accounts or classes")
+	set := command.Flags()
+	set.Int64Var(&flags.expect, "expect", -1, "publish only if this `revision` is in force, -1 for any")
+	set.BoolVar(&flags.wait, "wait", false, "return only when every live entry has the revision in force; needs --entries")
+	set.StringSliceVar(&flags.entries, "entries", nil, "operator `addresses` of all entries, divided by commas")
 	return command
 }
+
+// run publishes what the arguments stand for.
+func (f *publishFlags) run(ctx context.Context, w io.Writer, args []string) error {
+	entries, err := f.waitFor()
+	if err != nil {
+		return err
+	}
+	paths, err := declaration.Collect(args)
+	if err != nil {
+		return err
+	}
+	configuration, err := declaration.Merge(paths)
+	if err != nil {
+		return err
+	}
+	result, err := f.publish(ctx, configuration, args)
+	if err != nil {
+		return err
+	}
+	if err := f.print(w, result); err != nil || !f.wait {
+		return err
+	}
+	return waitForRevision(ctx, w, entries, result.Revision)
+}
+
+// waitFor returns the entries to wait for.
+func (f *publishFlags) waitFor() ([]netip.AddrPort, error) {
+	if f.wait && len(f.entries) == 0 {
+		return nil, inputErrorf("--wait needs --entries, the operator addresses of all entries")
+	}
+	var entries []netip.AddrPort
+	for _, text := range f.entries {
+		entry, err := netip.ParseAddrPort(strings.TrimSpace(text))
+		if err != nil {
+			return nil, inputErrorf("--entries: %q is no address with a port", text)
+		}
+		entries = append(entries, entry)
+	}
+	return entries, nil
+}
+
+// publish writes a configuration and returns once the write is confirmed.
+func (f *publishFlags) publish(
+	ctx context.Context, configuration declare.Configuration, from []string,
+) (publishResult, error) {
+	result := publishResult{
+		Outcome:  outcomeAccepted,
+		Accounts: len(configuration.Accounts),
+		Classes:  len(configuration.Classes),
+	}
+	reviser := &platform.Reviser{Tables: f.client()}
+	published, err := reviser.ReadConfiguration(ctx)
+	if err != nil {
+		return result, errors.Wrap(err, "read the configuration in force")
+	}
+	if err := f.checkExpected(published); err != nil {
+		return result, err
+	}
+	if published.Same(configuration) {
+		result.Outcome = outcomeUnchanged
+		result.Revision = published.Configuration.Revision
+		return result, nil
+	}
+	if err := f.confirm(published.Configuration, configuration); err != nil {
+		return result, err
+	}
+	change, err := reviser.Publish(ctx, published, configuration, f.change(from...))
+	result.Revision = change.Revision
+	return result, errors.Wrap(err, "publish")
+}
+
+// checkExpected refuses to go on when another revision than the expected one is in force.
+func (f *publishFlags) checkExpected(published platform.Published) error {
+	latest := published.Head.Latest()
+	if f.expect < 0 || uint64(f.expect) == latest.Revision {
+		return nil
+	}
+	if latest.Revision == 0 {
+		return &exitError{code: ExitConflict, err: errors.Errorf("publish: no revision is in force, not %d", f.expect)}
+	}
+	return errors.Wrap(&platform.RaceError{Key: published.Head.Key, Other: latest}, "publish")
+}
+
+// confirm refuses to remove accounts or classes without a confirmation.
+func (f *publishFlags) confirm(old, configuration declare.Configuration) error {
+	removed := append(missing("account", old.Accounts, configuration.Accounts),
+		missing("class", old.Classes, configuration.Classes)...)
+	if len(removed) == 0 || f.yes {
+		return nil
+	}
+	return inputErrorf("publish: this removes %s; nothing was changed; confirm by --yes", strings.Join(removed, ", "))
+}
+
+// missing names what is in old and not in present, in order.
+func missing[K ~string, V any](kind string, old, present map[K]V) []string {
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(old)) {
+		if _, found := present[name]; !found {
+			names = append(names, fmt.Sprintf("%s %q", kind, name))
+		}
+	}
+	return names
+}
+
+// print prints the result.
+func (f *publishFlags) print(w io.Writer, result publishResult) error {
+	if f.output == outputJSON {
+		return printJSON(w, result)
+	}
+	_, err := fmt.Fprintf(w, "%s: revision %d\n", result.Outcome, result.Revision)
+	return errors.Wrap(err, "print")
+}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -2,7 +2,6 @@
 package cmd
 
 import (
-	"fmt"
 	"io"
 
 	"github.com/spf13/cobra"
@@ -14,6 +13,12 @@
 	ExitOK = 0
 	// ExitFailure means the command was understood but could not be carried out.
 	ExitFailure = 1
+	// ExitInput means the command line or a file is wrong; nothing was changed.
+	ExitInput = 2
+	// ExitConflict means another change came first; nothing was changed.
+	ExitConflict = 3
+	// ExitUnknown means the change may or may not have been made.
+	ExitUnknown = 4
 )
 
 // Main runs the command line args and returns the exit code.
@@ -22,11 +27,16 @@
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
-	if err := root.Execute(); err != nil {
-		_, _ = fmt.Fprintf(errOut, "wisteriadyke: %v\n", err)
-		return ExitFailure
+	started := markStart(root)
+	err := root.Execute()
+	if err == nil {
+		return ExitOK
 	}
-	return ExitOK
+	printError(errOut, err)
+	if !*started {
+		return ExitInput
+	}
+	return exitCode(err)
 }
 
 // newRootCommand builds the command tree.
@@ -38,6 +48,7 @@
 		SilenceUsage:  true,
 	}
 	root.AddCommand(newVersionCommand(), newEntryCommand(), newPublishCommand())
-	root.AddCommand(newStandinCommand())
+	root.AddCommand(newCheckCommand(), newZoneCommand())
+	root.AddCommand(newStatusCommand(), newTimelineCommand(), newStandinCommand())
 	return root
 }
--- /dev/null
+++ b/cmd/zone.go
@@ -0,0 +1,258 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/io/platform"
+)
+
+// newZoneCommand builds the parent of the commands that take availability zones out of service and back.
+func newZoneCommand() *cobra.Command {
+	zone := &cobra.Command{
+		Use:   "zone",
+		Short: "Take availability zones out of service and bring them back",
+	}
+	zone.AddCommand(newZoneListCommand())
+	zone.AddCommand(newZoneChangeCommand("drain", "Take a zone out of service", true))
+	zone.AddCommand(newZoneChangeCommand("restore", "Bring a zone back into service", false))
+	return zone
+}
+
+// newZoneListCommand builds the command that lists the zones.
+func newZoneListCommand() *cobra.Command {
+	var flags operatorFlags
+	command := &cobra.Command{
+		Use:     "list --platform ADDRESS",
+		Short:   "List the zones with their states and last changes",
+		Example: "  wisteriadyke zone list --platform 127.0.0.1:7000 --output json",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, cancel := context.WithTimeout(c.Context(), flags.timeout)
+			defer cancel()
+			zones, err := flags.readZones(ctx)
+			if err != nil {
+				return err
+			}
+			return flags.printZones(c.OutOrStdout(), zones)
+		},
+	}
+	flags.add(command)
+	return command
+}
+
+// newZoneChangeCommand builds the command that drains or restores a zone.
+func newZoneChangeCommand(name, short string, drained bool) *cobra.Command {
+	var flags operatorFlags
+	command := &cobra.Command{
+		Use:   name + " ZONE --platform ADDRESS",
+		Short: short,
+		Long: short + ". The change is a new revision of the zone's record and reaches every entry within 5 s.\n" +
+			"If another operator changes the zone at the same time, one of the two is refused and names the other.\n\n" +
+			"Exit codes: 1 failed and nothing changed, 2 bad input, 3 another change came first, 4 outcome not known.",
+		Example: "  wisteriadyke zone " + name + " a --platform 127.0.0.1:7000",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			ctx, cancel := context.WithTimeout(c.Context(), flags.timeout)
+			defer cancel()
+			return flags.changeZone(ctx, c.OutOrStdout(), fleet.Zone(args[0]), drained)
+		},
+	}
+	flags.addChange(command, "leaves no zone in service or names a zone without instances")
+	return command
+}
+
+// zoneRow is what is known of one zone.
+type zoneRow struct {
+	platform.Zone
+	instances int
+}
+
+// readZones returns the zones of the platform's records and of its instance list.
+func (f *operatorFlags) readZones(ctx context.Context) (map[fleet.Zone]zoneRow, error) {
+	client := f.client()
+	reviser := &platform.Reviser{Tables: client}
+	records, err := reviser.ReadZones(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the zones")
+	}
+	instances, err := client.Instances(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the instance list")
+	}
+	zones := make(map[fleet.Zone]zoneRow)
+	for _, record := range records {
+		zones[record.State.Zone] = zoneRow{Zone: record}
+	}
+	for _, instance := range instances {
+		row := zones[instance.Zone]
+		row.State.Zone = instance.Zone
+		row.instances++
+		zones[instance.Zone] = row
+	}
+	return zones, nil
+}
+
+// changeZone drains or restores one zone.
+func (f *operatorFlags) changeZone(ctx context.Context, w io.Writer, zone fleet.Zone, drained bool) error {
+	zones, err := f.readZones(ctx)
+	if err != nil {
+		return err
+	}
+	if err := f.confirmZone(zones, zone, drained); err != nil {
+		return err
+	}
+	reviser := &platform.Reviser{Tables: f.client()}
+	old, err := reviser.ReadZone(ctx, zone)
+	if err != nil {
+		return errors.Wrapf(err, "zone %s", zone)
+	}
+	if old.State.Drained == drained {
+		return f.printChange(w, outcomeUnchanged, old.State.Revision, zone, drained)
+	}
+	change, err := reviser.SetZone(ctx, old, drained, f.change("zone "+string(zone)))
+	if err != nil {
+		return errors.Wrapf(err, "zone %s", zone)
+	}
+	if err := f.printChange(w, outcomeAccepted, change.Revision, zone, drained); err != nil {
+		return err
+	}
+	return f.checkService(ctx, drained)
+}
+
+// confirmZone refuses an unknown zone, and to drain the last zone in service, without a confirmation.
+func (f *operatorFlags) confirmZone(zones map[fleet.Zone]zoneRow, zone fleet.Zone, drained bool) error {
+	if f.yes {
+		return nil
+	}
+	if _, known := zones[zone]; !known {
+		return inputErrorf("zone %s: no instance is there; the zones are %s; confirm by --yes", zone, joinZones(zones))
+	}
+	rest := serving(zones)
+	delete(rest, zone)
+	if drained && len(rest) == 0 && !zones[zone].State.Drained {
+		return inputErrorf("zone %s: it is the last zone in service; nothing was changed; confirm by --yes", zone)
+	}
+	return nil
+}
+
+// checkService tells when operators who drained unlike zones at the same time have left none in service.
+func (f *operatorFlags) checkService(ctx context.Context, drained bool) error {
+	if !drained || f.yes {
+		return nil
+	}
+	zones, err := f.readZones(ctx)
+	if err != nil || len(serving(zones)) > 0 {
+		return nil //nolint:nilerr // The change itself is accepted.
+	}
+	return errors.New("another operator drained a zone at the same time: no zone is in service now; restore one")
+}
+
+// serving returns the zones that are in service.
+func serving(zones map[fleet.Zone]zoneRow) map[fleet.Zone]zoneRow {
+	found := make(map[fleet.Zone]zoneRow)
+	for zone, row := range zones {
+		if !row.State.Drained && row.instances > 0 {
+			found[zone] = row
+		}
+	}
+	return found
+}
+
+// joinZones names the zones in order.
+func joinZones(zones map[fleet.Zone]zoneRow) string {
+	var names []string
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		names = append(names, string(zone))
+	}
+	return strings.Join(names, ", ")
+}
+
+// zoneChangeResult is the result of a change in JSON.
+type zoneChangeResult struct {
+	Outcome  string     `json:"outcome"`
+	Zone     fleet.Zone `json:"zone"`
+	State    string     `json:"state"`
+	Revision uint64     `json:"revision"`
+}
+
+// printChange prints the result of a change.
+func (f *operatorFlags) printChange(w io.Writer, outcome string, revision uint64, zone fleet.Zone, drained bool) error {
+	result := zoneChangeResult{Outcome: outcome, Zone: zone, State: stateName(drained), Revision: revision}
+	if f.output == outputJSON {
+		return printJSON(w, result)
+	}
+	_, err := fmt.Fprintf(w, "%s: zone %s is %s at revision %d\n", outcome, zone, result.State, revision)
+	return errors.Wrap(err, "print")
+}
+
+// stateName names the state of a zone.
+func stateName(drained bool) string {
+	if drained {
+		return "drained"
+	}
+	return "in service"
+}
+
+// zoneListRow is one zone in JSON.
+type zoneListRow struct {
+	Zone      fleet.Zone `json:"zone"`
+	State     string     `json:"state"`
+	Revision  uint64     `json:"revision"`
+	Instances int        `json:"instances"`
+	By        string     `json:"by,omitempty"`
+	ChangedAt time.Time  `json:"changed_at,omitzero"`
+}
+
+// printZones prints all zones.
+func (f *operatorFlags) printZones(w io.Writer, zones map[fleet.Zone]zoneRow) error {
+	list := []zoneListRow{}
+	var cells [][]string
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		row := newZoneListRow(zone, zones[zone])
+		list = append(list, row)
+		cells = append(cells, row.cells())
+	}
+	if f.output == outputJSON {
+		return printJSON(w, list)
+	}
+	return printTable(w, []string{"ZONE", "STATE", "REVISION", "INSTANCES", "BY", "CHANGED AT"}, cells)
+}
+
+// newZoneListRow returns the printed form of one zone.
+func newZoneListRow(zone fleet.Zone, row zoneRow) zoneListRow {
+	latest := row.Record.Latest()
+	return zoneListRow{
+		Zone:      zone,
+		State:     stateName(row.State.Drained),
+		Revision:  latest.Revision,
+		Instances: row.instances,
+		By:        latest.By,
+		ChangedAt: latest.At,
+	}
+}
+
+// cells returns the row of the table.
+func (r zoneListRow) cells() []string {
+	changed := "-"
+	if r.Revision > 0 {
+		changed = r.ChangedAt.Format(time.RFC3339)
+	}
+	by := r.By
+	if by == "" {
+		by = "-"
+	}
+	return []string{
+		string(r.Zone), r.State, strconv.FormatUint(r.Revision, 10), strconv.Itoa(r.Instances), by, changed,
+	}
+}
--- /dev/null
+++ b/io/platform/poller_test.go
@@ -0,0 +1,227 @@
+package platform_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"wisteriadyke/core/blackboard"
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/ownership"
+	"wisteriadyke/core/spread"
+	"wisteriadyke/io/platform"
+	standin "wisteriadyke/standin/platform"
+)
+
+// settle is the time after which a fresh deployment has read and spread everything.
+const settle = 20 * time.Second
+
+// inDeployment runs a test in virtual time on a deployment that has revision 1 in force and no faults.
+func inDeployment(t *testing.T, test func(t *testing.T, d *deployment, reviser platform.Reviser)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		group, ctx := errgroup.WithContext(ctx)
+		d := newDeployment(ctx, t, group, 1)
+		reviser := platform.Reviser{Tables: &link{deployment: d}}
+		d.publish(reviser, 1)
+		d.sleep(settle)
+		test(t, d, reviser)
+		stop()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// publish puts a configuration with a mark in force.
+func (d *deployment) publish(reviser platform.Reviser, mark float64) {
+	d.t.Helper()
+	old, err := reviser.ReadConfiguration(d.ctx)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	if _, err := reviser.Publish(d.ctx, old, marked(mark), platform.Change{Token: "t", By: "o", At: time.Now()}); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// drain takes a zone out of service.
+func (d *deployment) drain(reviser platform.Reviser, zone fleet.Zone) {
+	d.t.Helper()
+	old, err := reviser.ReadZone(d.ctx, zone)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	if _, err := reviser.SetZone(d.ctx, old, true, platform.Change{Token: "z", By: "o", At: time.Now()}); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// pollerOf returns the entry that polls for a zone.
+func (d *deployment) pollerOf(zone fleet.Zone) fleet.EntryID {
+	rows := make(map[fleet.EntryID]fleet.Entry)
+	for _, e := range d.live() {
+		rows[e.id] = fleet.Entry{ID: e.id, Zone: e.zone, State: fleet.StateLive}
+	}
+	return ownership.Rendezvous(fleet.Endpoint{ID: "poller", Zone: zone}, rows)
+}
+
+func TestChangesAreInForceWithinFiveSeconds(t *testing.T) {
+	tests := map[string]func(*deployment){
+		"healthy":            func(*deployment) {},
+		"polling entry dies": func(d *deployment) { d.kill(d.pollerOf("a")) },
+		"polling entry lives and can't reach the platform, in a zone that is cut off from the others": func(d *deployment) {
+			id := d.pollerOf("c")
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.isolated["c"] = true
+			d.barred[id] = true
+		},
+		"platform answers slowly": func(d *deployment) { d.store.Faults.Set(standin.FaultSettings{Delay: 400 * time.Millisecond}) },
+		"a zone is cut off from the platform": func(d *deployment) {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.cut["b"] = true
+		},
+		"a zone is cut off from the others": func(d *deployment) {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.isolated["c"] = true
+		},
+	}
+	for name, disturb := range tests {
+		t.Run(name, func(t *testing.T) {
+			inDeployment(t, func(t *testing.T, d *deployment, reviser platform.Reviser) {
+				disturb(d)
+				d.publish(reviser, 2)
+				d.drain(reviser, "a")
+				d.sleep(inForce)
+				for _, e := range d.live() {
+					if configuration, _ := e.board.Configuration.Get(blackboard.Only{}); configuration.Revision != 2 {
+						t.Errorf("%s has revision %d, want 2", e.id, configuration.Revision)
+					}
+					if state, _ := e.board.Zones.Get("a"); !state.Drained {
+						t.Errorf("%s does not know that zone a is drained", e.id)
+					}
+				}
+			})
+		})
+	}
+}
+
+func TestEntryStartsDuringAnOutage(t *testing.T) {
+	inDeployment(t, func(t *testing.T, d *deployment, reviser platform.Reviser) {
+		d.drain(reviser, "c")
+		d.sleep(inForce)
+		d.store.Faults.Set(standin.FaultSettings{Outage: true})
+		d.start("entry-new", "a")
+		d.sleep(inForce)
+		board := d.entries["entry-new"].board
+		if configuration, _ := board.Configuration.Get(blackboard.Only{}); configuration.Revision != 1 {
+			t.Errorf("revision %d, want 1", configuration.Revision)
+		}
+		if state, _ := board.Zones.Get("c"); !state.Drained {
+			t.Error("the new entry does not know that zone c is drained")
+		}
+		if n := len(board.Endpoints.View().Rows); n != 6 {
+			t.Errorf("the new entry knows %d endpoints, want 6", n)
+		}
+	})
+}
+
+func TestEndpointsOutlastAnOutage(t *testing.T) {
+	inDeployment(t, func(t *testing.T, d *deployment, _ platform.Reviser) {
+		d.store.Faults.Set(standin.FaultSettings{Outage: true})
+		d.sleep(10 * time.Minute)
+		for _, e := range d.live() {
+			if n := len(e.board.Endpoints.View().Rows); n != 6 {
+				t.Errorf("%s knows %d endpoints, want 6", e.id, n)
+			}
+		}
+	})
+}
+
+func TestLeavingEndpointIsKnownWithinFiveSeconds(t *testing.T) {
+	inDeployment(t, func(t *testing.T, d *deployment, _ platform.Reviser) {
+		d.instances.Put(standin.Instance{ID: "engine-0", Kind: fleet.KindEngine, Zone: "a", State: fleet.StateLeaving})
+		d.instances.Remove("engine-1")
+		d.sleep(inForce)
+		for _, e := range d.live() {
+			rows := e.board.Endpoints.View().Rows
+			if rows["engine-0"].State != fleet.StateLeaving {
+				t.Errorf("%s takes engine-0 for %q", e.id, rows["engine-0"].State)
+			}
+			if _, found := rows["engine-1"]; found {
+				t.Errorf("%s still knows engine-1", e.id)
+			}
+		}
+	})
+}
+
+func TestBadRevisionIsRefusedAsAWhole(t *testing.T) {
+	tests := map[string]string{
+		"no JSON":       `"`,
+		"unknown field": `{"revision":2,"accounts":[],"classes":[],"more":1}`,
+		"faulty whole":  `{"revision":2,"accounts":[{"name":"a","weight":1,"key_digest":"00"}],"classes":[]}`,
+	}
+	for name, stored := range tests {
+		t.Run(name, func(t *testing.T) {
+			inDeployment(t, func(t *testing.T, d *deployment, reviser platform.Reviser) {
+				heads, err := reviser.Read(d.ctx, platform.ConfigurationHead)
+				if err != nil {
+					t.Fatal(err)
+				}
+				write := platform.Write{Key: platform.ConfigurationRow, Value: []byte(stored), IfVersion: platform.VersionAny}
+				change := platform.Change{Token: "bad", By: "o", At: time.Now()}
+				if _, err := reviser.Revise(d.ctx, heads[0], change, []byte(`{}`), write); err != nil {
+					t.Fatal(err)
+				}
+				d.live()[0].spread.Put(spread.Item{Key: "configuration", Revision: 2, Payload: []byte(stored)})
+				d.sleep(inForce)
+				for _, e := range d.live() {
+					configuration, _ := e.board.Configuration.Get(blackboard.Only{})
+					if configuration.Revision != 1 || markOf(configuration) != 1 {
+						t.Errorf("%s has revision %d, want 1", e.id, configuration.Revision)
+					}
+				}
+			})
+		})
+	}
+}
+
+func TestReturnOfAZoneCountsFromWhenItIsHeard(t *testing.T) {
+	inDeployment(t, func(t *testing.T, d *deployment, reviser platform.Reviser) {
+		d.drain(reviser, "a")
+		d.sleep(time.Minute)
+		old, err := reviser.ReadZone(d.ctx, "a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		slow := platform.Change{Token: "r", By: "o", At: time.Now().Add(-time.Hour)}
+		if _, err := reviser.SetZone(d.ctx, old, false, slow); err != nil {
+			t.Fatal(err)
+		}
+		d.sleep(inForce)
+		for _, e := range d.live() {
+			state, _ := e.board.Zones.Get("a")
+			if age := time.Since(state.ChangedAt); state.Drained || age > inForce {
+				t.Errorf("%s: drained %t, changed %v ago", e.id, state.Drained, age)
+			}
+		}
+	})
+}
+
+func TestOneEntryOfAZonePolls(t *testing.T) {
+	inDeployment(t, func(t *testing.T, d *deployment, _ platform.Reviser) {
+		before := d.store.Stats().Reads
+		d.sleep(time.Minute)
+		// Three zones read the head and the zones once a second; the first and the last second may add a poll.
+		if reads := d.store.Stats().Reads - before; reads < 300 || reads > 2*3*62 {
+			t.Errorf("%d reads in a minute, want 360", reads)
+		}
+	})
+}
--- /dev/null
+++ b/io/platform/reviser_test.go
@@ -0,0 +1,111 @@
+package platform_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wisteriadyke/io/platform"
+)
+
+// scripted answers transactions with errors in turn, before or after they take effect.
+type scripted struct {
+	*link
+	steps []scriptedStep
+	calls int
+}
+
+// scriptedStep is what happens to one transaction.
+type scriptedStep struct {
+	applied bool
+	err     error
+}
+
+// Transact implements platform.Tables.
+func (s *scripted) Transact(ctx context.Context, token string, writes []platform.Write) ([]int64, error) {
+	s.calls++
+	if s.calls > len(s.steps) {
+		return s.link.Transact(ctx, token, writes)
+	}
+	step := s.steps[s.calls-1]
+	if step.applied {
+		if _, err := s.link.Transact(ctx, token, writes); err != nil {
+			return nil, err
+		}
+	}
+	return nil, step.err
+}
+
+func TestRevise(t *testing.T) {
+	down := &platform.UnavailableError{Cause: errors.New("down")}
+	tests := map[string]struct {
+		steps []scriptedStep
+		races bool
+		want  error
+		calls int
+	}{
+		"confirmed":                       {calls: 1},
+		"unavailable":                     {steps: []scriptedStep{{err: down}}, want: platform.ErrUnavailable, calls: 1},
+		"answer lost after the effect":    {steps: []scriptedStep{{applied: true, err: platform.ErrUnknownOutcome}}, calls: 1},
+		"answer lost before the effect":   {steps: []scriptedStep{{err: platform.ErrUnknownOutcome}}, calls: 2},
+		"lost, then down, then it works":  {steps: []scriptedStep{{err: platform.ErrUnknownOutcome}, {err: down}}, calls: 3},
+		"another came first":              {races: true, want: platform.ErrConflict, calls: 1},
+		"answer lost, another came first": {races: true, steps: []scriptedStep{{err: platform.ErrUnknownOutcome}}, want: platform.ErrConflict, calls: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			inDeployment(t, func(t *testing.T, d *deployment, other platform.Reviser) {
+				tables := &scripted{link: &link{deployment: d}, steps: tc.steps}
+				reviser := platform.Reviser{Tables: tables}
+				old, err := reviser.ReadConfiguration(d.ctx)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if tc.races {
+					d.publish(other, 9)
+				}
+				change := platform.Change{Token: "own", By: "me", At: time.Now()}
+				_, err = reviser.Publish(d.ctx, old, marked(2), change)
+				if !errors.Is(err, tc.want) {
+					t.Errorf("error %v, want %v", err, tc.want)
+				}
+				var race *platform.RaceError
+				if tc.races && (!errors.As(err, &race) || race.Other.By != "o" || race.Other.Revision != 2) {
+					t.Errorf("%v does not name the other change", err)
+				}
+				if tables.calls != tc.calls {
+					t.Errorf("%d transactions, want %d", tables.calls, tc.calls)
+				}
+			})
+		})
+	}
+}
+
+func TestReviseGivesUpTruthfully(t *testing.T) {
+	inDeployment(t, func(t *testing.T, d *deployment, reviser platform.Reviser) {
+		old, err := reviser.ReadConfiguration(d.ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lost := scriptedStep{applied: true, err: platform.ErrUnknownOutcome}
+		tables := &scripted{link: &link{deployment: d, zone: "a"}, steps: []scriptedStep{lost}}
+		ctx, cancel := context.WithTimeout(d.ctx, 10*time.Second)
+		defer cancel()
+		_, err = (&platform.Reviser{Tables: &blind{scripted: tables}}).Publish(ctx, old, marked(2), platform.Change{Token: "own"})
+		if !errors.Is(err, platform.ErrUnknownOutcome) {
+			t.Errorf("error %v, want %v", err, platform.ErrUnknownOutcome)
+		}
+	})
+}
+
+// blind answers no read.
+type blind struct {
+	*scripted
+}
+
+// Read implements platform.Tables.
+func (*blind) Read(context.Context, []platform.RowKey) ([]platform.Row, error) {
+	return nil, &platform.UnavailableError{Cause: errors.New("down")}
+}
--- /dev/null
+++ b/io/platform/zones.go
@@ -0,0 +1,93 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wisteriadyke/core/declare"
+	"wisteriadyke/core/fleet"
+)
+
+const (
+	// zoneTable is the table with one record for each zone that operators have ever changed.
+	zoneTable = "zones"
+	// maxZones bounds the zones that are read.
+	maxZones = 1000
+)
+
+// Zone is the record of one availability zone.
+type Zone struct {
+	// Record tells the revision and who made it.
+	Record Record
+	// State is what the operators decided.
+	State declare.ZoneState
+}
+
+// wireZone is the body of the record of a zone.
+type wireZone struct {
+	Drained bool `json:"drained"`
+}
+
+// ReadZone returns the record of one zone, which is in service if it has none, or ErrUnavailable.
+func (r *Reviser) ReadZone(ctx context.Context, zone fleet.Zone) (Zone, error) {
+	records, err := r.Read(ctx, RowKey{Table: zoneTable, Key: string(zone)})
+	if err != nil {
+		return Zone{}, err
+	}
+	return newZone(records[0])
+}
+
+// ReadZones returns the records of all zones that were ever changed in the order of their names, or ErrUnavailable.
+func (r *Reviser) ReadZones(ctx context.Context) ([]Zone, error) {
+	rows, err := r.Tables.Scan(ctx, zoneTable, "", "", maxZones)
+	if err != nil {
+		return nil, err
+	}
+	zones := make([]Zone, len(rows))
+	for i, row := range rows {
+		record, err := newRecord(row)
+		if err != nil {
+			return nil, err
+		}
+		if zones[i], err = newZone(record); err != nil {
+			return nil, err
+		}
+	}
+	return zones, nil
+}
+
+// SetZone takes a zone out of service or brings it back; its errors are those of Revise.
+func (r *Reviser) SetZone(ctx context.Context, old Zone, drained bool, change Change) (Change, error) {
+	body, err := json.Marshal(wireZone{Drained: drained})
+	if err != nil {
+		return change, errors.Wrapf(ErrRejected, "%v", err)
+	}
+	return r.Revise(ctx, old.Record, change, body)
+}
+
+// newZone reads the state of a zone from its record.
+func newZone(record Record) (Zone, error) {
+	zone := Zone{Record: record, State: declare.ZoneState{Zone: fleet.Zone(record.Key.Key)}}
+	if record.Version == VersionAbsent && len(record.Changes) == 0 {
+		return zone, nil
+	}
+	var wire wireZone
+	if err := json.Unmarshal(record.Body, &wire); err != nil {
+		return zone, errors.Wrapf(err, "zone %q", record.Key.Key)
+	}
+	zone.State.Drained = wire.Drained
+	zone.State.Revision = record.Latest().Revision
+	zone.State.ChangedAt = record.Latest().At
+	return zone, nil
+}
+
+// wireZoneState is the form in which entries pass the state of a zone on.
+type wireZoneState struct {
+	Zone      fleet.Zone `json:"zone"`
+	Revision  uint64     `json:"revision"`
+	Drained   bool       `json:"drained"`
+	ChangedAt time.Time  `json:"changed_at"`
+}
