--- a/core/blackboard/board.go
+++ b/core/blackboard/board.go
@@ -3,6 +3,7 @@
 import (
 	"wisteriadyke/core/declare"
 	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/placement"
 )
 
 // Board holds the tables of one entry; its zero value is ready to use.
@@ -21,6 +22,8 @@
 	Zones Table[fleet.Zone, declare.ZoneState]
 	// Loads holds the last reported load of endpoints.
 	Loads Table[fleet.EndpointID, fleet.Load]
+	// Reports holds what the owners of endpoints last told of them.
+	Reports Table[fleet.EndpointID, placement.Report]
 }
 
 // Only is the key of a table with one row.
