Let entries keep their attempts over a crash of the owner, and short requests their pace beside long ones

Fencing numbers are stamps of 61 bits, so that the generation shifted above them wrapped; generations now count on from the number itself. A new owner answered progress that it could not place yet with unknown_reservation, which entries take for the end of the attempt; it now answers resynchronizing, keeps the claim, and reclaims nothing until the former owner's grants have lapsed. Progress comes every third of a lease, so that its arrival told nothing of the first token; it now may carry the time to the first token.

Short requests beside long readings waited 2.0 to 3.6 times as long as alone at the 95th percentile, since the share left to the long reading counted only waiting accounts; it now binds only while short requests wait, with a burst of a second.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -27,6 +27,7 @@
 	listed      int
 	skipped     int
 	good        int
+	doubtUntil  time.Time
 }
 
 // New returns an empty ledger.
--- a/core/ledger/reclaim.go
+++ b/core/ledger/reclaim.go
@@ -53,9 +53,11 @@
 	}
 }
 
-// Doubt forgets the count of good listings, since another owner may have granted meanwhile.
-func (l *Ledger) Doubt() {
+// Doubt forgets the count of good listings, since another owner may have granted meanwhile. Nothing is reclaimed
+// until the other owner's grants have lapsed at until, so that their entries can show progress.
+func (l *Ledger) Doubt(until time.Time) {
 	l.good = 0
+	l.doubtUntil = until
 }
 
 // Listings counts the consecutive good listings since the ledger began or listings failed too often.
@@ -149,7 +151,10 @@
 	l.strayed += memory - stray.Memory
 	stray.Memory = memory
 	stray.Listings++
-	return stray.Listings >= l.Settings.Confirmations && now.Sub(stray.SeenAt) >= l.Settings.NewbornGrace
+	if now.Before(l.doubtUntil) || now.Sub(stray.SeenAt) < l.Settings.NewbornGrace {
+		return false
+	}
+	return stray.Listings >= l.Settings.Confirmations
 }
 
 // forget frees what a listing shows to be gone.
--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -114,6 +114,10 @@
 	Started bool
 	// Position is the number of tokens generated so far.
 	Position fleet.Tokens
+	// Read is the number of prompt tokens that were read, once the first token has come, or 0.
+	Read fleet.Tokens
+	// ReadTime is the time from dispatch to the first token, once it has come, or 0.
+	ReadTime time.Duration
 }
 
 // Reason tells why a reservation was refused.
--- a/core/scheduler/endpoint.go
+++ b/core/scheduler/endpoint.go
@@ -11,9 +11,6 @@
 	"wisteriadyke/core/warmup"
 )
 
-// fenceShift leaves room below a fencing number for the generations granted under it.
-const fenceShift = 20
-
 // Ticket names a request that waits.
 type Ticket uint64
 
@@ -55,14 +52,15 @@
 	random      *rand.Rand
 }
 
-// Start begins to own the endpoint, or to own it again under a larger fencing number.
+// Start begins to own the endpoint, or to own it again under a larger fencing number. Generations count on from the
+// fencing number, which must grow by more than the grants between two owners; a stamp of a clock in microseconds does.
 func (e *Endpoint) Start(now time.Time, endpoint fleet.Endpoint, fence fleet.Fence, takeover Takeover) {
 	if e.ledger == nil {
 		e.prepare(now, endpoint)
 	}
 	e.endpoint = endpoint
 	e.fence = fence
-	e.generation = max(e.generation, fleet.Generation(fence)<<fenceShift)
+	e.generation = max(e.generation, fleet.Generation(fence))
 	e.owned = true
 	handover := takeover.Handover
 	if handover != nil {
@@ -104,7 +102,7 @@
 func (e *Endpoint) resync(now time.Time) {
 	e.resyncing = true
 	e.lapseAt = now.Add(e.Settings.Ledger.Lease)
-	e.ledger.Doubt()
+	e.ledger.Doubt(e.lapseAt)
 	e.warmth.Chill(now)
 	e.sweptAt = now.Add(-e.Settings.SweepEvery)
 }
--- a/core/scheduler/observe.go
+++ b/core/scheduler/observe.go
@@ -25,30 +25,53 @@
 		Incarnation: p.Incarnation,
 	})
 	if row == nil {
-		return &reservation.Refusal{Reason: reservation.ReasonUnknown}
+		return e.unknown()
 	}
-	if first {
-		e.noteFirstToken(now, row)
+	switch {
+	case first:
+		e.noteFirstToken(now, row, p)
+	case row.StartedAt.IsZero():
+		e.noteReading(now, row)
+	default:
+		e.notePace(now, row)
 	}
-	e.notePace(now, row)
 	e.pump(now)
 	return nil
 }
 
-// noteFirstToken looks whether the first token came far off the warm pace.
-func (e *Endpoint) noteFirstToken(now time.Time, row *ledger.Reservation) {
+// unknown is the refusal of progress without a reservation. A new owner that still learns what the endpoint runs
+// keeps the claim for its listing.
+func (e *Endpoint) unknown() *reservation.Refusal {
+	if e.resyncing {
+		return &reservation.Refusal{Reason: reservation.ReasonResynchronizing}
+	}
+	return &reservation.Refusal{Reason: reservation.ReasonUnknown}
+}
+
+// noteFirstToken looks whether the first token came far off the warm pace, if the entry tells when it came.
+func (e *Endpoint) noteFirstToken(now time.Time, row *ledger.Reservation, p reservation.Progress) {
 	row.Others = e.ledger.Total().Running - 1
 	row.SampledAt = now
 	row.SampledPosition = row.Position
+	if p.ReadTime > 0 && !row.Long && row.Uncached == row.Prompt {
+		e.sample(now, warmup.Sample{Read: p.Read, Ahead: row.Ahead, ReadTime: p.ReadTime, Partial: true})
+	}
+}
+
+// noteReading looks whether a prompt is being read for far longer than the warm pace takes.
+func (e *Endpoint) noteReading(now time.Time, row *ledger.Reservation) {
 	if row.Long || row.Uncached < row.Prompt {
 		return
 	}
-	e.sample(now, warmup.Sample{
-		Read:     row.Uncached,
-		Ahead:    row.Ahead,
-		ReadTime: now.Sub(row.GrantedAt),
-		Partial:  true,
-	})
+	elapsed := now.Sub(row.GrantedAt)
+	e.overdue(now, warmup.Sample{Read: row.Uncached, Ahead: row.Ahead, ReadTime: elapsed, Partial: true})
+}
+
+// overdue passes on what a reading shows that is not done; only its slowness tells something.
+func (e *Endpoint) overdue(now time.Time, s warmup.Sample) {
+	if e.warmth.Overdue(now, s) {
+		e.shed()
+	}
 }
 
 // notePace looks whether a running attempt is far off the warm pace.
--- a/core/scheduler/pump.go
+++ b/core/scheduler/pump.go
@@ -288,10 +288,13 @@
 }
 
 // longShare returns the share of reading that is left to the long prompts which are being read, by the weights of
-// their accounts.
+// their accounts among those that wait.
 func (e *Endpoint) longShare() float64 {
 	reading := e.ledger.Total().ReadingLongWeight
 	waiting := e.queue.Weights()
+	if e.queue.ShortBacklog() <= 0 {
+		return e.Settings.LongShare
+	}
 	if i, _ := e.queue.Head(admission.Long); i == nil {
 		waiting += reading
 	}
@@ -307,5 +310,5 @@
 		return
 	}
 	pace := e.warmth.Pace().Prefill * (1 - e.longShare())
-	e.allowance = min(e.allowance+pace*elapsed.Seconds(), float64(e.window()))
+	e.allowance = min(e.allowance+pace*elapsed.Seconds(), pace*e.Settings.LongBurst.Seconds())
 }
--- a/core/scheduler/settings.go
+++ b/core/scheduler/settings.go
@@ -31,6 +31,8 @@
 	LongSlots int
 	// LongShare is the least share of reading that is left to long prompts which are being read.
 	LongShare float64
+	// LongBurst is the time for which short requests may leave them less.
+	LongBurst time.Duration
 	// MaxRunning is the largest number of reservations in force.
 	MaxRunning int
 	// MaxQueue is the largest number of requests that wait.
@@ -58,6 +60,7 @@
 		ReadWindow:       200 * time.Millisecond,
 		LongSlots:        2,
 		LongShare:        0.1,
+		LongBurst:        time.Second,
 		MaxRunning:       128,
 		MaxQueue:         4096,
 		MaxAccountQueue:  256,
--- a/core/scheduler/simulation_test.go
+++ b/core/scheduler/simulation_test.go
@@ -199,6 +199,8 @@
 		Incarnation: s.engine.incarnation,
 		Started:     !task.first.IsZero(),
 		Position:    task.made,
+		Read:        task.read,
+		ReadTime:    max(0, task.first.Sub(task.begun)),
 	})
 }
 
--- a/core/warmup/estimator.go
+++ b/core/warmup/estimator.go
@@ -145,6 +145,12 @@
 	return false
 }
 
+// Overdue takes a reading that goes on, of which only the slowness tells something; it returns true if a cold start
+// begins.
+func (e *Estimator) Overdue(now time.Time, s Sample) bool {
+	return !e.State.Cold && e.slow(s) && e.strike(now, e.Settings.Strikes)
+}
+
 // measure returns the paces that a sample shows, or 0 for those it is too small for.
 func (e *Estimator) measure(s Sample) (prefill, decode float64) {
 	if s.Read >= minRead && s.ReadTime > 0 && s.Ahead <= s.Read/maxAhead {
--- /dev/null
+++ b/core/warmup/estimator_test.go
@@ -0,0 +1,147 @@
+package warmup
+
+import (
+	"testing"
+	"time"
+)
+
+// start is when the tests begin.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// warm returns an estimator of a warm endpoint.
+func warm() *Estimator {
+	pace := Pace{Prefill: 50_000, Decode: 60, Batch: 32}
+	return &Estimator{Settings: DefaultSettings(), Memory: 400_000, State: State{Incarnation: 1, Pace: pace}}
+}
+
+// served is a sample of an answer at a part of the warm pace.
+func served(part float64) Sample {
+	return Sample{
+		Read:         4_000,
+		ReadTime:     seconds(4_000 / 50_000.0 / part),
+		Generated:    60,
+		GenerateTime: seconds(1 / part),
+	}
+}
+
+// TestCold asserts what turns a warm endpoint cold.
+func TestCold(t *testing.T) {
+	tests := map[string]struct {
+		steps func(e *Estimator)
+		cold  bool
+	}{
+		"answers at the warm pace": {steps: func(e *Estimator) { e.Observe(start, served(1)); e.Observe(start, served(0.8)) }},
+		"one slow answer":          {steps: func(e *Estimator) { e.Observe(start, served(0.25)) }},
+		"two slow answers":         {steps: func(e *Estimator) { e.Observe(start, served(0.25)); e.Observe(start, served(0.25)) }, cold: true},
+		"two slow ones far apart":  {steps: func(e *Estimator) { e.Observe(start, served(0.25)); e.Observe(start.Add(time.Minute), served(0.25)) }},
+		"slow, good, slow": {steps: func(e *Estimator) {
+			e.Observe(start, served(0.25))
+			e.Observe(start, served(1))
+			e.Observe(start, served(0.25))
+		}},
+		"a later life":               {steps: func(e *Estimator) { e.Alive(start, 2) }, cold: true},
+		"the same life":              {steps: func(e *Estimator) { e.Alive(start, 1) }},
+		"an answer of a former life": {steps: func(e *Estimator) { e.State.Incarnation = 3; e.Alive(start, 2) }},
+		"crowded answers": {
+			steps: func(e *Estimator) {
+				for range 3 {
+					e.Observe(start, Sample{Generated: 60, GenerateTime: 4 * time.Second, Others: 96})
+				}
+			},
+		},
+		"many broken connections": {
+			steps: func(e *Estimator) {
+				for range 2 * e.Settings.Strikes {
+					e.Broken(start)
+				}
+			},
+			cold: true,
+		},
+		"readings that do not end": {
+			steps: func(e *Estimator) {
+				for range 2 {
+					e.Overdue(start, Sample{Read: 4_000, ReadTime: 3 * time.Second, Partial: true})
+				}
+			},
+			cold: true,
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := warm()
+			tc.steps(e)
+			if e.State.Cold != tc.cold {
+				t.Errorf("cold is %t, want %t", e.State.Cold, tc.cold)
+			}
+		})
+	}
+}
+
+// TestSuspect asserts that one broken connection limits an endpoint until it is seen alive in the same life.
+func TestSuspect(t *testing.T) {
+	e := warm()
+	e.Broken(start)
+	if attempts, _, limited := e.Limit(); !limited || attempts != e.Settings.Attempts {
+		t.Errorf("limit is %d attempts, limited %t", attempts, limited)
+	}
+	e.Alive(start, 1)
+	if !e.Suspect() {
+		t.Error("a report that may be from before the break ends the suspicion")
+	}
+	e.Alive(start.Add(time.Second), 1)
+	if e.Suspect() {
+		t.Error("the endpoint is still suspected")
+	}
+}
+
+// TestRaise asserts that only work at the warm pace raises the limit, and that enough of it ends the cold start.
+func TestRaise(t *testing.T) {
+	e := warm()
+	e.Chill(start)
+	for range 50 {
+		e.Observe(start.Add(time.Second), served(0.25))
+	}
+	if e.State.Attempts != e.Settings.Attempts {
+		t.Errorf("slow answers raised the limit to %d", e.State.Attempts)
+	}
+	last := 0
+	for range 100 {
+		if e.State.Attempts < last || e.State.Attempts > 2*max(last, 1) {
+			t.Fatalf("the limit went from %d to %d", last, e.State.Attempts)
+		}
+		last = e.State.Attempts
+		e.Observe(start.Add(2*time.Second), served(1))
+	}
+	if e.State.Cold {
+		t.Errorf("still cold with a limit of %d", e.State.Attempts)
+	}
+}
+
+// TestUnknownPace asserts that an endpoint whose warm pace is not known stays limited until its pace has lasted.
+func TestUnknownPace(t *testing.T) {
+	e := warm()
+	e.State.Pace = Pace{}
+	e.Chill(start)
+	now := start
+	for ; e.State.Cold && now.Before(start.Add(time.Hour)); now = now.Add(100 * time.Millisecond) {
+		e.Observe(now, served(0.1))
+		if now.Before(start.Add(e.Settings.Plateau)) && e.State.Attempts > e.Settings.Attempts {
+			t.Fatalf("raised after %s", now.Sub(start))
+		}
+	}
+	if e.State.Cold {
+		t.Error("a slow endpoint stays cold for ever")
+	}
+}
+
+// TestIdleRamp asserts that an idle cold endpoint comes to bear a prompt as large as its memory.
+func TestIdleRamp(t *testing.T) {
+	e := warm()
+	e.Chill(start)
+	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(time.Second) {
+		e.Idle(now, true)
+	}
+	if e.State.Tokens != e.Memory {
+		t.Errorf("bears %d tokens of %d", e.State.Tokens, e.Memory)
+	}
+}
