Show a lone entry as a member, and forget a zone that lost all entries

Seen in the small deployment: an entry alone in its zone owned nothing, since its list of members was only written at a change; and a killed entry that was alone in its zone stayed in the others' tables, since nobody published a new list. Tests for both, the first failing before.

--- a/core/membership/controller_test.go
+++ b/core/membership/controller_test.go
@@ -237,3 +237,15 @@
 		})
 	})
 }
+
+func TestALoneEntryIsAMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(1, 1)
+		n.run(t, func() {
+			time.Sleep(2 * joinTime)
+			if rows := n.entries[address(0)].Board.Members.View().Rows; len(rows) != 1 {
+				t.Errorf("%d members, want the entry itself", len(rows))
+			}
+		})
+	})
+}
--- a/core/membership/members.go
+++ b/core/membership/members.go
@@ -76,6 +76,7 @@
 	m.rows = make(map[fleet.EntryID]*member)
 	m.Self.Incarnation = fleet.Incarnation(now.UnixMicro())
 	m.majority = now
+	m.version = 1
 	m.rumors.add(m.self())
 }
 
--- a/io/peer/directory.go
+++ b/io/peer/directory.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -21,6 +20,8 @@
 const (
 	// entriesPrefix stands before the name of a zone and holds the list of its live entries.
 	entriesPrefix = "entries/"
+	// listLag is how long an entry may be missing in the instance list before an old list of its zone is not believed.
+	listLag = time.Minute
 	// directoryInterval is the shortest time between two lists of one zone.
 	directoryInterval = time.Second
 )
@@ -41,6 +42,14 @@
 	Store *spread.Store
 	// Lease tells whether this entry may speak for its zone.
 	Lease *membership.Lease
+
+	seen map[fleet.Zone]sighting
+}
+
+// sighting tells when this entry first saw the present list of a zone.
+type sighting struct {
+	revision uint64
+	at       time.Time
 }
 
 // Run follows the tables until ctx ends.
@@ -52,7 +61,7 @@
 		if err := d.publish(time.Now()); err != nil {
 			return err
 		}
-		d.merge()
+		d.merge(time.Now())
 		select {
 		case <-ctx.Done():
 			return nil
@@ -97,29 +106,23 @@
 }
 
 // merge writes the entries of all zones, if they have changed.
-func (d *Directory) merge() {
+func (d *Directory) merge(now time.Time) {
 	rows := make(map[fleet.EntryID]fleet.Entry)
 	published := map[fleet.Zone]bool{d.Zone: true}
 	for _, item := range d.Store.List(entriesPrefix) {
 		zone := fleet.Zone(strings.TrimPrefix(item.Key, entriesPrefix))
-		var list EntryList
-		if zone == d.Zone || proto.Unmarshal(item.Payload, &list) != nil {
+		if zone == d.Zone {
 			continue
 		}
 		published[zone] = true
-		for _, record := range list.Entries {
-			entry := fromEntryRecord(record)
-			rows[entry.ID] = entry
-		}
+		d.take(now, zone, item, rows)
 	}
 	for id, entry := range d.Board.Listed.View().Rows {
 		if !published[entry.Zone] {
-			entry.SeenAt = time.Time{}
 			rows[id] = entry
 		}
 	}
 	for id, entry := range d.Board.Members.View().Rows {
-		entry.SeenAt = time.Time{}
 		rows[id] = entry
 	}
 	if !maps.EqualFunc(rows, d.Board.Entries.View().Rows, sameEntry) {
@@ -127,8 +130,31 @@
 	}
 }
 
+// take adds the entries of another zone. Nobody is left to publish the list of a zone that has lost all its entries, so
+// that those which an old list shows and the instance list does not are dropped.
+func (d *Directory) take(now time.Time, zone fleet.Zone, item spread.Item, rows map[fleet.EntryID]fleet.Entry) {
+	if d.seen == nil {
+		d.seen = make(map[fleet.Zone]sighting)
+	}
+	if d.seen[zone].revision != item.Revision {
+		d.seen[zone] = sighting{revision: item.Revision, at: now}
+	}
+	var list EntryList
+	if proto.Unmarshal(item.Payload, &list) != nil {
+		return
+	}
+	listed := d.Board.Listed.View()
+	old := listed.Version > 0 && now.Sub(d.seen[zone].at) >= listLag
+	for _, record := range list.Entries {
+		entry := fromEntryRecord(record)
+		if _, shown := listed.Rows[entry.ID]; shown || !old {
+			rows[entry.ID] = entry
+		}
+	}
+}
+
 // sameEntry compares two entries without regard to when they were seen.
 func sameEntry(a, b fleet.Entry) bool {
 	a.SeenAt, b.SeenAt = time.Time{}, time.Time{}
-	return cmp.Compare(a.ID, b.ID) == 0 && a == b
+	return a == b
 }
--- /dev/null
+++ b/io/peer/directory_test.go
@@ -0,0 +1,76 @@
+package peer
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"wisteriadyke/core/blackboard"
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/spread"
+)
+
+func TestDirectoryMergesZones(t *testing.T) {
+	live := func(id fleet.EntryID, zone fleet.Zone) fleet.Entry {
+		return fleet.Entry{ID: id, Zone: zone, State: fleet.StateLive}
+	}
+	tests := map[string]struct {
+		published, listed []fleet.Entry
+		age               time.Duration
+		want              []fleet.EntryID
+	}{
+		"a zone that published nothing": {
+			listed: []fleet.Entry{live("b1", "b")},
+			want:   []fleet.EntryID{"a1", "b1"},
+		},
+		"the published list goes before the instance list": {
+			published: []fleet.Entry{live("b2", "b")},
+			listed:    []fleet.Entry{live("b1", "b")},
+			want:      []fleet.EntryID{"a1", "b2"},
+		},
+		"an old list of a zone whose entries are gone": {
+			published: []fleet.Entry{live("b1", "b"), live("b2", "b")},
+			listed:    []fleet.Entry{live("b2", "b")},
+			age:       listLag,
+			want:      []fleet.EntryID{"a1", "b2"},
+		},
+		"an old list while the platform was never read": {
+			published: []fleet.Entry{live("b1", "b")},
+			age:       listLag,
+			want:      []fleet.EntryID{"a1", "b1"},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &Directory{Entry: "a1", Zone: "a", Board: &blackboard.Board{}, Store: &spread.Store{}}
+				d.Board.Members.Set("a1", live("a1", "a"))
+				for _, entry := range tc.listed {
+					d.Board.Listed.Set(entry.ID, entry)
+				}
+				if len(tc.published) > 0 {
+					list := &EntryList{}
+					for _, entry := range tc.published {
+						list.Entries = append(list.Entries, toEntryRecord(entry))
+					}
+					payload, err := proto.Marshal(list)
+					if err != nil {
+						t.Fatal(err)
+					}
+					d.Store.Put(spread.Item{Key: entriesPrefix + "b", Revision: 1, Payload: payload})
+				}
+				d.merge(time.Now())
+				time.Sleep(tc.age)
+				d.merge(time.Now())
+				got := slices.Sorted(maps.Keys(d.Board.Entries.View().Rows))
+				if !slices.Equal(got, tc.want) {
+					t.Errorf("entries %v, want %v", got, tc.want)
+				}
+			})
+		})
+	}
+}
