Run membership, ownership and spread in the entry

The entries table now comes from gossip, the instance list is a hint, one entry of a zone polls, and reservations pass the gate of the lease. On shutdown the entry hands its endpoints over before it stops.

scripts/small: three entries find each other and own the endpoints of their zones; after one was ended by SIGKILL, requests to the others were answered.

--- a/entry/process.go
+++ b/entry/process.go
@@ -60,6 +60,7 @@
 	once     *idempotency.Caller
 	pool     *scheduler.Pool
 	client   *peer.Client
+	peers    peers
 	engines  *engine.Engines
 	operator *operator.Server
 }
@@ -102,6 +103,7 @@
 	p.engines = &engine.Engines{HTTP: &http.Client{Transport: engine.NewTransport()}}
 	p.pool = &scheduler.Pool{Entry: p.Settings.Entry, Lister: p.engines}
 	p.client = peer.NewClient()
+	p.buildPeers()
 	p.operator = &operator.Server{
 		Address:  p.Settings.OperatorAddress,
 		Status:   p.status,
@@ -115,10 +117,14 @@
 	poller := &platform.Poller{
 		Client: p.platform,
 		Board:  p.board,
+		Entry:  p.Settings.Entry,
+		Zone:   p.Settings.Zone,
+		Spread: p.store,
+		Listed: &p.board.Listed,
 		Log:    p.Log,
 	}
-	peers := &peer.Server{Address: p.Settings.PeerAddress, Owner: p.pool}
-	return []func(context.Context) error{poller.Run, p.pool.Run, peers.Run, p.operator.Run, p.notes.Run, p.once.Run}
+	runs := []func(context.Context) error{poller.Run, p.pool.Run, p.operator.Run, p.notes.Run, p.once.Run}
+	return append(runs, p.peers.controllers()...)
 }
 
 // serveCallers serves until ctx ends and finishes what has begun; it ends early when support does.
@@ -138,6 +144,7 @@
 			return nil
 		}
 		p.leaveBalancer(serving)
+		p.peers.leave(serving)
 		return nil
 	})
 	return group.Wait()
@@ -169,7 +176,7 @@
 				Board:     p.board,
 				Entry:     p.Settings.Entry,
 				Zone:      p.Settings.Zone,
-				Owners:    &peer.Owners{Board: p.board, Entry: p.Settings.Entry, Local: p.pool, Client: p.client},
+				Owners:    &peer.Owners{Board: p.board, Entry: p.Settings.Entry, Local: p.peers.gate, Client: p.client},
 				Engines:   p.engines,
 				Placement: policy,
 				Budget:    &retry.Budget{Ratio: retryRatio, Burst: retryBurst},
