Run calls at most once by a claim in the platform's table

Cause: a credit filing, stamp issue or certificate award must run at most once, through any entry, however often its caller repeats it.

core/idempotency claims (account, key) by insert-if-absent with a random token before it sends, never takes a claim over, and writes the outcome into the same row by compare-and-set. A lost answer is read back by token. A claim that may still land after its caller was refused is barred by a "not run" row at the version that the claim asked for. Keys are UUIDs of version 7, whose time decides when they are refused; records are swept only later than that. Rows are batched into transactions within a budget; rows that conflict are refused alone, and a transaction that doesn't say which rows are at fault is tried row by row.

Ruled out: taking over stale claims (a paused holder is doubled), and saying "not run" of a key when only this request is known not to have run (EarlierUnknown marks that case).

--- /dev/null
+++ b/io/platform/claims.go
@@ -0,0 +1,187 @@
+package platform
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/idempotency"
+)
+
+// claimTable is the table of claims.
+const claimTable = "claims"
+
+// Tables is the part of Client that keeps claims.
+type Tables interface {
+	// Transact is that of Client.
+	Transact(ctx context.Context, token string, writes []Write) ([]int64, error)
+	// Read is that of Client.
+	Read(ctx context.Context, keys []RowKey) ([]Row, error)
+	// Scan is that of Client.
+	Scan(ctx context.Context, table, prefix, after string, limit int) ([]Row, error)
+}
+
+// Claims keeps the claims of at-most-once calls in the platform's tables.
+type Claims struct {
+	// Tables is a Client.
+	Tables Tables
+}
+
+// wireClaim is the value of a row of the table of claims.
+type wireClaim struct {
+	Account  fleet.AccountID   `json:"account"`
+	Key      string            `json:"key"`
+	Token    string            `json:"token"`
+	State    idempotency.State `json:"state"`
+	Digest   string            `json:"digest"`
+	Deadline time.Time         `json:"deadline"`
+	Answer   []byte            `json:"answer,omitempty"`
+}
+
+// Read implements idempotency.Store.
+func (c *Claims) Read(ctx context.Context, keys []idempotency.Key) ([]idempotency.Row, error) {
+	wire := make([]RowKey, len(keys))
+	for i, k := range keys {
+		wire[i] = claimRowKey(k)
+	}
+	rows, err := c.Tables.Read(ctx, wire)
+	if err != nil {
+		return nil, claimError(err)
+	}
+	claims := make([]idempotency.Row, len(rows))
+	for i, r := range rows {
+		if claims[i], err = newClaim(keys[i], r); err != nil {
+			return nil, err
+		}
+	}
+	return claims, nil
+}
+
+// Write implements idempotency.Store.
+func (c *Claims) Write(ctx context.Context, writes []idempotency.Write) ([]int64, error) {
+	wire := make([]Write, len(writes))
+	for i, w := range writes {
+		value, err := json.Marshal(newWireClaim(w.Record))
+		if err != nil {
+			return nil, errors.Wrapf(idempotency.ErrRejected, "encode the claim: %v", err)
+		}
+		wire[i] = Write{Key: claimRowKey(w.Record.Key), Value: value, IfVersion: w.IfVersion}
+	}
+	versions, err := c.Tables.Transact(ctx, rand.Text(), wire)
+	return versions, claimError(err)
+}
+
+// Expired implements idempotency.Expirer. Row keys begin with the time that keys carry.
+func (c *Claims) Expired(ctx context.Context, before time.Time, limit int) ([]idempotency.Row, error) {
+	rows, err := c.Tables.Scan(ctx, claimTable, "", "", limit)
+	if err != nil {
+		return nil, claimError(err)
+	}
+	var expired []idempotency.Row
+	for _, r := range rows {
+		key, err := claimKey(r.Key.Key)
+		if err != nil {
+			return nil, err
+		}
+		if !key.At.Before(before) {
+			break
+		}
+		expired = append(expired, idempotency.Row{Record: idempotency.Record{Key: key}, Version: r.Version})
+	}
+	return expired, nil
+}
+
+// Delete implements idempotency.Expirer.
+func (c *Claims) Delete(ctx context.Context, rows []idempotency.Row) error {
+	writes := make([]Write, len(rows))
+	for i, r := range rows {
+		writes[i] = Write{Key: claimRowKey(r.Record.Key), IfVersion: r.Version, Delete: true}
+	}
+	_, err := c.Tables.Transact(ctx, rand.Text(), writes)
+	return claimError(err)
+}
+
+// claimRowKey returns the key of a claim's row; it sorts by the time that the idempotency key carries.
+func claimRowKey(key idempotency.Key) RowKey {
+	return RowKey{Table: claimTable, Key: key.Key + "/" + string(key.Account)}
+}
+
+// claimKey reads the key of a claim's row.
+func claimKey(rowKey string) (idempotency.Key, error) {
+	text, account, _ := strings.Cut(rowKey, "/")
+	key, err := idempotency.ParseKey(fleet.AccountID(account), text)
+	if err != nil {
+		return idempotency.Key{}, errors.Wrapf(idempotency.ErrUnavailable, "row %q of the claims: %v", rowKey, err)
+	}
+	return key, nil
+}
+
+// newWireClaim turns a record into its wire form.
+func newWireClaim(record idempotency.Record) wireClaim {
+	return wireClaim{
+		Account:  record.Key.Account,
+		Key:      record.Key.Key,
+		Token:    record.Token,
+		State:    record.State,
+		Digest:   hex.EncodeToString(record.Digest[:]),
+		Deadline: record.Deadline.UTC(),
+		Answer:   record.Answer.Body,
+	}
+}
+
+// newClaim turns a row into a claim.
+func newClaim(key idempotency.Key, row Row) (idempotency.Row, error) {
+	if row.Version == VersionAbsent {
+		return idempotency.Row{Record: idempotency.Record{Key: key}, Version: idempotency.VersionAbsent}, nil
+	}
+	var wire wireClaim
+	if err := json.Unmarshal(row.Value, &wire); err != nil {
+		return idempotency.Row{}, errors.Wrapf(idempotency.ErrUnavailable, "decode the claim %s: %v", key.Key, err)
+	}
+	record := idempotency.Record{
+		Key:      key,
+		Token:    wire.Token,
+		State:    wire.State,
+		Deadline: wire.Deadline,
+		Answer:   idempotency.Answer{Body: wire.Answer, Failed: wire.State == idempotency.StateFailed},
+	}
+	digest, err := hex.DecodeString(wire.Digest)
+	if err != nil || len(digest) != len(record.Digest) {
+		return idempotency.Row{}, errors.Wrapf(idempotency.ErrUnavailable, "digest of the claim %s", key.Key)
+	}
+	copy(record.Digest[:], digest)
+	return idempotency.Row{Record: record, Version: row.Version}, nil
+}
+
+// claimError turns an error of this package into one of a store of claims.
+func claimError(err error) error {
+	var conflict *ConflictError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &conflict):
+		return newClaimConflict(conflict)
+	case errors.Is(err, ErrUnavailable):
+		return errors.Wrap(idempotency.ErrUnavailable, err.Error())
+	case errors.Is(err, ErrRejected), errors.Is(err, ErrNotFound):
+		return errors.Wrap(idempotency.ErrRejected, err.Error())
+	}
+	return errors.Wrap(idempotency.ErrUnknownOutcome, err.Error())
+}
+
+// newClaimConflict names the claims that stopped a transaction, as far as they can be told.
+func newClaimConflict(conflict *ConflictError) error {
+	var keys []idempotency.Key
+	for _, r := range conflict.Rows {
+		if key, err := claimKey(r.Key.Key); err == nil {
+			keys = append(keys, key)
+		}
+	}
+	return &idempotency.ConflictError{Keys: keys}
+}
