Wait for endpoints that are cold or change their owner while time is left

A request was refused for good when all owners said at once that their endpoint is cold or resynchronizing, though its class let it wait: in the small deployment, right after its start, 5 of 99 model requests were refused as resynchronizing or cold within milliseconds. The request now asks again after a growing, jittered pause while its wait bound allows, and is answered at once when no time is left or no refusal was of that kind. An entry without a configuration is not ready and no longer answers that a key is unknown.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -31,11 +31,18 @@
 	metricFirstToken = "dispatch.first_token"
 )
 
-// Dispatcher serves model requests. It reads the endpoints, entries, loads and zones of the blackboard and writes
-// nothing there.
+// Views yields what placements are decided on.
+type Views interface {
+	// View returns the present view, which is never written.
+	View() placement.View
+}
+
+// Dispatcher serves model requests. It reads the entries of the blackboard and writes nothing there.
 type Dispatcher struct {
-	// Board holds what the entry knows.
+	// Board holds the live entries.
 	Board *blackboard.Board
+	// Views yields what placements are decided on.
+	Views Views
 	// Entry is the entry that dispatches.
 	Entry fleet.EntryID
 	// Zone is the entry's availability zone.
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -17,10 +17,12 @@
 const (
 	// comeBackAfter is the time to come back that a refusal gives when no owner has named one.
 	comeBackAfter = 2 * time.Second
-	// transientPause is the mean pause before an endpoint whose owner is changing is asked again.
-	transientPause = 50 * time.Millisecond
-	// maxTransient bounds how often endpoints whose owner is changing are asked again.
-	maxTransient = 12
+	// minPause is the mean of the first pause before endpoints that can't take the request yet are asked again.
+	minPause = 50 * time.Millisecond
+	// maxPause is the largest mean of such a pause.
+	maxPause = time.Second
+	// maxDoublings bounds how often a pause is doubled.
+	maxDoublings = 8
 	// maxRefusals bounds the owners that refuse a request before it is given up.
 	maxRefusals = 4
 	// releaseTimeout bounds the call that gives a reservation back.
@@ -41,7 +43,8 @@
 	ran         bool
 	onTrial     bool
 	refusals    int
-	transient   int
+	pauses      int
+	waitable    bool
 	position    fleet.Tokens
 	retryAfter  time.Duration
 	reason      string
@@ -56,7 +59,10 @@
 		}
 		endpoint, found := r.next()
 		if !found {
-			return r.giveUp(ctx, ReasonNoEndpoint)
+			if err := r.pause(ctx); err != nil {
+				return err
+			}
+			continue
 		}
 		grant, err := r.reserve(ctx, endpoint, exclusive)
 		if err != nil {
@@ -92,7 +98,7 @@
 
 // next returns the best endpoint that is not excluded.
 func (r *run) next() (fleet.Endpoint, bool) {
-	candidates := r.Placement.Candidates(r.view(), placement.Need{
+	candidates := r.Placement.Candidates(r.Views.View(), placement.Need{
 		Pool:     r.request.Pool,
 		Account:  r.request.Account,
 		Prompt:   r.request.PromptTokens,
@@ -105,16 +111,6 @@
 	return candidates[0], true
 }
 
-// view returns what placements are decided on.
-func (d *Dispatcher) view() placement.View {
-	return placement.View{
-		Endpoints: d.Board.Endpoints.View().Rows,
-		Loads:     d.Board.Loads.View().Rows,
-		Zones:     d.Board.Zones.View().Rows,
-		Local:     d.Zone,
-	}
-}
-
 // reserve asks the owner of the endpoint for the next attempt.
 func (r *run) reserve(ctx context.Context, endpoint fleet.Endpoint, exclusive bool) (reservation.Grant, error) {
 	asked := time.Now()
@@ -171,11 +167,11 @@
 	if refusal.RetryAfter > 0 && (r.retryAfter == 0 || refusal.RetryAfter < r.retryAfter) {
 		r.retryAfter = refusal.RetryAfter
 	}
-	if transientReason(refusal.Reason) && r.transient < maxTransient {
-		r.transient++
-		return r.pause(ctx, endpoint)
-	}
 	r.excluded[endpoint.ID] = true
+	if transientReason(refusal.Reason) {
+		r.waitable = true
+		return nil
+	}
 	r.refusals++
 	if r.refusals >= maxRefusals {
 		return r.giveUp(ctx, r.reason)
@@ -183,19 +179,27 @@
 	return nil
 }
 
-// transientReason tells whether the same endpoint may be asked again at once.
+// transientReason tells whether the same endpoint may take the request soon.
 func transientReason(reason reservation.Reason) bool {
-	return reason == reservation.ReasonNotOwner || reason == reservation.ReasonUnreachable
+	switch reason {
+	case reservation.ReasonNotOwner, reservation.ReasonUnreachable, reservation.ReasonResynchronizing, reservation.ReasonCold:
+		return true
+	default:
+		return false
+	}
 }
 
-// pause waits a little; the endpoint stays open for another try when there is no other.
-func (r *run) pause(ctx context.Context, endpoint fleet.Endpoint) error {
-	r.excluded[endpoint.ID] = true
-	if _, found := r.next(); found {
-		return nil
+// pause waits until endpoints that could not take the request yet may be asked again; it returns the final failure if
+// there are none or no time is left.
+func (r *run) pause(ctx context.Context) error {
+	pause := jitter(min(minPause<<min(r.pauses, maxDoublings), maxPause))
+	if !r.waitable || time.Now().Add(pause).After(r.startBy()) {
+		return r.giveUp(ctx, ReasonNoEndpoint)
 	}
+	r.pauses++
+	r.waitable = false
 	clear(r.excluded)
-	timer := time.NewTimer(jitter(transientPause))
+	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/core/dispatch/services.go
+++ b/core/dispatch/services.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 
-	"wisteriadyke/core/blackboard"
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/placement"
 	"wisteriadyke/core/retry"
@@ -17,14 +16,12 @@
 	Call(ctx context.Context, endpoint fleet.Endpoint, attempt fleet.AttemptID, call Call) ([]byte, error)
 }
 
-// ServiceDispatcher sends calls to plain services. It reads the endpoints, loads and zones of the blackboard.
+// ServiceDispatcher sends calls to plain services.
 type ServiceDispatcher struct {
-	// Board holds what the entry knows.
-	Board *blackboard.Board
+	// Views yields what placements are decided on.
+	Views Views
 	// Entry is the entry that dispatches.
 	Entry fleet.EntryID
-	// Zone is the entry's availability zone.
-	Zone fleet.Zone
 	// Services runs the calls.
 	Services Services
 	// Placement orders the endpoints.
@@ -89,14 +86,8 @@
 
 // next returns the best endpoint that has not been tried.
 func (d *ServiceDispatcher) next(call Call, excluded map[fleet.EndpointID]bool) (fleet.Endpoint, bool) {
-	view := placement.View{
-		Endpoints: d.Board.Endpoints.View().Rows,
-		Loads:     d.Board.Loads.View().Rows,
-		Zones:     d.Board.Zones.View().Rows,
-		Local:     d.Zone,
-	}
 	need := placement.Need{Pool: call.Pool, Account: call.Account, Excluded: excluded}
-	candidates := d.Placement.Candidates(view, need)
+	candidates := d.Placement.Candidates(d.Views.View(), need)
 	if len(candidates) == 0 {
 		return fleet.Endpoint{}, false
 	}
--- a/entry/process.go
+++ b/entry/process.go
@@ -15,6 +15,7 @@
 	"wisteriadyke/core/dispatch"
 	"wisteriadyke/core/idempotency"
 	"wisteriadyke/core/placement"
+	"wisteriadyke/core/report"
 	"wisteriadyke/core/retry"
 	"wisteriadyke/core/scheduler"
 	"wisteriadyke/core/segment"
@@ -61,6 +62,8 @@
 	pool     *scheduler.Pool
 	client   *peer.Client
 	peers    peers
+	viewer   *report.Viewer
+	reporter *report.Reporter
 	engines  *engine.Engines
 	operator *operator.Server
 }
@@ -103,6 +106,14 @@
 	p.engines = &engine.Engines{HTTP: &http.Client{Transport: engine.NewTransport()}}
 	p.pool = &scheduler.Pool{Entry: p.Settings.Entry, Lister: p.engines}
 	p.client = peer.NewClient()
+	p.viewer = &report.Viewer{Board: p.board, Zone: p.Settings.Zone}
+	p.reporter = &report.Reporter{
+		Entry:     p.Settings.Entry,
+		Zone:      p.Settings.Zone,
+		Board:     p.board,
+		Owned:     p.pool,
+		Transport: &peer.ReportTransport{Client: p.client},
+	}
 	p.buildPeers()
 	p.operator = &operator.Server{
 		Address:  p.Settings.OperatorAddress,
@@ -123,7 +134,7 @@
 		Listed: &p.board.Listed,
 		Log:    p.Log,
 	}
-	runs := []func(context.Context) error{poller.Run, p.pool.Run, p.operator.Run, p.notes.Run, p.once.Run}
+	runs := []func(context.Context) error{poller.Run, p.pool.Run, p.operator.Run, p.notes.Run, p.once.Run, p.reporter.Run}
 	return append(runs, p.peers.controllers()...)
 }
 
@@ -135,9 +146,9 @@
 	group.Go(func() error { return p.callers().Run(serving) })
 	group.Go(func() error {
 		defer stopServing()
-		p.timeline.Record(timeline.Event{Kind: timeline.KindEntryStarted})
-		p.operator.SetReady(true)
-		p.Log.Info().Str("entry", string(p.Settings.Entry)).Msg("entry: serving")
+		if !p.joinBalancer(ctx, serving) {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
 		case <-serving.Done():
@@ -150,6 +161,28 @@
 	return group.Wait()
 }
 
+// joinBalancer tells the balancer once a configuration is in force; it reports false if the entry ends before that.
+func (p *Process) joinBalancer(ctx, serving context.Context) bool {
+	p.timeline.Record(timeline.Event{Kind: timeline.KindEntryStarted})
+	p.Log.Info().Str("entry", string(p.Settings.Entry)).Msg("entry: waiting for a configuration")
+	for {
+		changed := p.board.Configuration.Changed()
+		if _, found := p.board.Configuration.Get(blackboard.Only{}); found {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		case <-serving.Done():
+			return false
+		}
+	}
+	p.operator.SetReady(true)
+	p.Log.Info().Msg("entry: ready for the balancer")
+	return true
+}
+
 // leaveBalancer tells the balancer and waits until it sends no new requests.
 func (p *Process) leaveBalancer(ctx context.Context) {
 	p.operator.SetReady(false)
@@ -165,7 +198,7 @@
 
 // callers returns the server of callers.
 func (p *Process) callers() *caller.Server {
-	policy := placement.LeastLoaded{}
+	policy := &placement.Predicted{}
 	return &caller.Server{
 		Address: p.Settings.CallerAddress,
 		Entry:   p.Settings.Entry,
@@ -174,6 +207,7 @@
 			Board: p.board,
 			Next: &dispatch.Dispatcher{
 				Board:     p.board,
+				Views:     p.viewer,
 				Entry:     p.Settings.Entry,
 				Zone:      p.Settings.Zone,
 				Owners:    &peer.Owners{Board: p.board, Entry: p.Settings.Entry, Local: p.peers.gate, Client: p.client},
@@ -196,9 +230,8 @@
 // services returns the dispatcher of calls to plain services.
 func (p *Process) services(policy placement.Policy) *dispatch.ServiceDispatcher {
 	return &dispatch.ServiceDispatcher{
-		Board: p.board,
+		Views: p.viewer,
 		Entry: p.Settings.Entry,
-		Zone:  p.Settings.Zone,
 		Services: &service.Services{
 			Once:       &service.Client{HTTP: jsonhttp.NewFresh()},
 			Repeatable: &service.Client{HTTP: jsonhttp.NewPooled()},
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -18,6 +18,9 @@
 	"wisteriadyke/core/fleet"
 )
 
+// configurationWait is when to come back to an entry that has no configuration yet.
+const configurationWait = 2 * time.Second
+
 // requestBody is the JSON form of a model request.
 type requestBody struct {
 	Class     fleet.ClassName `json:"class"`
@@ -79,7 +82,15 @@
 
 // admitCaller returns the configuration in force and the caller's account, or answers the call with a refusal.
 func (s *Server) admitCaller(ctx iris.Context) (declare.Configuration, declare.Account, bool) {
-	configuration := s.Board.Configuration.View().Rows[blackboard.Only{}]
+	configuration, found := s.Board.Configuration.Get(blackboard.Only{})
+	if !found {
+		writeFailure(ctx, "", &dispatch.Failure{
+			State:      dispatch.StateNotRun,
+			Reason:     "no_configuration",
+			RetryAfter: configurationWait,
+		})
+		return configuration, declare.Account{}, false
+	}
 	account, ok := s.authenticate(ctx, configuration)
 	if !ok {
 		writeRefusal(ctx, iris.StatusUnauthorized, "unauthorized", "the key belongs to no client account")
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -136,6 +136,15 @@
 	}
 }
 
+func TestHandlerWithoutConfiguration(t *testing.T) {
+	s := newServer(echo)
+	s.Board = &blackboard.Board{}
+	answer := post(t, s, "/v1/requests", "key", "", `{"class":"summary","prompt":"hi"}`)
+	if answer.Code != http.StatusServiceUnavailable || !strings.Contains(answer.Body.String(), "no_configuration") {
+		t.Errorf("answer %d %s, want 503 no_configuration", answer.Code, answer.Body)
+	}
+}
+
 func TestHandlerGivesATimeToComeBack(t *testing.T) {
 	answer := post(t, newServer(echo), "/v1/requests", "key", "", `{"class":"summary","prompt":"refuse"}`)
 	if got := answer.Header().Get("Retry-After"); got != "2" {
