--- a/cmd/standin_engine.go
+++ b/cmd/standin_engine.go
@@ -66,7 +66,7 @@
 	defer stop()
 	address, err := netip.ParseAddrPort(flags.address)
 	if err != nil {
-		return errors.Wrap(err, "address")
+		return inputErrorf("--address: %v", err)
 	}
 	registration, err := flags.registration(address)
 	if err != nil {
@@ -91,7 +91,7 @@
 	}
 	platform, err := netip.ParseAddrPort(f.platform)
 	if err != nil {
-		return nil, errors.Wrap(err, "platform")
+		return nil, inputErrorf("--platform: %v", err)
 	}
 	return &register.Registration{
 		Platform: platform,
--- a/cmd/standin_engine_test.go
+++ b/cmd/standin_engine_test.go
@@ -15,7 +15,7 @@
 	for name, flags := range tests {
 		t.Run(name, func(t *testing.T) {
 			var out, errOut bytes.Buffer
-			if code := Main(append([]string{"standin", "engine"}, flags...), &out, &errOut); code != ExitFailure {
+			if code := Main(append([]string{"standin", "engine"}, flags...), &out, &errOut); code != ExitInput {
 				t.Errorf("exit code %d, stderr %q", code, errOut.String())
 			}
 		})
--- a/io/declaration/file.go
+++ b/io/declaration/file.go
@@ -49,18 +49,32 @@
 //
 // The error is of type jsonfile.Faults and names everything that is wrong in the files and in the whole.
 func Merge(paths []string) (declare.Configuration, error) {
-	var files []*jsonfile.File
-	var sources []declare.Source
-	var faults jsonfile.Faults
+	var m merger
 	for _, path := range paths {
 		var f file
-		read := jsonfile.ReadFile(path, &f)
-		faults = append(faults, read.Faults()...)
-		files = append(files, read)
-		sources = append(sources, f.source(path))
+		m.add(jsonfile.ReadFile(path, &f), f)
 	}
-	configuration, problems := declare.Merge(sources)
-	return configuration, append(faults, locate(files, problems, faults)...).Err()
+	return m.merge()
+}
+
+// merger collects what was read from files.
+type merger struct {
+	files   []*jsonfile.File
+	sources []declare.Source
+	faults  jsonfile.Faults
+}
+
+// add adds one file with its contents.
+func (m *merger) add(read *jsonfile.File, f file) {
+	m.files = append(m.files, read)
+	m.sources = append(m.sources, f.source(read.Name))
+	m.faults = append(m.faults, read.Faults()...)
+}
+
+// merge returns what all files declare together, or everything that is wrong.
+func (m *merger) merge() (declare.Configuration, error) {
+	configuration, problems := declare.Merge(m.sources)
+	return configuration, append(m.faults, locate(m.files, problems, m.faults)...).Err()
 }
 
 // locate turns problems of the whole into faults; a field that has a fault already gets no second one.
--- a/io/jsonfile/decode.go
+++ b/io/jsonfile/decode.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
-	"strings"
 	"time"
 
 	"github.com/tailscale/hujson"
@@ -40,11 +39,12 @@
 func (d *decoder) decodeText(path string, value hujson.Value, into encoding.TextUnmarshaler) {
 	literal, ok := value.Value.(hujson.Literal)
 	if !ok || literal.Kind() != '"' {
-		d.file.Addf(path, "is %s; want a string", describe(value))
+		d.file.Addf(path, "is %s; want %s", describe(value), typeName(reflect.TypeOf(into).Elem()))
 		return
 	}
-	if err := into.UnmarshalText([]byte(literal.String())); err != nil {
-		d.file.Addf(path, "%q is not valid: %s", literal.String(), strings.TrimSpace(err.Error()))
+	// netip takes an empty text for an absent address; in a file it is a fault.
+	if err := into.UnmarshalText([]byte(literal.String())); err != nil || literal.String() == "" {
+		d.file.Addf(path, "%q is not valid; want %s", literal.String(), typeName(reflect.TypeOf(into).Elem()))
 	}
 }
 
--- a/io/jsonfile/jsonfile_test.go
+++ b/io/jsonfile/jsonfile_test.go
@@ -73,12 +73,13 @@
 			data: `{"name": null, "on": "true", "address": "here", "parts": {}}`,
 			want: "f:1: name: is null; want a string\n" +
 				"f:1: on: is \"true\"; want true or false\n" +
-				"f:1: address: \"here\" is not valid: not an ip:port\n" +
+				"f:1: address: \"here\" is not valid; want an IP address with a port\n" +
 				"f:1: parts: is an object; want an array",
 		},
-		"twice":     {data: `{"name": "x", "name": "y"}`, want: "f:1: name: given twice"},
-		"no object": {data: `[]`, want: "f:1: is an array; want an object"},
-		"syntax":    {data: "{\n\"name\" 1}", want: "f:2: column 8: invalid character '1' after object name"},
+		"empty address": {data: `{"name": "x", "address": ""}`, want: "f:1: address: \"\" is not valid; want an IP address with a port"},
+		"twice":         {data: `{"name": "x", "name": "y"}`, want: "f:1: name: given twice"},
+		"no object":     {data: `[]`, want: "f:1: is an array; want an object"},
+		"syntax":        {data: "{\n\"name\" 1}", want: "f:2: column 8: invalid character '1' after object name"},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/io/jsonfile/reference.go
+++ b/io/jsonfile/reference.go
@@ -97,7 +97,7 @@
 
 // typeName names what is written for a type.
 func typeName(t reflect.Type) string {
-	names := map[string]string{"AddrPort": "an address with a port", "Tokens": "a whole number of tokens"}
+	names := map[string]string{"AddrPort": "an IP address with a port", "Tokens": "a whole number of tokens"}
 	kinds := []reflect.Kind{reflect.Int, reflect.Int64, reflect.Uint64, reflect.Uint}
 	switch {
 	case names[t.Name()] != "":
--- a/io/settings/entry.go
+++ b/io/settings/entry.go
@@ -42,13 +42,6 @@
 	return entry, check(file, entry)
 }
 
-// ParseEntry reads the settings of an entry from data, the contents of the file called name, as ReadEntry does.
-func ParseEntry(name string, data []byte) (Entry, error) {
-	var entry Entry
-	file := jsonfile.Parse(name, data, &entry)
-	return entry, check(file, entry)
-}
-
 // Reference returns the fields of the settings file of an entry.
 func Reference() []jsonfile.Field {
 	return jsonfile.Reference(Entry{})
