Compare more endpoints for long prompts by what they still read

The predicted wait of a long prompt left out the prompts that an endpoint was reading, so that an endpoint with a huge prompt looked idle. It now counts the memory in use as reading that is left, and compares up to eight endpoints in each of two zones for a long prompt. Zones of which nothing was heard for 5 s are the last resort.

--- a/core/placement/index.go
+++ b/core/placement/index.go
@@ -33,6 +33,8 @@
 	rows []row
 	// short and long sum up the zone for the two kinds of prompts.
 	short, long aggregate
+	// measuredAt is when the latest of its reports was true, or zero.
+	measuredAt time.Time
 }
 
 // row is one endpoint of an index.
@@ -116,7 +118,10 @@
 	waits := make([]time.Duration, 0, len(z.rows))
 	for i := range z.rows {
 		report := &z.rows[i].report
-		waits = append(waits, report.wait(long))
+		waits = append(waits, report.wait(long, z.rows[i].endpoint.Memory))
+		if report.MeasuredAt.After(z.measuredAt) {
+			z.measuredAt = report.MeasuredAt
+		}
 		if long {
 			a.free = max(a.free, report.FreeLong)
 		} else {
@@ -133,6 +138,11 @@
 	return a
 }
 
+// silent tells whether nothing was heard of another availability zone for long, as when it is cut off.
+func (z *zone) silent(now time.Time) bool {
+	return z.remote && !z.measuredAt.IsZero() && now.Sub(z.measuredAt) > silentTime
+}
+
 // aggregate returns what the zone offers to a band.
 func (z *zone) aggregate(long bool) aggregate {
 	if long {
--- a/core/placement/placed.go
+++ b/core/placement/placed.go
@@ -41,9 +41,10 @@
 }
 
 // since returns the predicted wait now and the memory placed since a report. Short requests don't wait for long ones.
-func (p *placed) since(id fleet.EndpointID, report *Report, long bool, now time.Time) (time.Duration, fleet.Tokens) {
+func (p *placed) since(row *row, long bool, now time.Time) (time.Duration, fleet.Tokens) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	id, report := row.endpoint.ID, &row.report
 	rows := p.rows[id]
 	for len(rows) > 0 && !rows[0].at.After(report.MeasuredAt) {
 		rows = rows[1:]
@@ -53,7 +54,7 @@
 	} else {
 		p.rows[id] = rows
 	}
-	wait := report.wait(long)
+	wait := report.wait(long, row.endpoint.Memory)
 	last := report.MeasuredAt
 	var memory fleet.Tokens
 	for _, row := range rows {
--- a/core/placement/predicted.go
+++ b/core/placement/predicted.go
@@ -15,10 +15,13 @@
 	localSample = 3
 	// remoteSample is the number of endpoints of another availability zone that are compared.
 	remoteSample = 2
+	// longSample is the number of endpoints of each of two availability zones that are compared for a long prompt,
+	// whose reading lasts longer than a report is old.
+	longSample = 8
 	// prefixSample is the number of endpoints that are compared since they may hold a prefix of the prompt.
 	prefixSample = 2
 	// maxSample is the number of endpoints that are compared at most.
-	maxSample = localSample + remoteSample + prefixSample
+	maxSample = 2*longSample + prefixSample
 )
 
 // DefaultLongPrompt is the number of prompt tokens above which a prompt is long.
@@ -28,6 +31,8 @@
 const (
 	// remoteMargin is by how much another availability zone must be better, since what is known of it is older.
 	remoteMargin = 30 * time.Millisecond
+	// silentTime is the age of its last report from which another availability zone is only the last resort.
+	silentTime = 5 * time.Second
 	// rampTime is the time in which a restored availability zone is given its whole share again.
 	rampTime = 30 * time.Second
 )
@@ -98,17 +103,17 @@
 func (p *Predicted) draw(d *decision, pool *pool) {
 	var space [prefixSample]fleet.EndpointID
 	for _, id := range p.Prefixes.Holders(space[:0], d.need.Prefixes, prefixSample) {
-		if row := pool.places[id]; row != nil && p.admits(row.zone, d.need.At) {
+		if row := pool.places[id]; row != nil && !row.zone.silent(d.need.At) && p.admits(row.zone, d.need.At) {
 			p.consider(d, row)
 		}
 	}
 	for _, z := range pool.zones {
 		if !z.remote && p.admits(z, d.need.At) {
-			p.sample(d, z, localSample)
+			p.sample(d, z, d.size(localSample))
 		}
 	}
 	if z := p.bestRemote(pool, d); z != nil {
-		p.sample(d, z, remoteSample)
+		p.sample(d, z, d.size(remoteSample))
 	}
 	for _, z := range pool.zones {
 		if d.count == 0 {
@@ -117,6 +122,14 @@
 	}
 }
 
+// size returns the number of endpoints to compare where a short prompt has some number.
+func (d *decision) size(short int) int {
+	if d.long {
+		return longSample
+	}
+	return short
+}
+
 // admits tells whether an availability zone takes a request now: one that was restored lately takes a growing share.
 func (p *Predicted) admits(z *zone, now time.Time) bool {
 	if z.state.ChangedAt.IsZero() {
@@ -137,7 +150,7 @@
 	offset := p.random(len(pool.zones))
 	for i := range pool.zones {
 		z := pool.zones[(i+offset)%len(pool.zones)]
-		if !z.remote || !p.admits(z, d.need.At) {
+		if !z.remote || z.silent(d.need.At) || !p.admits(z, d.need.At) {
 			continue
 		}
 		if best == nil || z.better(best, d.long, memory) {
@@ -195,7 +208,7 @@
 // predict returns the predicted finish of a request on an endpoint.
 func (p *Predicted) predict(d *decision, row *row) choice {
 	report := &row.report
-	wait, memory := p.placed.since(row.endpoint.ID, report, d.long, d.need.At)
+	wait, memory := p.placed.since(row, d.long, d.need.At)
 	read := d.need.Prompt - p.Cached(row.endpoint.ID, d.need)
 	c := choice{row: row, fits: true}
 	c.read = seconds(float64(read) / cmp.Or(report.Prefill, defaultPrefill))
@@ -206,6 +219,7 @@
 	if row.endpoint.Kind != fleet.KindService {
 		c.fits = report.fits(d.long, memory+d.need.Prompt+d.need.Output)
 	}
+	c.fits = c.fits && !row.zone.silent(d.need.At)
 	return c
 }
 
--- a/core/placement/predicted_test.go
+++ b/core/placement/predicted_test.go
@@ -128,6 +128,16 @@
 			},
 			want: "b-0",
 		},
+		"not a zone that is silent for long": {
+			change: func(view *placement.View, need *placement.Need) {
+				need.At = epoch.Add(10 * time.Second)
+				view.Reports["a-0"] = reportOf(func(r *placement.Report) {
+					r.MeasuredAt = need.At
+					r.WaitShort = 2 * time.Second
+				})
+			},
+			want: "a-0",
+		},
 		"nothing where a prompt fits no engine": {
 			change: func(_ *placement.View, need *placement.Need) { need.Prompt = 1_000_000 },
 			want:   "",
--- a/core/placement/report.go
+++ b/core/placement/report.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"time"
 
 	"wisteriadyke/core/fleet"
@@ -59,12 +60,14 @@
 // waitPerAttempt is the wait that is taken for each attempt of a load report.
 const waitPerAttempt = 10 * time.Millisecond
 
-// wait returns the predicted wait of a band at the time of the report.
-func (r *Report) wait(long bool) time.Duration {
-	if long {
-		return r.WaitLong
+// wait returns the predicted wait of a band at the time of the report. A long prompt shares the reading with those
+// that are being read, whose rest is at most the memory in use.
+func (r *Report) wait(long bool, memory fleet.Tokens) time.Duration {
+	if !long {
+		return r.WaitShort
 	}
-	return r.WaitShort
+	used := max(0, memory-r.FreeShort)
+	return r.WaitLong + seconds(float64(used)/cmp.Or(r.Prefill, defaultPrefill))
 }
 
 // fits tells whether a request of a band could start at once as far as memory and a cold start go.
