Let requests that end in time go before an exclusive one that waits for an empty endpoint

A waiting exclusive request stopped all grants until the endpoint was empty, which beside a long answer is minutes. It now waits in a band of its own, and what is predicted to end before the endpoint is empty is still granted; it is refused at once when the endpoint can't be empty in time.

--- a/core/admission/item.go
+++ b/core/admission/item.go
@@ -8,7 +8,7 @@
 	"wisteriadyke/core/reservation"
 )
 
-// Band is the length band of a prompt; the bands wait apart.
+// Band is the length band of a prompt, or that of exclusive requests; the bands wait apart.
 type Band int
 
 // The bands.
@@ -19,6 +19,8 @@
 	Medium
 	// Long prompts are read a few at once.
 	Long
+	// Exclusive requests wait until they can run alone, whatever their length.
+	Exclusive
 	// Bands is the number of bands.
 	Bands
 )
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -133,7 +133,7 @@
 	a.queued++
 	a.backlog += i.Cost
 	q.backlog += i.Cost
-	if i.Band != Long {
+	if i.Band < Long {
 		q.short += i.Cost
 	}
 	a.bands[i.Band].push(i)
@@ -154,7 +154,7 @@
 	a.queued--
 	a.backlog -= i.Cost
 	q.backlog -= i.Cost
-	if i.Band != Long {
+	if i.Band < Long {
 		q.short -= i.Cost
 	}
 	if a.queued == 0 {
@@ -273,7 +273,7 @@
 	return q.weights
 }
 
-// ShortBacklog returns the work that waits of all bands but the long one.
+// ShortBacklog returns the work that waits in the quick and the medium band.
 func (q *Queue) ShortBacklog() float64 {
 	return q.short
 }
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -8,7 +8,7 @@
 )
 
 // releasedMemory is how long a released key is remembered, so that a listing begun before the release is understood.
-const releasedMemory = 30 * time.Second
+const releasedMemory = 10 * time.Second
 
 // Ledger is the account of one endpoint's memory; it is for one goroutine at a time.
 type Ledger struct {
@@ -205,6 +205,13 @@
 	return l.expiries[0].ExpiresAt
 }
 
+// Each calls visit for each reservation, in no order; visit must not change it.
+func (l *Ledger) Each(visit func(r *Reservation)) {
+	for _, row := range l.rows {
+		visit(row)
+	}
+}
+
 // Reservations returns copies of all reservations.
 func (l *Ledger) Reservations() []Reservation {
 	rows := make([]Reservation, 0, len(l.rows))
--- a/core/scheduler/bench_test.go
+++ b/core/scheduler/bench_test.go
@@ -83,3 +83,45 @@
 		}
 	}
 }
+
+// BenchmarkPredict measures one prediction while a request of each of many accounts waits.
+func BenchmarkPredict(b *testing.B) {
+	for _, accounts := range []int{10, 4_300} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+			owned := benchEndpoints(b, now, 1, accounts)
+			need := NeedOf(benchRequest(now, "account-1", 1_000))
+			b.ReportAllocs()
+			for b.Loop() {
+				owned[0].Predict(now, need)
+			}
+		})
+	}
+}
+
+// BenchmarkPool measures one reservation and its release through a pool that owns many endpoints.
+func BenchmarkPool(b *testing.B) {
+	for _, endpoints := range []int{25, 1_300} {
+		b.Run(fmt.Sprintf("endpoints=%d", endpoints), func(b *testing.B) {
+			p := &Pool{Entry: "entry-1"}
+			for n := range endpoints {
+				endpoint := fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprint("engine-", n)), State: fleet.StateLive, Memory: 400_000}
+				p.Own(endpoint, 1, Takeover{Handover: &Handover{}})
+			}
+			request := benchRequest(time.Now(), "account-1", 1_000)
+			b.ReportAllocs()
+			n := 0
+			for b.Loop() {
+				request.Endpoint = fleet.EndpointID(fmt.Sprint("engine-", n%endpoints))
+				grant, err := p.Reserve(b.Context(), request)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if err := p.Release(b.Context(), unused(grant)); err != nil {
+					b.Fatal(err)
+				}
+				n++
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/scheduler/drain.go
@@ -0,0 +1,37 @@
+package scheduler
+
+import (
+	"time"
+
+	"wisteriadyke/core/admission"
+	"wisteriadyke/core/ledger"
+)
+
+// drainedAt returns when all that the endpoint runs is predicted to have ended.
+func (e *Endpoint) drainedAt(now time.Time) time.Time {
+	drained := now
+	total := e.ledger.Total()
+	pace := e.warmth.Present()
+	read := pace.ReadTime(total.UnreadShort + total.UnreadLong)
+	e.ledger.Each(func(r *ledger.Reservation) {
+		end := now.Add(pace.GenerateTime(r.Output-r.Position, total.Running-1))
+		if r.Reading() {
+			end = end.Add(read)
+		}
+		if r.Held {
+			end = now.Add(e.Settings.SweepEvery)
+		}
+		if end.After(drained) {
+			drained = end
+		}
+	})
+	return drained
+}
+
+// endsAt returns when an item that is granted now is predicted to have ended.
+func (e *Endpoint) endsAt(now time.Time, i *admission.Item) time.Time {
+	pace := e.warmth.Present()
+	total := e.ledger.Total()
+	unread := total.UnreadShort + uncached(i.Request)
+	return now.Add(pace.ReadTime(unread) + pace.GenerateTime(i.Request.Output, total.Running))
+}
--- a/core/scheduler/endpoint.go
+++ b/core/scheduler/endpoint.go
@@ -192,7 +192,7 @@
 // NextWake returns when Advance has something to do if nothing else happens, or zero.
 func (e *Endpoint) NextWake() time.Time {
 	wake := earlier(e.queue.NextDue(), e.ledger.NextExpiry())
-	if e.resyncing {
+	if e.resyncing && e.ledger.Listings() >= e.Settings.Ledger.Confirmations {
 		wake = earlier(wake, e.lapseAt)
 	}
 	if e.queue.Len() > 0 && e.allowance <= 0 {
--- a/core/scheduler/offer.go
+++ b/core/scheduler/offer.go
@@ -106,6 +106,9 @@
 	i.Ticket = uint64(e.ticket)
 	i.Request = request
 	i.Band = e.band(request.Prompt)
+	if request.Exclusive {
+		i.Band = admission.Exclusive
+	}
 	i.Cost = e.cost(uncached(request), request.Output)
 	i.QueuedAt = now
 	i.LastStart = e.lastStart(request)
--- a/core/scheduler/predict.go
+++ b/core/scheduler/predict.go
@@ -51,6 +51,9 @@
 	pace := e.warmth.Present()
 	total := e.ledger.Total()
 	wait := e.predictWait(need)
+	if need.Exclusive {
+		wait += max(0, e.drainedAt(now).Sub(now))
+	}
 	read := pace.ReadTime(need.Uncached)
 	generate := pace.GenerateTime(need.Output, total.Running)
 	start := now.Add(wait + read)
@@ -61,9 +64,6 @@
 func (e *Endpoint) predictWait(need Need) time.Duration {
 	total := e.ledger.Total()
 	pace := e.warmth.Pace()
-	if need.Exclusive {
-		return pace.ReadTime(total.UnreadLong+total.UnreadShort) + e.drainTime()
-	}
 	work := e.queue.Ahead(need.Account, max(need.Weight, minWeight), e.cost(need.Uncached, need.Output))
 	wait := e.workTime(work)
 	switch e.band(need.Prompt) {
--- a/core/scheduler/pump.go
+++ b/core/scheduler/pump.go
@@ -89,18 +89,23 @@
 			granted += i.Cost
 			e.grant(now, i)
 			continue
-		case needsAlone:
+		case needsEmpty:
 			return granted
 		}
 		blocked[i.Band] = true
-		if i.Band == admission.Long {
-			owed = e.owe(i, counter, verdict)
+		switch i.Band {
+		case admission.Long:
+			owed = e.owe(i, counter, verdict, owed)
+		case admission.Exclusive:
+			owed.until = e.drainedAt(now)
 		}
 	}
 }
 
-// debt is what a long item at the head of the order waits for, which the items after it leave to it.
+// debt is what a long or an exclusive item at the head of the order waits for, which the items after it leave to it.
 type debt struct {
+	// until is when the endpoint is predicted to be empty for an exclusive item; what is granted must have ended by then.
+	until time.Time
 	// counter is the work that its account was given.
 	counter float64
 	// memory is to be kept for it besides that of the long band, or 0.
@@ -109,10 +114,10 @@
 	running int
 }
 
-// owe returns what is kept for a long item that can't be granted now.
-func (e *Endpoint) owe(i *admission.Item, counter float64, verdict verdict) debt {
+// owe adds what is kept for a long item that can't be granted now.
+func (e *Endpoint) owe(i *admission.Item, counter float64, verdict verdict, owed debt) debt {
 	share := i.Request.Weight / max(e.queue.Weights(), i.Request.Weight)
-	owed := debt{counter: counter}
+	owed.counter = counter
 	owed.running = max(minBeside, int(e.warmth.Pace().Batch*(1/share-1)))
 	if verdict == needsClaim {
 		owed.memory = i.Request.Prompt + i.Request.Output
@@ -159,8 +164,8 @@
 	needsTurn
 	// needsClaim means that memory must be freed and kept for it.
 	needsClaim
-	// needsAlone means that the endpoint must become empty first.
-	needsAlone
+	// needsEmpty means that an exclusive reservation must end before anything is granted.
+	needsEmpty
 )
 
 // fits tells whether an item can be granted now while something is owed to a long one.
@@ -170,13 +175,17 @@
 	attempts, tokens, limited := e.warmth.Limit()
 	switch {
 	case total.Exclusive > 0:
-		return needsAlone
-	case i.Request.Exclusive && e.ledger.Attempts() > 0:
-		return needsAlone
+		return needsEmpty
+	case i.Band == admission.Exclusive && e.ledger.Attempts() > 0:
+		return needsTurn
+	case !owed.until.IsZero() && e.endsAt(now, i).After(owed.until):
+		return needsTurn
 	case limited && (e.ledger.Attempts() >= attempts || e.ledger.Used()+memory > tokens):
 		return needsTurn
 	case e.unlisted():
 		return needsTurn
+	case i.Band == admission.Exclusive:
+		return fitsNow
 	case i.Band == admission.Long:
 		return e.fitsLong(i, total)
 	default:
@@ -263,8 +272,8 @@
 		Charged:   i.Cost,
 		Ahead:     total.UnreadShort,
 		Weight:    r.Weight,
-		Quick:     i.Band == admission.Quick,
-		Long:      i.Band == admission.Long,
+		Quick:     e.band(r.Prompt) == admission.Quick,
+		Long:      e.band(r.Prompt) == admission.Long,
 		Exclusive: r.Exclusive,
 	})
 	unread := total.UnreadShort + total.UnreadLong + read
--- a/core/scheduler/slot.go
+++ b/core/scheduler/slot.go
@@ -42,8 +42,9 @@
 // deliver hands the due decisions to those who wait; the caller holds the lock.
 func (s *slot) deliver(now time.Time) {
 	for _, decision := range s.machine.Advance(now) {
-		s.waiters[decision.Ticket] <- decision
+		waiter := s.waiters[decision.Ticket]
 		delete(s.waiters, decision.Ticket)
+		waiter <- decision
 	}
 }
 
