--- a/core/idempotency/budget.go
+++ b/core/idempotency/budget.go
@@ -8,13 +8,19 @@
 
 // budget spaces transactions evenly.
 type budget struct {
+	mu sync.Mutex
 	// rate is in transactions a second; 0 means no bound.
 	rate float64
-
-	mu   sync.Mutex
 	next time.Time
 }
 
+// setRate changes the rate; transactions that wait already keep their times.
+func (b *budget) setRate(rate float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rate = rate
+}
+
 // wait returns when the next transaction may start, or with the error of ctx.
 func (b *budget) wait(ctx context.Context) error {
 	pause := b.reserve(time.Now())
@@ -26,11 +32,11 @@
 
 // reserve takes the next free time and returns how far off it is.
 func (b *budget) reserve(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if b.rate <= 0 {
 		return 0
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	if b.next.Before(now) {
 		b.next = now
 	}
--- a/core/idempotency/caller.go
+++ b/core/idempotency/caller.go
@@ -95,6 +95,14 @@
 	}
 }
 
+// SetRates changes the bounds on transactions and batch reads a second, when this entry's share of
+// the store's limits changes. It may be called at any time.
+func (c *Caller) SetRates(writes, reads float64) {
+	c.once.Do(c.setUp)
+	c.batcher.writes.budget.setRate(writes)
+	c.batcher.reads.budget.setRate(reads)
+}
+
 // Run serves calls of Do until ctx ends, and then writes the outcomes that are not recorded yet for
 // up to DrainTimeout. Calls of Do should have returned before ctx ends.
 func (c *Caller) Run(ctx context.Context) error {
--- a/core/idempotency/caller_test.go
+++ b/core/idempotency/caller_test.go
@@ -150,6 +150,23 @@
 	})
 }
 
+// TestThrottledClaimWaits lets the store limit the rate for a while, which is no outage.
+func TestThrottledClaimWaits(t *testing.T) {
+	inBubble(t, func(t *testing.T, run func(*Caller) *Caller) {
+		store := &fakeStore{fates: func(n int, _ []Write) fate {
+			if n < 3 {
+				return fate{err: ErrThrottled, lost: true}
+			}
+			return fate{}
+		}}
+		s := answering()
+		result := do(t, run(&Caller{Store: store}), newKey(t, 1), s)
+		if result.State != StateDone || s.runs != 1 {
+			t.Errorf("%+v after %d runs", result, s.runs)
+		}
+	})
+}
+
 func TestWrongRequests(t *testing.T) {
 	inBubble(t, func(t *testing.T, run func(*Caller) *Caller) {
 		c := run(&Caller{Store: &fakeStore{}})
--- a/core/idempotency/claim.go
+++ b/core/idempotency/claim.go
@@ -46,7 +46,8 @@
 //
 // A write whose answer was lost is made again: the row's version keeps it from being applied twice,
 // and the token in the row tells whose it is. A row that another request has written since then
-// proves that such a write can't be applied any more; an absent row doesn't.
+// proves that such a write can't be applied any more; an absent row doesn't. An outage ends the
+// attempt at once, a rate limit doesn't.
 func (c *Caller) claim(ctx context.Context, record Record) claim {
 	ctx, cancel := context.WithTimeout(ctx, c.ClaimTimeout)
 	defer cancel()
@@ -69,6 +70,7 @@
 			}
 		case errors.Is(err, ErrUnknownOutcome):
 			uncertain = true
+		case errors.Is(err, ErrThrottled):
 		case !uncertain:
 			return claim{verdict: verdictUnavailable, reason: ReasonStoreUnavailable}
 		}
--- a/core/idempotency/store.go
+++ b/core/idempotency/store.go
@@ -15,6 +15,8 @@
 	ErrConflict = errors.New("row has another version")
 	// ErrUnavailable means that the store can't be used now and that nothing was written.
 	ErrUnavailable = errors.New("store is unavailable")
+	// ErrThrottled means that a rate limit was met and that nothing was written.
+	ErrThrottled = errors.New("store limits the rate")
 	// ErrUnknownOutcome means that the write may have been applied, or may be later.
 	ErrUnknownOutcome = errors.New("outcome of the write is not known")
 	// ErrRejected means that the store will never take the write; nothing was written.
@@ -39,17 +41,17 @@
 
 // Store is the transactional table of claims.
 type Store interface {
-	// Read returns the rows of keys in their order, or ErrUnavailable.
+	// Read returns the rows of keys in their order, or ErrUnavailable or ErrThrottled.
 	Read(ctx context.Context, keys []Key) ([]Row, error)
 	// Write applies all writes or none and returns the new versions in their order. It returns
-	// ErrConflict, ErrUnavailable, ErrRejected or ErrUnknownOutcome.
+	// ErrConflict, ErrUnavailable, ErrThrottled, ErrRejected or ErrUnknownOutcome.
 	Write(ctx context.Context, writes []Write) ([]int64, error)
 }
 
 // Expirer is the part of the table of claims that forgets records.
 type Expirer interface {
-	// Expired returns up to limit rows whose keys are older than before, the oldest first, or
-	// ErrUnavailable.
+	// Expired returns up to limit rows whose keys are older than before, the oldest first, or the
+	// errors of Store.Read.
 	Expired(ctx context.Context, before time.Time, limit int) ([]Row, error)
 	// Delete removes rows that still have the versions they were read with. It returns the errors
 	// of Store.Write.
--- a/io/platform/claims.go
+++ b/io/platform/claims.go
@@ -162,11 +162,14 @@
 // claimError turns an error of this package into one of a store of claims.
 func claimError(err error) error {
 	var conflict *ConflictError
+	var unavailable *UnavailableError
 	switch {
 	case err == nil:
 		return nil
 	case errors.As(err, &conflict):
 		return newClaimConflict(conflict)
+	case errors.As(err, &unavailable) && unavailable.Throttled:
+		return errors.Wrap(idempotency.ErrThrottled, err.Error())
 	case errors.Is(err, ErrUnavailable):
 		return errors.Wrap(idempotency.ErrUnavailable, err.Error())
 	case errors.Is(err, ErrRejected), errors.Is(err, ErrNotFound):
--- a/io/platform/history_fakes_test.go
+++ b/io/platform/history_fakes_test.go
@@ -148,7 +148,7 @@
 	case errors.As(err, &conflict):
 		return &platform.ConflictError{Rows: wireRows(conflict.Rows)}
 	case errors.Is(err, standin.ErrOutage), errors.Is(err, standin.ErrThrottled):
-		return &platform.UnavailableError{Cause: err}
+		return &platform.UnavailableError{Throttled: errors.Is(err, standin.ErrThrottled), Cause: err}
 	case errors.Is(err, standin.ErrInvalid):
 		return errors.Wrap(platform.ErrRejected, err.Error())
 	}
