Pass all changes of zones through one record

Two operators who drained two zones at the same time could leave none in service, since each zone was compared with its own revision only; the command told so afterwards. A zone's record is now written in one transaction with a record that every change of any zone compares and sets. The command looks again when another zone was changed meanwhile and asks for a confirmation if its own has become the last one.

Ruled out: one record for all zones, by which each zone would lose its own revision.

--- a/cmd/zone.go
+++ b/cmd/zone.go
@@ -103,31 +103,46 @@
 	return zones, nil
 }
 
-// changeZone drains or restores one zone.
+// changeZone drains or restores one zone; a change of another zone in between is taken into account.
 func (f *operatorFlags) changeZone(ctx context.Context, w io.Writer, zone fleet.Zone, drained bool) error {
+	for {
+		outcome, revision, err := f.tryZone(ctx, zone, drained)
+		if err == nil {
+			return f.printChange(w, outcome, revision, zone, drained)
+		}
+		var race *platform.RaceError
+		elsewhere := errors.As(err, &race) && len(race.Other.From) > 0 && race.Other.From[0] != platform.ZoneSource(zone)
+		if !elsewhere || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+// tryZone drains or restores one zone unless any zone is changed meanwhile.
+func (f *operatorFlags) tryZone(
+	ctx context.Context, zone fleet.Zone, drained bool,
+) (outcome string, revision uint64, err error) {
+	reviser := &platform.Reviser{Tables: f.client()}
+	order, err := reviser.ReadZoneOrder(ctx)
+	if err != nil {
+		return "", 0, errors.Wrap(err, "read the zones")
+	}
 	zones, err := f.readZones(ctx)
 	if err != nil {
-		return err
+		return "", 0, err
 	}
 	if err := f.confirmZone(zones, zone, drained); err != nil {
-		return err
+		return "", 0, err
 	}
-	reviser := &platform.Reviser{Tables: f.client()}
 	old, err := reviser.ReadZone(ctx, zone)
 	if err != nil {
-		return errors.Wrapf(err, "zone %s", zone)
+		return "", 0, errors.Wrapf(err, "zone %s", zone)
 	}
 	if old.State.Drained == drained {
-		return f.printChange(w, outcomeUnchanged, old.State.Revision, zone, drained)
+		return outcomeUnchanged, old.State.Revision, nil
 	}
-	change, err := reviser.SetZone(ctx, old, drained, f.change("zone "+string(zone)))
-	if err != nil {
-		return errors.Wrapf(err, "zone %s", zone)
-	}
-	if err := f.printChange(w, outcomeAccepted, change.Revision, zone, drained); err != nil {
-		return err
-	}
-	return f.checkService(ctx, drained)
+	change, err := reviser.SetZone(ctx, order, old, drained, f.change())
+	return outcomeAccepted, change.Revision, errors.Wrapf(err, "zone %s", zone)
 }
 
 // confirmZone refuses an unknown zone, and to drain the last zone in service, without a confirmation.
@@ -146,18 +161,6 @@
 	return nil
 }
 
-// checkService tells when operators who drained unlike zones at the same time have left none in service.
-func (f *operatorFlags) checkService(ctx context.Context, drained bool) error {
-	if !drained || f.yes {
-		return nil
-	}
-	zones, err := f.readZones(ctx)
-	if err != nil || len(serving(zones)) > 0 {
-		return nil //nolint:nilerr // The change itself is accepted.
-	}
-	return errors.New("another operator drained a zone at the same time: no zone is in service now; restore one")
-}
-
 // serving returns the zones that are in service.
 func serving(zones map[fleet.Zone]zoneRow) map[fleet.Zone]zoneRow {
 	found := make(map[fleet.Zone]zoneRow)
--- a/io/platform/configuration_history_test.go
+++ b/io/platform/configuration_history_test.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"wisteriadyke/core/blackboard"
+	"wisteriadyke/core/fleet"
 	"wisteriadyke/io/platform"
 	standin "wisteriadyke/standin/platform"
 )
@@ -72,7 +73,7 @@
 
 // tallies counts the outcomes of publishing.
 type tallies struct {
-	accepted, conflicts, unknown, unavailable, readBack int
+	accepted, conflicts, unknown, unavailable, readBack, zoneChanges int
 }
 
 // add adds the outcomes of a schedule.
@@ -82,6 +83,7 @@
 	y.unknown += other.unknown
 	y.unavailable += other.unavailable
 	y.readBack += other.readBack
+	y.zoneChanges += other.zoneChanges
 }
 
 // runSchedule runs one schedule of faults and checks its history.
@@ -103,6 +105,7 @@
 	d.heal()
 	d.sleep(inForce)
 	h.checkInForce()
+	h.checkService()
 	stop()
 	if err := group.Wait(); err != nil {
 		t.Error(err)
@@ -212,26 +215,93 @@
 	})
 }
 
-// operator drains and restores zones, racing with others.
+// operator drains and restores zones, racing with others, and never takes the last zone out of service.
 func (h *publishing) operator() error {
-	for time.Since(h.begun) < faultTime && h.pause(4*time.Second) {
-		reviser := platform.Reviser{Tables: &link{deployment: h.deployment}}
-		old, err := reviser.ReadZone(h.ctx, zones[h.intN(len(zones))])
-		if err != nil {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(h.ctx, 5*time.Second)
-		change := platform.Change{Token: fmt.Sprint(h.intN(math.MaxInt)), By: "operator", At: time.Now()}
-		_, err = reviser.SetZone(ctx, old, !old.State.Drained, change)
-		cancel()
-		if err != nil && !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknownOutcome) &&
-			!errors.Is(err, platform.ErrUnavailable) {
+	for time.Since(h.begun) < faultTime && h.pause(2*time.Second) {
+		if err := h.changeZone(zones[h.intN(len(zones))]); err != nil && !expected(err) {
 			return err
 		}
 	}
 	return nil
 }
 
+// expected tells whether an error is one of those by which a change is refused.
+func expected(err error) bool {
+	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnknownOutcome) ||
+		errors.Is(err, platform.ErrUnavailable)
+}
+
+// changeZone turns the state of one zone round.
+func (h *publishing) changeZone(zone fleet.Zone) error {
+	reviser := platform.Reviser{Tables: &link{deployment: h.deployment}}
+	ctx, cancel := context.WithTimeout(h.ctx, 5*time.Second)
+	defer cancel()
+	order, err := reviser.ReadZoneOrder(ctx)
+	if err != nil {
+		return err
+	}
+	states, err := reviser.ReadZones(ctx)
+	if err != nil {
+		return err
+	}
+	h.pause(time.Second)
+	old, err := reviser.ReadZone(ctx, zone)
+	if err != nil {
+		return err
+	}
+	if !old.State.Drained && drainedOf(states) == len(zones)-1 {
+		return nil
+	}
+	change := platform.Change{Token: fmt.Sprint(h.intN(math.MaxInt)), By: "operator", At: time.Now()}
+	_, err = reviser.SetZone(ctx, order, old, !old.State.Drained, change)
+	return err
+}
+
+// drainedOf counts the zones that are out of service.
+func drainedOf(states []platform.Zone) int {
+	count := 0
+	for _, zone := range states {
+		if zone.State.Drained {
+			count++
+		}
+	}
+	return count
+}
+
+// checkService fails the test when all zones were ever out of service: it goes back from the last state, change by change,
+// each of which turned the state of one zone round.
+func (h *publishing) checkService() {
+	reviser := platform.Reviser{Tables: &link{deployment: h.deployment}}
+	order, err := reviser.ReadZoneOrder(h.ctx)
+	if err != nil {
+		h.t.Error(err)
+		return
+	}
+	states, err := reviser.ReadZones(h.ctx)
+	if err != nil {
+		h.t.Error(err)
+		return
+	}
+	drained := make(map[string]bool)
+	count := drainedOf(states)
+	for _, zone := range states {
+		drained[platform.ZoneSource(zone.State.Zone)] = zone.State.Drained
+	}
+	for _, change := range order.Changes {
+		if count == len(zones) {
+			h.t.Errorf("all zones were out of service at change %d", change.Revision)
+		}
+		zone := change.From[0]
+		if drained[zone] {
+			count--
+		} else {
+			count++
+		}
+		drained[zone] = !drained[zone]
+		h.counts.zoneChanges++
+	}
+}
+
 // faults changes what fails every few seconds, several things at once.
 func (h *publishing) faults() error {
 	for time.Since(h.begun) < faultTime && h.pause(4*time.Second) {
--- a/io/platform/poller_test.go
+++ b/io/platform/poller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,11 +53,22 @@
 // drain takes a zone out of service.
 func (d *deployment) drain(reviser platform.Reviser, zone fleet.Zone) {
 	d.t.Helper()
+	d.setZone(reviser, zone, true, time.Now())
+}
+
+// setZone changes the state of a zone.
+func (d *deployment) setZone(reviser platform.Reviser, zone fleet.Zone, drained bool, at time.Time) {
+	d.t.Helper()
+	order, err := reviser.ReadZoneOrder(d.ctx)
+	if err != nil {
+		d.t.Fatal(err)
+	}
 	old, err := reviser.ReadZone(d.ctx, zone)
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	if _, err := reviser.SetZone(d.ctx, old, true, platform.Change{Token: "z", By: "o", At: time.Now()}); err != nil {
+	change := platform.Change{Token: fmt.Sprint("zone", at), By: "o", At: at}
+	if _, err := reviser.SetZone(d.ctx, order, old, drained, change); err != nil {
 		d.t.Fatal(err)
 	}
 }
@@ -197,14 +209,7 @@
 	inDeployment(t, func(t *testing.T, d *deployment, reviser platform.Reviser) {
 		d.drain(reviser, "a")
 		d.sleep(time.Minute)
-		old, err := reviser.ReadZone(d.ctx, "a")
-		if err != nil {
-			t.Fatal(err)
-		}
-		slow := platform.Change{Token: "r", By: "o", At: time.Now().Add(-time.Hour)}
-		if _, err := reviser.SetZone(d.ctx, old, false, slow); err != nil {
-			t.Fatal(err)
-		}
+		d.setZone(reviser, "a", false, time.Now().Add(-time.Hour))
 		d.sleep(inForce)
 		for _, e := range d.live() {
 			state, _ := e.board.Zones.Get("a")
--- a/io/platform/zones.go
+++ b/io/platform/zones.go
@@ -18,6 +18,9 @@
 	maxZones = 1000
 )
 
+// zoneOrder is the record through which all changes of zones pass, one after another.
+var zoneOrder = RowKey{Table: "zone_order", Key: "last"}
+
 // Zone is the record of one availability zone.
 type Zone struct {
 	// Record tells the revision and who made it.
@@ -59,13 +62,42 @@
 	return zones, nil
 }
 
-// SetZone takes a zone out of service or brings it back; its errors are those of Revise.
-func (r *Reviser) SetZone(ctx context.Context, old Zone, drained bool, change Change) (Change, error) {
+// ReadZoneOrder returns the record of the last changes of all zones or ErrUnavailable.
+//
+// What is read of zones after it is still true when SetZone succeeds with it, so that two operators can't take the
+// last two zones out of service at the same time.
+func (r *Reviser) ReadZoneOrder(ctx context.Context) (Record, error) {
+	records, err := r.Read(ctx, zoneOrder)
+	if err != nil {
+		return Record{}, err
+	}
+	return records[0], nil
+}
+
+// SetZone takes a zone out of service or brings it back, unless any zone was changed after order was read.
+//
+// It returns the change of the zone's own record; its errors are those of Revise, where a *RaceError names the change
+// of whichever zone came first.
+func (r *Reviser) SetZone(ctx context.Context, order Record, old Zone, drained bool, change Change) (Change, error) {
 	body, err := json.Marshal(wireZone{Drained: drained})
 	if err != nil {
 		return change, errors.Wrapf(ErrRejected, "%v", err)
 	}
-	return r.Revise(ctx, old.Record, change, body)
+	change.From = []string{ZoneSource(old.State.Zone)}
+	own := change
+	own.Revision = old.Record.Latest().Revision + 1
+	value, err := old.Record.encode(own, body)
+	if err != nil {
+		return change, errors.Wrapf(ErrRejected, "%v", err)
+	}
+	write := Write{Key: old.Record.Key, Value: value, IfVersion: old.Record.Version}
+	_, err = r.Revise(ctx, order, change, json.RawMessage(`{}`), write)
+	return own, err
+}
+
+// ZoneSource names a zone in the changes of zones.
+func ZoneSource(zone fleet.Zone) string {
+	return "zone " + string(zone)
 }
 
 // newZone reads the state of a zone from its record.
--- /dev/null
+++ b/io/platform/zones_test.go
@@ -0,0 +1,42 @@
+package platform_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/io/platform"
+)
+
+func TestZonesCantBeDrainedAtOnce(t *testing.T) {
+	tests := map[string][2]fleet.Zone{"same zone": {"a", "a"}, "unlike zones": {"a", "b"}}
+	for name, pair := range tests {
+		t.Run(name, func(t *testing.T) {
+			inDeployment(t, func(t *testing.T, d *deployment, reviser platform.Reviser) {
+				var orders [2]platform.Record
+				var old [2]platform.Zone
+				var err error
+				for i, zone := range pair {
+					if orders[i], err = reviser.ReadZoneOrder(d.ctx); err != nil {
+						t.Fatal(err)
+					}
+					if old[i], err = reviser.ReadZone(d.ctx, zone); err != nil {
+						t.Fatal(err)
+					}
+				}
+				first := platform.Change{Token: "1", By: "ana", At: time.Now()}
+				if _, err := reviser.SetZone(d.ctx, orders[0], old[0], true, first); err != nil {
+					t.Fatal(err)
+				}
+				second := platform.Change{Token: "2", By: "ben", At: time.Now()}
+				_, err = reviser.SetZone(d.ctx, orders[1], old[1], true, second)
+				var race *platform.RaceError
+				if !errors.As(err, &race) || race.Other.By != "ana" || race.Other.From[0] != "zone a" {
+					t.Errorf("error %v, want a conflict that names ana's change of zone a", err)
+				}
+			})
+		})
+	}
+}
