Tell cold starts by first tokens that wait behind others too

With the real cadence of progress, a first token and then every third of a lease, an endpoint that turned cold in the same life went unnoticed under load: samples with anything read ahead were passed over. They now count for slowness, with what was unread at the grant and what overtook since by its priority at the engine; the pace is still learned only from undisturbed ones. The flooding loads assert that no warm endpoint is taken for a cold one.

--- a/core/ledger/reservation.go
+++ b/core/ledger/reservation.go
@@ -34,6 +34,10 @@
 	Charged float64
 	// Ahead is the number of prompt tokens that were to be read before its own when it was granted.
 	Ahead fleet.Tokens
+	// Priority is its priority at the endpoint.
+	Priority int
+	// Overtaken is the number of prompt tokens of a larger priority that had been granted when it was.
+	Overtaken fleet.Tokens
 	// Others is the number of attempts that ran when its first token came.
 	Others int
 	// Weight is the share of its account.
--- a/core/scheduler/bands.go
+++ b/core/scheduler/bands.go
@@ -2,8 +2,16 @@
 
 import "wisteriadyke/core/fleet"
 
+// Steps of the priority at the engine.
+const (
+	// priorityStep is the least difference between two priorities.
+	priorityStep = 5
+	// priorityLevels is the number of priorities.
+	priorityLevels = 10
+)
+
 // lightPriority is what the priority at the engine gains for an account below its fair share.
-const lightPriority = 5
+const lightPriority = priorityStep
 
 // priorityBand is the priority at the engine of prompts up to a length.
 type priorityBand struct {
@@ -34,6 +42,15 @@
 	return priority
 }
 
+// overtaking returns the prompt tokens granted so far with a priority at the engine above one.
+func (e *Endpoint) overtaking(priority int) fleet.Tokens {
+	var sum fleet.Tokens
+	for _, tokens := range e.granted[priority/priorityStep+1:] {
+		sum += tokens
+	}
+	return sum
+}
+
 // part returns a share of the endpoint's memory.
 func (e *Endpoint) part(share float64) fleet.Tokens {
 	return fleet.Tokens(share * float64(e.endpoint.Memory))
--- a/core/scheduler/endpoint.go
+++ b/core/scheduler/endpoint.go
@@ -45,6 +45,7 @@
 	owned       bool
 	resyncing   bool
 	lapseAt     time.Time
+	granted     [priorityLevels]fleet.Tokens
 	allowance   float64
 	allowanceAt time.Time
 	throughput  throughput
@@ -96,6 +97,7 @@
 	e.ledger.Restore(handover.Warmth.Incarnation, handover.Reservations, handover.Strays)
 	e.generation = max(e.generation, handover.Generation)
 	e.warmth.State = handover.Warmth
+	e.granted = handover.Granted
 }
 
 // resync begins to learn what the endpoint runs; it counts as cold meanwhile.
@@ -140,6 +142,7 @@
 		Endpoint:     e.endpoint.ID,
 		Fence:        e.fence,
 		Generation:   e.generation,
+		Granted:      e.granted,
 		Reservations: e.ledger.Reservations(),
 		Strays:       e.ledger.Strays(),
 		Warmth:       warmth,
--- a/core/scheduler/engine_test.go
+++ b/core/scheduler/engine_test.go
@@ -19,7 +19,6 @@
 	read     fleet.Tokens
 	credit   float64
 	made     fleet.Tokens
-	told     fleet.Tokens
 	first    time.Time
 	orphaned bool
 }
--- a/core/scheduler/fairness_test.go
+++ b/core/scheduler/fairness_test.go
@@ -31,6 +31,9 @@
 	random := rand.New(rand.NewPCG(seed, 7))
 	s := newSimulation(t, 4*time.Millisecond)
 	s.run(fairLength, func() {
+		if s.owner.warmth.State.Cold {
+			t.Fatalf("at %s: a warm endpoint is taken for a cold one", s.now)
+		}
 		for _, l := range streams {
 			for range int(l.rate*s.tick.Seconds()) + chance(random, l.rate*s.tick.Seconds()) {
 				r := s.request(l.account, l.prompt, l.output, l.wait, 10*l.wait)
--- a/core/scheduler/observe.go
+++ b/core/scheduler/observe.go
@@ -53,18 +53,25 @@
 	row.Others = e.ledger.Total().Running - 1
 	row.SampledAt = now
 	row.SampledPosition = row.Position
+	row.Ahead = e.ahead(row)
 	if p.ReadTime > 0 && !row.Long && row.Uncached == row.Prompt {
 		e.sample(now, warmup.Sample{Read: p.Read, Ahead: row.Ahead, ReadTime: p.ReadTime, Partial: true})
 	}
 }
 
+// ahead returns the prompt tokens that may have been read before a reservation's own: those unread when it was granted
+// and those granted since that have overtaken it.
+func (e *Endpoint) ahead(row *ledger.Reservation) fleet.Tokens {
+	return row.Ahead + e.overtaking(row.Priority) - row.Overtaken
+}
+
 // noteReading looks whether a prompt is being read for far longer than the warm pace takes.
 func (e *Endpoint) noteReading(now time.Time, row *ledger.Reservation) {
 	if row.Long || row.Uncached < row.Prompt {
 		return
 	}
 	elapsed := now.Sub(row.GrantedAt)
-	e.overdue(now, warmup.Sample{Read: row.Uncached, Ahead: row.Ahead, ReadTime: elapsed, Partial: true})
+	e.overdue(now, warmup.Sample{Read: row.Uncached, Ahead: e.ahead(row), ReadTime: elapsed, Partial: true})
 }
 
 // overdue passes on what a reading shows that is not done; only its slowness tells something.
@@ -105,6 +112,9 @@
 	if row == nil {
 		return &reservation.Refusal{Reason: reservation.ReasonUnknown}
 	}
+	if row.StartedAt.IsZero() {
+		row.Ahead = e.ahead(row)
+	}
 	e.noteOutcome(now, row, r, before-1)
 	if row.Account != "" {
 		e.queue.Correct(row.Account, e.cost(min(row.Uncached, r.Read), r.Generated)-row.Charged)
--- a/core/scheduler/pump.go
+++ b/core/scheduler/pump.go
@@ -261,6 +261,7 @@
 	r := i.Request
 	total := e.ledger.Total()
 	read := uncached(r)
+	priority := enginePriority(r.Prompt, light)
 	row := e.ledger.Grant(now, ledger.Reservation{
 		Key:       ledger.Key{Reservation: fleet.ReservationID(r.Request), Generation: e.generation},
 		Attempt:   r.Attempt,
@@ -271,13 +272,19 @@
 		Uncached:  read,
 		Charged:   i.Cost,
 		Ahead:     total.UnreadShort,
+		Priority:  priority,
+		Overtaken: e.overtaking(priority),
 		Weight:    r.Weight,
 		Quick:     e.band(r.Prompt) == admission.Quick,
 		Long:      e.band(r.Prompt) == admission.Long,
 		Exclusive: r.Exclusive,
 	})
 	unread := total.UnreadShort + total.UnreadLong + read
+	e.granted[priority/priorityStep] += read
 	row.ReadBy = now.Add(readBound*e.warmth.Present().ReadTime(unread) + e.Settings.Ledger.Lease)
+	if row.Quick {
+		row.Ahead = total.UnreadQuick
+	}
 	if !row.Long {
 		e.allowance = max(e.allowance-float64(read), -float64(e.window()))
 	}
@@ -289,7 +296,7 @@
 			Generation:  row.Key.Generation,
 			Fence:       e.fence,
 			Owner:       e.Entry,
-			Priority:    enginePriority(r.Prompt, light),
+			Priority:    priority,
 			Lease:       e.Settings.Ledger.Lease,
 		},
 	})
--- a/core/scheduler/simulation_test.go
+++ b/core/scheduler/simulation_test.go
@@ -10,8 +10,8 @@
 	"wisteriadyke/core/reservation"
 )
 
-// heartbeat is how often an entry reports progress.
-const heartbeat = 2 * time.Second
+// heartbeat is how often an entry reports progress, besides the first token.
+var heartbeat = DefaultSettings().Ledger.Lease / 3
 
 // outcome is how a simulated request ended.
 type outcome struct {
@@ -188,10 +188,9 @@
 		return
 	}
 	started := !task.first.IsZero() && task.first.Equal(s.now)
-	if !started && task.made < task.told+8 && s.now.Sub(s.renewed[task.attempt]) < heartbeat {
+	if !started && s.now.Sub(s.renewed[task.attempt]) < heartbeat {
 		return
 	}
-	task.told = task.made
 	s.renewed[task.attempt] = s.now
 	_ = s.owner.Renew(s.now, reservation.Progress{
 		Reservation: task.grant.Reservation,
--- a/core/scheduler/takeover.go
+++ b/core/scheduler/takeover.go
@@ -14,6 +14,8 @@
 	Fence fleet.Fence
 	// Generation is the last one granted.
 	Generation fleet.Generation
+	// Granted is the number of prompt tokens granted so far by priority at the endpoint, in steps of priorityStep.
+	Granted [priorityLevels]fleet.Tokens
 	// Reservations are those not yet released.
 	Reservations []ledger.Reservation
 	// Strays is the memory that no reservation explains.
--- a/core/warmup/estimator.go
+++ b/core/warmup/estimator.go
@@ -124,9 +124,6 @@
 // Observe takes what an attempt showed of the pace; it returns true if a cold start begins.
 func (e *Estimator) Observe(now time.Time, s Sample) bool {
 	prefill, decode := e.measure(s)
-	if prefill == 0 && decode == 0 {
-		return false
-	}
 	e.best.Prefill = max(e.best.Prefill, prefill)
 	e.best.Decode = max(e.best.Decode, decode)
 	e.accept(now)
@@ -134,7 +131,7 @@
 		e.good = 0
 		return !e.State.Cold && e.strike(now, e.Settings.Strikes)
 	}
-	if e.State.Pace.Prefill == 0 && e.State.Pace.Decode == 0 {
+	if prefill == 0 && decode == 0 || e.State.Pace.Prefill == 0 && e.State.Pace.Decode == 0 {
 		return false
 	}
 	e.strikes = 0
@@ -165,7 +162,7 @@
 // slow tells whether a sample is far off the warm pace.
 func (e *Estimator) slow(s Sample) bool {
 	pace := e.State.Pace
-	if pace.Prefill > 0 && s.ReadTime > 0 && e.far(s.ReadTime, pace.ReadTime(s.Read+s.Ahead)) {
+	if pace.Prefill > 0 && s.Read >= minRead && e.far(s.ReadTime, pace.ReadTime(s.Read+s.Ahead)) {
 		return true
 	}
 	if pace.Decode == 0 || s.Generated < minGenerated {
