--- a/core/idempotency/counters.go
+++ b/core/idempotency/counters.go
@@ -25,7 +25,7 @@
 		registry = metrics.NewRegistry()
 	}
 	counter := func(name string) metrics.Counter {
-		return metrics.GetOrRegisterCounter("idempotency_"+name, registry)
+		return metrics.GetOrRegisterCounter("idempotency."+name, registry)
 	}
 	return &counters{
 		claims:       counter("claims"),
