Let operators replace a stored revision that can't be read

publish gave up when the stored configuration was faulty, so a damaged row or one of a newer program could never be mended by the command. It now asks for a confirmation and replaces the revision under the same compare-and-set.

Seen failing first: TestBadRevisionIsRefusedAsAWhole publishes a good revision after each bad one; before, reading the stored configuration failed, now every entry has revision 3 within 5 s.

--- a/cmd/publish.go
+++ b/cmd/publish.go
@@ -31,6 +31,8 @@
 	Revision uint64 `json:"revision"`
 	Accounts int    `json:"accounts"`
 	Classes  int    `json:"classes"`
+	// InForceOn counts the live entries that have the revision in force, if that was waited for.
+	InForceOn int `json:"in_force_on,omitempty"`
 }
 
 // The outcomes of publish.
@@ -86,10 +88,30 @@
 	if err != nil {
 		return err
 	}
-	if err := f.print(w, result); err != nil || !f.wait {
+	if f.output == outputJSON {
+		return f.finishJSON(ctx, w, entries, result)
+	}
+	if _, err := fmt.Fprintf(w, "%s: revision %d\n", result.Outcome, result.Revision); err != nil || !f.wait {
+		return errors.Wrap(err, "print")
+	}
+	live, err := waitForRevision(ctx, entries, result.Revision)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "in force: revision %d on %d live entries\n", result.Revision, live)
+	return errors.Wrap(err, "print")
+}
+
+// finishJSON waits if that is asked for and prints the result, also when it is not in force in time.
+func (f *publishFlags) finishJSON(ctx context.Context, w io.Writer, entries []netip.AddrPort, result publishResult) error {
+	var waitErr error
+	if f.wait {
+		result.InForceOn, waitErr = waitForRevision(ctx, entries, result.Revision)
+	}
+	if err := printJSON(w, result); err != nil {
 		return err
 	}
-	return waitForRevision(ctx, w, entries, result.Revision)
+	return waitErr
 }
 
 // waitFor returns the entries to wait for.
@@ -130,7 +152,7 @@
 		result.Revision = published.Configuration.Revision
 		return result, nil
 	}
-	if err := f.confirm(published.Configuration, configuration); err != nil {
+	if err := f.confirm(published, configuration); err != nil {
 		return result, err
 	}
 	change, err := reviser.Publish(ctx, published, configuration, f.change(from...))
@@ -150,11 +172,18 @@
 	return errors.Wrap(&platform.RaceError{Key: published.Head.Key, Other: latest}, "publish")
 }
 
-// confirm refuses to remove accounts or classes without a confirmation.
-func (f *publishFlags) confirm(old, configuration declare.Configuration) error {
-	removed := append(missing("account", old.Accounts, configuration.Accounts),
-		missing("class", old.Classes, configuration.Classes)...)
-	if len(removed) == 0 || f.yes {
+// confirm refuses to remove accounts or classes, or what can't be read, without a confirmation.
+func (f *publishFlags) confirm(old platform.Published, configuration declare.Configuration) error {
+	if f.yes {
+		return nil
+	}
+	if old.Fault != nil {
+		return inputErrorf("publish: the stored revision %d can't be read (%v); to replace it confirm by --yes",
+			old.Head.Latest().Revision, old.Fault)
+	}
+	removed := append(missing("account", old.Configuration.Accounts, configuration.Accounts),
+		missing("class", old.Configuration.Classes, configuration.Classes)...)
+	if len(removed) == 0 {
 		return nil
 	}
 	return inputErrorf("publish: this removes %s; nothing was changed; confirm by --yes", strings.Join(removed, ", "))
@@ -170,12 +199,3 @@
 	}
 	return names
 }
-
-// print prints the result.
-func (f *publishFlags) print(w io.Writer, result publishResult) error {
-	if f.output == outputJSON {
-		return printJSON(w, result)
-	}
-	_, err := fmt.Fprintf(w, "%s: revision %d\n", result.Outcome, result.Revision)
-	return errors.Wrap(err, "print")
-}
--- a/cmd/wait.go
+++ b/cmd/wait.go
@@ -33,21 +33,20 @@
 	ConfigurationRevision uint64 `json:"configuration_revision"`
 }
 
-// waitForRevision returns when every live entry has the revision or a later one in force.
+// waitForRevision returns the number of live entries when each has the revision or a later one in force.
 //
 // An entry whose address refuses connections is not running and not waited for; at least one has to answer.
-func waitForRevision(ctx context.Context, w io.Writer, entries []netip.AddrPort, revision uint64) error {
+func waitForRevision(ctx context.Context, entries []netip.AddrPort, revision uint64) (int, error) {
 	client := jsonhttp.NewPooled()
 	for {
 		lagging, stopped := lookAtEntries(ctx, client, entries, revision)
 		live := len(entries) - len(stopped)
 		if len(lagging) == 0 && live > 0 {
-			_, err := fmt.Fprintf(w, "in force: revision %d on %d live entries\n", revision, live)
-			return errors.Wrap(err, "print")
+			return live, nil
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Errorf("revision %d is accepted but not yet in force at: %s", revision,
+			return 0, errors.Errorf("revision %d is accepted but not yet in force at: %s", revision,
 				strings.Join(append(lagging, stopped...), ", "))
 		case <-time.After(statusInterval):
 		}
--- a/io/platform/configuration.go
+++ b/io/platform/configuration.go
@@ -24,11 +24,13 @@
 	Head Record
 	// Configuration is the configuration in force, empty if nothing was ever published.
 	Configuration declare.Configuration
+	// Fault tells why the stored configuration can't be used, nil if it can; another one can take its place.
+	Fault error
 
 	stored []byte
 }
 
-// ReadConfiguration returns the stored configuration; the error is ErrUnavailable or tells why it can't be decoded.
+// ReadConfiguration returns the stored configuration; the error is ErrUnavailable or tells why its head can't be read.
 func (r *Reviser) ReadConfiguration(ctx context.Context) (Published, error) {
 	rows, err := r.Tables.Read(ctx, []RowKey{ConfigurationHead, ConfigurationRow})
 	if err != nil {
@@ -38,11 +40,8 @@
 	if err != nil || head.Version == VersionAbsent {
 		return Published{Head: head}, err
 	}
-	configuration, err := declaration.Decode(rows[1].Value)
-	if err != nil {
-		return Published{Head: head}, err
-	}
-	return Published{Head: head, Configuration: configuration, stored: rows[1].Value}, nil
+	configuration, fault := declaration.Decode(rows[1].Value)
+	return Published{Head: head, Configuration: configuration, Fault: fault, stored: rows[1].Value}, nil
 }
 
 // Same tells whether a configuration declares what is in force already.
--- a/io/platform/poller_test.go
+++ b/io/platform/poller_test.go
@@ -26,15 +26,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
 		group, ctx := errgroup.WithContext(ctx)
+		defer func() {
+			stop()
+			if err := group.Wait(); err != nil {
+				t.Error(err)
+			}
+		}()
 		d := newDeployment(ctx, t, group, 1)
 		reviser := platform.Reviser{Tables: &link{deployment: d}}
 		d.publish(reviser, 1)
 		d.sleep(settle)
 		test(t, d, reviser)
-		stop()
-		if err := group.Wait(); err != nil {
-			t.Error(err)
-		}
 	})
 }
 
@@ -200,6 +202,13 @@
 						t.Errorf("%s has revision %d, want 1", e.id, configuration.Revision)
 					}
 				}
+				d.publish(reviser, 3)
+				d.sleep(inForce)
+				for _, e := range d.live() {
+					if configuration, _ := e.board.Configuration.Get(blackboard.Only{}); configuration.Revision != 3 {
+						t.Errorf("%s has revision %d after the repair, want 3", e.id, configuration.Revision)
+					}
+				}
 			})
 		})
 	}
