--- a/io/jsonfile/decode.go
+++ b/io/jsonfile/decode.go
@@ -15,7 +15,18 @@
 
 // decoder fills structs from a parsed file.
 type decoder struct {
-	file *File
+	file   *File
+	fields map[reflect.Type]map[string]structField
+}
+
+// fieldsOf returns the fields of a struct type, which it reads once.
+func (d *decoder) fieldsOf(t reflect.Type) map[string]structField {
+	fields, found := d.fields[t]
+	if !found {
+		fields = fieldsOf(t)
+		d.fields[t] = fields
+	}
+	return fields
 }
 
 // decode fills into from value and checks the rules.
@@ -55,7 +66,7 @@
 		d.file.Addf(path, "is %s; want an object", describe(value))
 		return
 	}
-	fields := fieldsOf(into.Type())
+	fields := d.fieldsOf(into.Type())
 	given := make(map[string]bool, len(object.Members))
 	for _, member := range object.Members {
 		name := memberName(member)
--- a/io/jsonfile/jsonfile.go
+++ b/io/jsonfile/jsonfile.go
@@ -67,7 +67,7 @@
 		f.addSyntaxFault(err)
 		return f
 	}
-	d := decoder{file: f}
+	d := decoder{file: f, fields: make(map[reflect.Type]map[string]structField)}
 	d.decode("", value, reflect.ValueOf(into).Elem(), rules{})
 	return f
 }
