--- a/io/platform/history_fakes_test.go
+++ b/io/platform/history_fakes_test.go
@@ -51,6 +51,7 @@
 	mu     sync.Mutex
 	thawed chan struct{}
 	killed chan struct{}
+	cut    bool
 }
 
 // newGate returns the gate of a running process.
@@ -88,6 +89,27 @@
 	close(thawed)
 }
 
+// cutOff cuts the process off from the store for d.
+func (g *gate) cutOff(d time.Duration) {
+	g.setCut(true)
+	time.Sleep(d)
+	g.setCut(false)
+}
+
+// setCut cuts the process off from the store, or ends that.
+func (g *gate) setCut(cut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cut = cut
+}
+
+// isCut reports whether the process is cut off from the store.
+func (g *gate) isCut() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cut
+}
+
 // wire is the network between an entry and the store.
 type wire struct {
 	gate  *gate
@@ -114,7 +136,7 @@
 		return answer{err: &platform.UnavailableError{Cause: errPrevented}}
 	}
 	delay := w.dice.upTo(20 * time.Millisecond)
-	lost := w.dice.chance(w.faults())
+	lost := w.dice.chance(w.faults()) || w.gate.isCut()
 	if w.dice.chance(w.faults()) {
 		delay = w.dice.upTo(4 * time.Minute)
 	}
@@ -132,7 +154,7 @@
 	case <-ctx.Done():
 		a.err = standin.ErrAnswerLost
 	}
-	if !w.gate.pass() {
+	if !w.gate.pass() || w.gate.isCut() {
 		a.err = standin.ErrAnswerLost
 	}
 	a.err = wireError(a.err)
