--- /dev/null
+++ b/core/observe/observer.go
@@ -0,0 +1,148 @@
+// Package observe records the changes that one entry sees in its time line.
+package observe
+
+import (
+	"context"
+	"time"
+
+	"wisteriadyke/core/blackboard"
+	"wisteriadyke/core/declare"
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/scheduler"
+	"wisteriadyke/core/timeline"
+)
+
+// Period is the time between two looks at the blackboard.
+const Period = 250 * time.Millisecond
+
+// The reasons of events about entries, endpoints and availability zones.
+const (
+	reasonJoined   = "joined"
+	reasonGone     = "gone"
+	reasonDrained  = "drained"
+	reasonRestored = "restored"
+)
+
+// Owned tells the state of the endpoints that this entry owns; *scheduler.Pool does.
+type Owned interface {
+	// Status returns the state of every owned endpoint.
+	Status() []scheduler.Status
+}
+
+// Observer records changes of the configuration, availability zones, entries and ownership. It reads the blackboard and
+// writes none of its tables.
+type Observer struct {
+	// Board is watched.
+	Board *blackboard.Board
+	// Owned is watched.
+	Owned Owned
+	// Timeline takes the events.
+	Timeline *timeline.Recorder
+
+	revision uint64
+	zones    map[fleet.Zone]declare.ZoneState
+	entries  map[fleet.EntryID]fleet.Entry
+	owned    map[fleet.EndpointID]scheduler.Status
+}
+
+// Run records until ctx ends; it returns no error.
+func (o *Observer) Run(ctx context.Context) error {
+	ticker := time.NewTicker(Period)
+	defer ticker.Stop()
+	for {
+		o.look()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// look records what has changed since the last look.
+func (o *Observer) look() {
+	o.lookAtConfiguration()
+	o.lookAtZones()
+	o.lookAtEntries()
+	o.lookAtOwned()
+}
+
+// lookAtConfiguration records a new revision.
+func (o *Observer) lookAtConfiguration() {
+	configuration, _ := o.Board.Configuration.Get(blackboard.Only{})
+	if configuration.Revision == o.revision {
+		return
+	}
+	o.revision = configuration.Revision
+	o.Timeline.Record(timeline.Event{Kind: timeline.KindConfiguration, Revision: configuration.Revision})
+}
+
+// lookAtZones records drained and restored zones.
+func (o *Observer) lookAtZones() {
+	rows := o.Board.Zones.View().Rows
+	for name, state := range rows {
+		if state.Revision == o.zones[name].Revision {
+			continue
+		}
+		reason := reasonRestored
+		if state.Drained {
+			reason = reasonDrained
+		}
+		o.Timeline.Record(timeline.Event{Kind: timeline.KindZone, Zone: name, Reason: reason, Revision: state.Revision})
+	}
+	o.zones = rows
+}
+
+// lookAtEntries records entries that came, went or changed their state.
+func (o *Observer) lookAtEntries() {
+	rows := o.Board.Entries.View().Rows
+	for id, entry := range rows {
+		old, known := o.entries[id]
+		switch {
+		case !known || old.Incarnation != entry.Incarnation:
+			o.member(entry, reasonJoined)
+		case old.State != entry.State:
+			o.member(entry, string(entry.State))
+		}
+	}
+	for id, entry := range o.entries {
+		if _, still := rows[id]; !still {
+			o.member(entry, reasonGone)
+		}
+	}
+	o.entries = rows
+}
+
+// member records what became of an entry.
+func (o *Observer) member(entry fleet.Entry, reason string) {
+	o.Timeline.Record(timeline.Event{Kind: timeline.KindMember, Peer: entry.ID, Zone: entry.Zone, Reason: reason})
+}
+
+// lookAtOwned records endpoints that this entry owns from now on or no more, and those that turned cold or warm.
+func (o *Observer) lookAtOwned() {
+	now := make(map[fleet.EndpointID]scheduler.Status)
+	for _, status := range o.Owned.Status() {
+		now[status.Endpoint] = status
+		old, known := o.owned[status.Endpoint]
+		if !known || old.Fence != status.Fence {
+			o.Timeline.Record(timeline.Event{Kind: timeline.KindOwnershipTaken, Endpoint: status.Endpoint, Revision: uint64(status.Fence)})
+		}
+		if known && old.Warmth.Cold != status.Warmth.Cold {
+			o.Timeline.Record(timeline.Event{Kind: timeline.KindWarmth, Endpoint: status.Endpoint, Reason: warmthOf(status)})
+		}
+	}
+	for id, old := range o.owned {
+		if _, still := now[id]; !still {
+			o.Timeline.Record(timeline.Event{Kind: timeline.KindOwnershipGiven, Endpoint: id, Revision: uint64(old.Fence)})
+		}
+	}
+	o.owned = now
+}
+
+// warmthOf names the warmth of an endpoint.
+func warmthOf(status scheduler.Status) string {
+	if status.Warmth.Cold {
+		return "cold"
+	}
+	return "warm"
+}
--- /dev/null
+++ b/core/observe/observer_test.go
@@ -0,0 +1,93 @@
+package observe
+
+import (
+	"testing"
+
+	"wisteriadyke/core/blackboard"
+	"wisteriadyke/core/declare"
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/scheduler"
+	"wisteriadyke/core/timeline"
+	"wisteriadyke/core/warmup"
+)
+
+// owned is the state of the endpoints that a test owns.
+type owned struct {
+	status []scheduler.Status
+}
+
+func (o *owned) Status() []scheduler.Status { return o.status }
+
+func TestObserverRecordsChangesOnce(t *testing.T) {
+	entry := fleet.Entry{ID: "b", Zone: "a", State: fleet.StateLive, Incarnation: 1}
+	tests := map[string]struct {
+		before func(*blackboard.Board, *owned)
+		change func(*blackboard.Board, *owned)
+		kind   timeline.Kind
+		reason string
+	}{
+		"configuration": {
+			change: func(b *blackboard.Board, _ *owned) {
+				b.Configuration.Set(blackboard.Only{}, declare.Configuration{Revision: 3})
+			},
+			kind: timeline.KindConfiguration,
+		},
+		"drain": {
+			change: func(b *blackboard.Board, _ *owned) {
+				b.Zones.Set("a", declare.ZoneState{Zone: "a", Revision: 1, Drained: true})
+			},
+			kind: timeline.KindZone, reason: reasonDrained,
+		},
+		"restore": {
+			before: func(b *blackboard.Board, _ *owned) {
+				b.Zones.Set("a", declare.ZoneState{Zone: "a", Revision: 1, Drained: true})
+			},
+			change: func(b *blackboard.Board, _ *owned) { b.Zones.Set("a", declare.ZoneState{Zone: "a", Revision: 2}) },
+			kind:   timeline.KindZone, reason: reasonRestored,
+		},
+		"entry joins": {
+			change: func(b *blackboard.Board, _ *owned) { b.Entries.Set("b", entry) },
+			kind:   timeline.KindMember, reason: reasonJoined,
+		},
+		"entry goes": {
+			before: func(b *blackboard.Board, _ *owned) { b.Entries.Set("b", entry) },
+			change: func(b *blackboard.Board, _ *owned) { b.Entries.Delete("b") },
+			kind:   timeline.KindMember, reason: reasonGone,
+		},
+		"endpoint owned": {
+			change: func(_ *blackboard.Board, o *owned) { o.status = []scheduler.Status{{Endpoint: "e", Fence: 1}} },
+			kind:   timeline.KindOwnershipTaken,
+		},
+		"endpoint given up": {
+			before: func(_ *blackboard.Board, o *owned) { o.status = []scheduler.Status{{Endpoint: "e", Fence: 1}} },
+			change: func(_ *blackboard.Board, o *owned) { o.status = nil },
+			kind:   timeline.KindOwnershipGiven,
+		},
+		"endpoint turns cold": {
+			before: func(_ *blackboard.Board, o *owned) { o.status = []scheduler.Status{{Endpoint: "e", Fence: 1}} },
+			change: func(_ *blackboard.Board, o *owned) {
+				o.status = []scheduler.Status{{Endpoint: "e", Fence: 1, Warmth: warmup.State{Cold: true}}}
+			},
+			kind: timeline.KindWarmth, reason: "cold",
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			board := &blackboard.Board{}
+			endpoints := &owned{}
+			o := &Observer{Board: board, Owned: endpoints, Timeline: &timeline.Recorder{Entry: "a"}}
+			if tc.before != nil {
+				tc.before(board, endpoints)
+			}
+			o.look()
+			seen := len(o.Timeline.Events(timeline.Filter{}))
+			tc.change(board, endpoints)
+			o.look()
+			o.look()
+			events := o.Timeline.Events(timeline.Filter{})[seen:]
+			if len(events) != 1 || events[0].Kind != tc.kind || events[0].Reason != tc.reason {
+				t.Errorf("recorded %+v, want one %s %q", events, tc.kind, tc.reason)
+			}
+		})
+	}
+}
--- a/core/timeline/event.go
+++ b/core/timeline/event.go
@@ -41,6 +41,8 @@
 	KindOwnershipTaken Kind = "ownership_taken"
 	// KindOwnershipGiven means that this entry owns an endpoint no more.
 	KindOwnershipGiven Kind = "ownership_given"
+	// KindWarmth means that an endpoint of this entry turned cold or warm.
+	KindWarmth Kind = "warmth"
 	// KindConfiguration means that a configuration came into force.
 	KindConfiguration Kind = "configuration"
 	// KindZone means that operators took an availability zone out or back.
--- a/entry/process.go
+++ b/entry/process.go
@@ -14,6 +14,7 @@
 	"wisteriadyke/core/blackboard"
 	"wisteriadyke/core/dispatch"
 	"wisteriadyke/core/idempotency"
+	"wisteriadyke/core/observe"
 	"wisteriadyke/core/placement"
 	"wisteriadyke/core/report"
 	"wisteriadyke/core/retry"
@@ -134,10 +135,15 @@
 		Listed: &p.board.Listed,
 		Log:    p.Log,
 	}
-	runs := []func(context.Context) error{poller.Run, p.pool.Run, p.operator.Run, p.notes.Run, p.once.Run, p.reporter.Run}
+	runs := []func(context.Context) error{poller.Run, p.pool.Run, p.operator.Run, p.notes.Run, p.once.Run, p.reporter.Run, p.observer().Run}
 	return append(runs, p.peers.controllers()...)
 }
 
+// observer returns the part that records changes in the time line.
+func (p *Process) observer() *observe.Observer {
+	return &observe.Observer{Board: p.board, Owned: p.pool, Timeline: p.timeline}
+}
+
 // serveCallers serves until ctx ends and finishes what has begun; it ends early when support does.
 func (p *Process) serveCallers(ctx, support context.Context) error {
 	serving, stopServing := context.WithCancel(support)
