--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -27,6 +27,8 @@
 	Spreader Spreader
 	// Claims answers claims of endpoints; nil means that they are not answered.
 	Claims Claims
+	// Reports takes what other owners tell; nil means that it is not taken.
+	Reports Reports
 	// Client passes probes on.
 	Client *Client
 }
@@ -65,6 +67,11 @@
 			return err
 		}
 	}
+	if s.Reports != nil {
+		if err := DRPCRegisterReport(mux, &reportHandler{reports: s.Reports}); err != nil {
+			return err
+		}
+	}
 	if s.Claims == nil {
 		return nil
 	}
