--- a/core/placement/placed.go
+++ b/core/placement/placed.go
@@ -22,7 +22,7 @@
 	at     time.Time
 	read   time.Duration
 	memory fleet.Tokens
-	long   bool
+	band   band
 }
 
 // add remembers a placement.
@@ -40,8 +40,9 @@
 	p.rows[id] = append(rows, row)
 }
 
-// since returns the predicted wait now and the memory placed since a report. Short requests don't wait for long ones.
-func (p *placed) since(row *row, long bool, now time.Time) (time.Duration, fleet.Tokens) {
+// since returns the predicted wait now and the memory placed since a report. A request waits for those of its own and
+// shorter bands.
+func (p *placed) since(row *row, band band, now time.Time) (time.Duration, fleet.Tokens) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	id, report := row.endpoint.ID, &row.report
@@ -54,12 +55,12 @@
 	} else {
 		p.rows[id] = rows
 	}
-	wait := report.wait(long, row.endpoint.Memory)
+	wait := report.wait(band == bandLong, row.endpoint.Memory)
 	last := report.MeasuredAt
 	var memory fleet.Tokens
 	for _, row := range rows {
 		memory += row.memory
-		if row.long && !long {
+		if row.band > band {
 			continue
 		}
 		wait = max(0, wait-row.at.Sub(last)) + row.read
--- a/core/placement/predicted.go
+++ b/core/placement/predicted.go
@@ -24,15 +24,31 @@
 	maxSample = 2*longSample + prefixSample
 )
 
+// band is the length band of a prompt; shorter ones are read first.
+type band int
+
+// The bands.
+const (
+	// bandQuick prompts are read ahead of all others.
+	bandQuick band = iota
+	// bandMedium prompts are read ahead of long ones.
+	bandMedium
+	// bandLong prompts share what the others leave.
+	bandLong
+)
+
+// DefaultQuickPrompt is the number of prompt tokens up to which a prompt is quick.
+const DefaultQuickPrompt fleet.Tokens = 4_000
+
 // DefaultLongPrompt is the number of prompt tokens above which a prompt is long.
 const DefaultLongPrompt fleet.Tokens = 32_000
 
 // Times that are weighed beside the predicted finish.
 const (
 	// remoteMargin is by how much another availability zone must be better, since what is known of it is older.
-	remoteMargin = 30 * time.Millisecond
+	remoteMargin = 100 * time.Millisecond
 	// silentTime is the age of its last report from which another availability zone is only the last resort.
-	silentTime = 5 * time.Second
+	silentTime = 3 * time.Second
 	// rampTime is the time in which a restored availability zone is given its whole share again.
 	rampTime = 30 * time.Second
 )
@@ -49,6 +65,8 @@
 type Predicted struct {
 	// Prefixes tells which endpoints may hold prefixes, or is nil.
 	Prefixes *Prefixes
+	// QuickPrompt is the number of prompt tokens up to which a prompt is quick; 0 stands for DefaultQuickPrompt.
+	QuickPrompt fleet.Tokens
 	// LongPrompt is the number of prompt tokens above which a prompt is long; 0 stands for DefaultLongPrompt.
 	LongPrompt fleet.Tokens
 	// Random returns a number below n; nil stands for that of the runtime.
@@ -68,6 +86,7 @@
 // decision is the state of one decision; it lives on the stack.
 type decision struct {
 	need    Need
+	band    band
 	long    bool
 	choices [maxSample]choice
 	count   int
@@ -86,7 +105,8 @@
 	if need.At.IsZero() {
 		need.At = time.Now()
 	}
-	d := decision{need: need, long: need.Prompt > cmp.Or(p.LongPrompt, DefaultLongPrompt)}
+	d := decision{need: need, band: p.bandOf(need.Prompt)}
+	d.long = d.band == bandLong
 	p.draw(&d, pool)
 	if d.count == 0 {
 		return nil
@@ -94,6 +114,18 @@
 	return p.order(&d)
 }
 
+// bandOf returns the band of a prompt length.
+func (p *Predicted) bandOf(prompt fleet.Tokens) band {
+	switch {
+	case prompt <= cmp.Or(p.QuickPrompt, DefaultQuickPrompt):
+		return bandQuick
+	case prompt <= cmp.Or(p.LongPrompt, DefaultLongPrompt):
+		return bandMedium
+	default:
+		return bandLong
+	}
+}
+
 // Cached returns the number of prompt tokens that an endpoint may hold already; it is a hint.
 func (p *Predicted) Cached(id fleet.EndpointID, need Need) fleet.Tokens {
 	return min(p.Prefixes.Cached(id, need.Prefixes), max(0, need.Prompt-1))
@@ -150,7 +182,7 @@
 	offset := p.random(len(pool.zones))
 	for i := range pool.zones {
 		z := pool.zones[(i+offset)%len(pool.zones)]
-		if !z.remote || z.silent(d.need.At) || !p.admits(z, d.need.At) {
+		if !z.remote || z.silent(d.need.At) || d.refusedIn(z) || !p.admits(z, d.need.At) {
 			continue
 		}
 		if best == nil || z.better(best, d.long, memory) {
@@ -160,6 +192,19 @@
 	return best
 }
 
+// refusedIn tells whether an endpoint of a zone has refused or failed the request, as all do that are cut off.
+func (d *decision) refusedIn(z *zone) bool {
+	if len(d.need.Excluded) == 0 {
+		return false
+	}
+	for i := range z.rows {
+		if d.need.Excluded[z.rows[i].endpoint.ID] {
+			return true
+		}
+	}
+	return false
+}
+
 // better tells whether the zone offers more to a request than another one.
 func (z *zone) better(other *zone, long bool, memory fleet.Tokens) bool {
 	a, b := z.aggregate(long), other.aggregate(long)
@@ -208,7 +253,7 @@
 // predict returns the predicted finish of a request on an endpoint.
 func (p *Predicted) predict(d *decision, row *row) choice {
 	report := &row.report
-	wait, memory := p.placed.since(row, d.long, d.need.At)
+	wait, memory := p.placed.since(row, d.band, d.need.At)
 	read := d.need.Prompt - p.Cached(row.endpoint.ID, d.need)
 	c := choice{row: row, fits: true}
 	c.read = seconds(float64(read) / cmp.Or(report.Prefill, defaultPrefill))
@@ -243,7 +288,7 @@
 		at:     d.need.At,
 		read:   choices[0].read,
 		memory: d.need.Prompt + d.need.Output,
-		long:   d.long,
+		band:   d.band,
 	})
 	return endpoints
 }
