--- a/core/scheduler/pump.go
+++ b/core/scheduler/pump.go
@@ -304,20 +304,37 @@
 }
 
 // longShare returns the share of reading that is left to the long prompts which are being read, by the weights of
-// their accounts among those that wait.
+// their accounts among those that wait, and more while the long account that waits was given less than the others.
 func (e *Endpoint) longShare() float64 {
-	reading := e.ledger.Total().ReadingLongWeight
-	waiting := e.queue.Weights()
 	if e.queue.ShortBacklog() <= 0 {
 		return e.Settings.LongShare
 	}
-	if i, _ := e.queue.Head(admission.Long); i == nil {
+	reading := e.ledger.Total().ReadingLongWeight
+	waiting := e.queue.Weights()
+	long, counter := e.queue.Head(admission.Long)
+	if long == nil {
 		waiting += reading
 	}
 	share := reading / max(waiting, reading, minWeight)
+	if long != nil && counter < e.shortCounter() {
+		share *= owedBoost
+	}
 	return min(max(share, e.Settings.LongShare), 1-e.Settings.LongShare)
 }
 
+// owedBoost raises the share of reading of a long account that was given less than the others.
+const owedBoost = 1.5
+
+// shortCounter returns the least work given to an account whose quick or medium items wait, or 0.
+func (e *Endpoint) shortCounter() float64 {
+	quick, least := e.queue.Head(admission.Quick)
+	medium, counter := e.queue.Head(admission.Medium)
+	if quick == nil || medium != nil && counter < least {
+		return counter
+	}
+	return least
+}
+
 // refill adds the reading that short requests may take beside long prompts.
 func (e *Endpoint) refill(now time.Time) {
 	elapsed := now.Sub(e.allowanceAt)
