--- /dev/null
+++ b/docs/capacity/cluster_test.go
@@ -0,0 +1,183 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"wisteriadyke/core/blackboard"
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/membership"
+	"wisteriadyke/core/ownership"
+	"wisteriadyke/core/report"
+	"wisteriadyke/core/scheduler"
+	"wisteriadyke/core/spread"
+	"wisteriadyke/core/timeline"
+	"wisteriadyke/io/peer"
+	"wisteriadyke/io/platform"
+)
+
+// stage tells how many parts of control run: each stage adds one to those before it.
+type stage int
+
+// The stages.
+const (
+	// stageMembership runs probes, gossip and the claims of endpoints.
+	stageMembership stage = iota
+	// stageSpread adds the spread of items: configuration, zone states, instance list, entries of zones.
+	stageSpread
+	// stageReports adds the reports of owned endpoints.
+	stageReports
+)
+
+// size is the size of a system.
+type size struct {
+	entries, endpoints, zones int
+}
+
+// node is one entry.
+type node struct {
+	entry  fleet.Entry
+	board  *blackboard.Board
+	store  *spread.Store
+	pool   *scheduler.Pool
+	client *peer.Client
+	runs   []func(context.Context) error
+	stop   context.CancelFunc
+}
+
+// cluster is a system whose entries run in one process.
+type cluster struct {
+	network  *network
+	platform *tables
+	nodes    []*node
+	group    errgroup.Group
+}
+
+// newCluster returns a system that does not run yet.
+func newCluster(s size, stage stage) *cluster {
+	c := &cluster{
+		network:  &network{listeners: make(map[netip.AddrPort]*listener)},
+		platform: &tables{rows: make(map[platform.RowKey]platform.Row)},
+	}
+	for i := range s.endpoints {
+		c.platform.instances = append(c.platform.instances, platform.Instance{
+			ID:      fmt.Sprintf("engine-%04d", i),
+			Kind:    fleet.KindEngine,
+			Pool:    fleet.PoolName(fmt.Sprintf("model-%02d", i%21)),
+			Zone:    zoneName(i % s.zones),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 9000),
+			State:   fleet.StateLive,
+			Memory:  400_000,
+		})
+	}
+	for i := range s.entries {
+		entry := fleet.Entry{
+			ID:      fleet.EntryID(fmt.Sprintf("entry-%03d", i)),
+			Zone:    zoneName(i % s.zones),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 8200),
+			State:   fleet.StateLive,
+		}
+		c.platform.instances = append(c.platform.instances, platform.Instance{
+			ID: string(entry.ID), Kind: platform.KindEntry, Zone: entry.Zone, Address: entry.Address, State: entry.State,
+		})
+		c.nodes = append(c.nodes, c.newNode(entry, stage, uint64(i)))
+	}
+	return c
+}
+
+// zoneName returns the name of a zone.
+func zoneName(i int) fleet.Zone { return fleet.Zone(fmt.Sprintf("zone-%02d", i)) }
+
+// newNode builds the control parts of one entry, as entry.Process does.
+func (c *cluster) newNode(entry fleet.Entry, stage stage, seed uint64) *node {
+	n := &node{
+		entry:  entry,
+		board:  &blackboard.Board{},
+		store:  &spread.Store{},
+		pool:   &scheduler.Pool{Entry: entry.ID},
+		client: peer.NewClient(),
+	}
+	n.client.Dial = c.network.dial
+	lease, clock := &membership.Lease{}, &timeline.Clock{}
+	members := &membership.Controller{
+		Entry: entry, Board: n.board, Transport: n.client, Lease: lease, Clock: clock,
+		Random: rand.New(rand.NewPCG(seed, 1)),
+	}
+	owner := &ownership.Controller{
+		Entry: entry.ID, Zone: entry.Zone, Board: n.board, Pool: n.pool, Lease: lease, Clock: clock, Transport: n.client,
+	}
+	spreader := &spread.Controller{
+		Entry: entry, Store: n.store, Board: n.board, Transport: n.client, Random: rand.New(rand.NewPCG(seed, 2)),
+	}
+	reporter := &report.Reporter{
+		Entry: entry.ID, Zone: entry.Zone, Board: n.board, Owned: n.pool, Transport: &peer.ReportTransport{Client: n.client},
+	}
+	poller := &platform.Poller{
+		Client: c.platform, Board: n.board, Entry: entry.ID, Zone: entry.Zone, Listed: &n.board.Listed,
+	}
+	directory := &peer.Directory{Entry: entry.ID, Zone: entry.Zone, Board: n.board, Store: n.store, Lease: lease}
+	server := &peer.Server{
+		Owner: n.pool, Prober: members, Spreader: spreader, Claims: owner, Reports: reporter, Client: n.client,
+	}
+	listener := c.network.listen(entry.Address)
+	n.runs = []func(context.Context) error{
+		func(ctx context.Context) error { return server.Serve(ctx, listener) },
+		poller.Run, members.Run, directory.Run, owner.Run, n.pool.Run,
+	}
+	if stage >= stageSpread {
+		poller.Spread = n.store
+		n.runs = append(n.runs, spreader.Run)
+	}
+	if stage >= stageReports {
+		n.runs = append(n.runs, reporter.Run)
+	}
+	return n
+}
+
+// run runs all entries while body runs.
+func (c *cluster) run(t *testing.T, body func()) {
+	t.Helper()
+	for _, n := range c.nodes {
+		ctx, stop := context.WithCancel(t.Context())
+		n.stop = stop
+		for _, run := range n.runs {
+			c.group.Go(func() error { return run(ctx) })
+		}
+	}
+	body()
+	for _, n := range c.nodes {
+		n.stop()
+		_ = n.client.Close()
+	}
+	if err := c.group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// until waits for a condition and returns how long that took.
+func until(limit time.Duration, condition func() bool) (time.Duration, bool) {
+	start := time.Now()
+	for !condition() {
+		if time.Since(start) > limit {
+			return limit, false
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return time.Since(start), true
+}
+
+// all tells whether a condition holds at every entry.
+func (c *cluster) all(condition func(n *node) bool) bool {
+	for _, n := range c.nodes {
+		if !condition(n) {
+			return false
+		}
+	}
+	return true
+}
