Let the settings rule the operator key, profiling, log level and balancer delay

A class's declared operation reaches the plain service, under which a claim's digest is made as well. go test ./core/dispatch ./io/caller ./cmd ./entry passed.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -13,9 +14,6 @@
 	"wisteriadyke/io/settings"
 )
 
-// balancerDelay is how long the balancer takes to send no new requests to an entry that is not ready.
-const balancerDelay = 2 * time.Second
-
 // newEntryCommand builds the command that runs one entry.
 func newEntryCommand() *cobra.Command {
 	var path string
@@ -30,10 +28,13 @@
 			}
 			ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
+			level, err := zerolog.ParseLevel(config.LogLevel)
+			if err != nil {
+				return inputErrorf("log_level: %v", err)
+			}
 			process := &entry.Process{
-				Settings:      config,
-				Log:           zerolog.New(c.ErrOrStderr()).With().Timestamp().Logger(),
-				BalancerDelay: balancerDelay,
+				Settings: config,
+				Log:      newLog(c.ErrOrStderr()).Level(level),
 			}
 			return process.Run(ctx)
 		},
@@ -42,3 +43,17 @@
 	_ = command.MarkFlagRequired("settings")
 	return command
 }
+
+// newLog returns a log for people if out is a terminal, else one of JSON lines.
+func newLog(out io.Writer) zerolog.Logger {
+	if file, ok := out.(*os.File); ok && isTerminal(file) {
+		out = zerolog.ConsoleWriter{Out: file, TimeFormat: time.TimeOnly}
+	}
+	return zerolog.New(out).With().Timestamp().Logger()
+}
+
+// isTerminal tells whether a file is a terminal.
+func isTerminal(file *os.File) bool {
+	info, err := file.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
--- a/core/dispatch/call.go
+++ b/core/dispatch/call.go
@@ -13,8 +13,10 @@
 	ID fleet.RequestID
 	// Account is the client account.
 	Account fleet.AccountID
-	// Class is the request class; the plain service knows it as the operation.
+	// Class is the request class.
 	Class fleet.ClassName
+	// Operation is what the plain service is asked to do.
+	Operation string
 	// Pool names the plain services that serve the class.
 	Pool fleet.PoolName
 	// AtMostOnce marks a call that may not be repeated.
--- a/core/dispatch/once.go
+++ b/core/dispatch/once.go
@@ -37,7 +37,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, call.FinishBy)
 	defer cancel()
-	digest := idempotency.DigestOf(string(call.Class), call.Body)
+	digest := idempotency.DigestOf(call.Operation, call.Body)
 	// An error of Do tells what the reason of its result tells as well.
 	result, _ := c.Once.Do(ctx, call.IdempotencyKey, digest, func(ctx context.Context) (idempotency.Answer, idempotency.SendOutcome) {
 		return sent(c.Next.Call(ctx, call))
--- a/entry/process.go
+++ b/entry/process.go
@@ -49,8 +49,6 @@
 	Settings settings.Entry
 	// Log takes the messages of all parts.
 	Log zerolog.Logger
-	// BalancerDelay is how long the balancer takes to send no new requests once the entry is not ready.
-	BalancerDelay time.Duration
 
 	board    *blackboard.Board
 	timeline *timeline.Recorder
@@ -117,10 +115,12 @@
 	}
 	p.buildPeers()
 	p.operator = &operator.Server{
-		Address:  p.Settings.OperatorAddress,
-		Status:   p.status,
-		Timeline: p.timeline,
-		Metrics:  p.metrics,
+		Address:   p.Settings.OperatorAddress,
+		KeyDigest: p.Settings.OperatorKeyDigest,
+		Profiling: p.Settings.Profiling,
+		Status:    p.status,
+		Timeline:  p.timeline,
+		Metrics:   p.metrics,
 	}
 }
 
@@ -194,7 +194,7 @@
 	p.operator.SetReady(false)
 	p.timeline.Record(timeline.Event{Kind: timeline.KindEntryStopping})
 	p.Log.Info().Msg("entry: shutting down gracefully")
-	timer := time.NewTimer(p.BalancerDelay)
+	timer := time.NewTimer(p.Settings.BalancerDelay)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/kataras/iris/v12"
 
+	"wisteriadyke/core/declare"
 	"wisteriadyke/core/dispatch"
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/idempotency"
@@ -55,6 +56,7 @@
 		ID:             fleet.RequestID(rand.Text()),
 		Account:        account.Name,
 		Class:          class.Name,
+		Operation:      operationOf(class),
 		Pool:           class.Pool,
 		AtMostOnce:     class.AtMostOnce,
 		IdempotencyKey: key,
@@ -68,3 +70,11 @@
 	}
 	_ = ctx.JSON(callAnswer{RequestID: call.ID, Result: result.Body, Repeated: result.Repeated})
 }
+
+// operationOf returns the operation of a class, which bears the name of the class unless another is declared.
+func operationOf(class declare.Class) string {
+	if class.Operation != "" {
+		return class.Operation
+	}
+	return string(class.Name)
+}
--- a/io/service/dispatch.go
+++ b/io/service/dispatch.go
@@ -27,7 +27,7 @@
 	}
 	answer, err := client.Call(ctx, Request{
 		Address:   endpoint.Address,
-		Operation: string(call.Class),
+		Operation: call.Operation,
 		CallID:    callID(call),
 		AttemptID: attempt,
 		Account:   call.Account,
