Report the start and the first token of an attempt to the owner at once

The owner counts a prompt as unread, and an idle endpoint as unconfirmed, until progress tells otherwise, but progress was only reported three times a lease, so that most short answers ended before the first report. Now the start (with the engine's incarnation) and the first token (with the time it took) are reported as they come. go test -race ./core/dispatch passed.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -38,8 +38,52 @@
 	grant    reservation.Grant
 	id       fleet.AttemptID
 
-	lastEvent atomic.Int64
-	reached   atomic.Int64
+	// news wakes the renewal when the owner should hear at once.
+	news chan struct{}
+
+	mu        sync.Mutex
+	progress  reservation.Progress
+	lastEvent time.Time
+}
+
+// newAttempt returns the next attempt of a request.
+func newAttempt(r *run, endpoint fleet.Endpoint, grant reservation.Grant) *attempt {
+	return &attempt{
+		run:      r,
+		endpoint: endpoint,
+		grant:    grant,
+		id:       r.attemptID(r.attempts),
+		news:     make(chan struct{}, 1),
+		progress: reservation.Progress{
+			Endpoint:    endpoint.ID,
+			Owner:       grant.Owner,
+			Reservation: grant.Reservation,
+			Generation:  grant.Generation,
+		},
+		lastEvent: time.Now(),
+	}
+}
+
+// note keeps what an event tells of the progress; urgent wakes the renewal.
+func (a *attempt) note(urgent bool, change func(*reservation.Progress)) {
+	a.mu.Lock()
+	change(&a.progress)
+	a.lastEvent = time.Now()
+	a.mu.Unlock()
+	if !urgent {
+		return
+	}
+	select {
+	case a.news <- struct{}{}:
+	default:
+	}
+}
+
+// noted returns the progress and when the last event came.
+func (a *attempt) noted() (reservation.Progress, time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.progress, a.lastEvent
 }
 
 // result is how an attempt ended.
@@ -54,7 +98,6 @@
 func (a *attempt) serve(ctx context.Context) result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a.lastEvent.Store(time.Now().UnixNano())
 	died, stop := a.Suspects.Watch(a.fingerprint)
 	defer stop()
 	var group errgroup.Group
@@ -97,10 +140,10 @@
 			res.release.Outcome = failedOutcome(err)
 			return res
 		}
-		a.lastEvent.Store(time.Now().UnixNano())
 		res.release.Incarnation = event.Incarnation
 		switch event.Kind {
 		case EventStarted:
+			a.note(true, func(p *reservation.Progress) { p.Incarnation = event.Incarnation })
 			a.record(timeline.Event{Kind: timeline.KindAttemptStarted, Attempt: a.id, Endpoint: a.endpoint.ID})
 		case EventToken:
 			if err := a.token(event, startedAt, &res); err != nil {
@@ -130,7 +173,8 @@
 		return errGap
 	}
 	now := time.Now()
-	if res.release.Generated == 0 {
+	first := res.release.Generated == 0
+	if first {
 		res.release.Read = a.request.PromptTokens - event.Cached
 		res.release.ReadTime = now.Sub(startedAt)
 		a.firstToken(now)
@@ -138,7 +182,13 @@
 	res.release.Generated++
 	res.release.GenerateTime = now.Sub(startedAt) - res.release.ReadTime
 	a.position = event.Position
-	a.reached.Store(int64(event.Position))
+	a.note(first, func(p *reservation.Progress) {
+		p.Incarnation = event.Incarnation
+		p.Started = true
+		p.Position = event.Position
+		p.Read = res.release.Read
+		p.ReadTime = res.release.ReadTime
+	})
 	if err := a.sink.Token(event.Position, event.Text); err != nil {
 		res.sinkErr = err
 		res.release.Outcome = reservation.OutcomeBroken
@@ -159,7 +209,7 @@
 	a.record(timeline.Event{Kind: timeline.KindFirstToken, Attempt: a.id, Endpoint: a.endpoint.ID, Took: took})
 }
 
-// renew reports progress to the owner until ctx ends; it ends the attempt when its reservation is gone, when it stalls
+// renew reports progress to the owner until ctx ends, at once when the attempt starts and with its first token; it ends the attempt when its reservation is gone, when it stalls
 // and when a copy of the request is found to crash endpoints.
 func (a *attempt) renew(ctx context.Context, died <-chan struct{}, end context.CancelCauseFunc) {
 	ticker := time.NewTicker(a.renewInterval())
@@ -171,20 +221,15 @@
 		case <-died:
 			end(errSuspected)
 			return
+		case <-a.news:
 		case <-ticker.C:
 		}
-		if a.stalled() {
+		progress, lastEvent := a.noted()
+		if progress.Started && time.Since(lastEvent) > stallTime {
 			end(errStalled)
 			return
 		}
-		err := a.Owners.Renew(ctx, reservation.Progress{
-			Endpoint:    a.endpoint.ID,
-			Owner:       a.grant.Owner,
-			Reservation: a.grant.Reservation,
-			Generation:  a.grant.Generation,
-			Started:     a.reached.Load() > 0,
-			Position:    fleet.Tokens(a.reached.Load()),
-		})
+		err := a.Owners.Renew(ctx, progress)
 		var refusal *reservation.Refusal
 		if errors.As(err, &refusal) && refusal.Reason == reservation.ReasonUnknown {
 			end(errLapsed)
@@ -202,12 +247,6 @@
 	return lease / renewalsPerLease
 }
 
-// stalled tells whether an answer that has begun stands still.
-func (a *attempt) stalled() bool {
-	silent := time.Since(time.Unix(0, a.lastEvent.Load()))
-	return a.reached.Load() > 0 && silent > stallTime
-}
-
 // cancelAtEngine ends the attempt at its engine and tells whether the engine confirmed it.
 func (a *attempt) cancelAtEngine(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -146,7 +146,7 @@
 	refusals []reservation.Reason
 	asked    []reservation.Request
 	released []reservation.Release
-	renewed  int
+	renewed  []reservation.Progress
 	lapse    bool
 }
 
@@ -160,11 +160,11 @@
 	return reservation.Grant{Endpoint: request.Endpoint, Reservation: "r", Generation: 1, Lease: 3 * time.Second}, nil
 }
 
-func (f *fakeOwners) Renew(context.Context, reservation.Progress) error {
+func (f *fakeOwners) Renew(_ context.Context, progress reservation.Progress) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.renewed++
-	if f.lapse {
+	f.renewed = append(f.renewed, progress)
+	if f.lapse && progress.Position == 2 {
 		f.lapse = false
 		return &reservation.Refusal{Reason: reservation.ReasonUnknown}
 	}
@@ -347,6 +347,24 @@
 	})
 }
 
+func TestOwnerHearsOfTheStartAndTheFirstTokenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owners := &fakeOwners{}
+		if err := fixture(&fakeEngines{script: []behavior{{}}}, owners).Generate(t.Context(), request(), &collector{}); err != nil {
+			t.Fatal(err)
+		}
+		if len(owners.renewed) < 2 {
+			t.Fatalf("%d renewals of an answer shorter than the lease, want 2", len(owners.renewed))
+		}
+		if start := owners.renewed[0]; start.Started || start.Incarnation != 1 {
+			t.Errorf("first renewal %+v, want the start with its incarnation", start)
+		}
+		if first := owners.renewed[1]; !first.Started || first.Position != 1 || first.ReadTime != 10*time.Millisecond {
+			t.Errorf("second renewal %+v, want the first token after 10ms", first)
+		}
+	})
+}
+
 func TestGenerateCallerGoneFreesTheEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		engines := &fakeEngines{script: []behavior{{}}}
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -211,7 +211,7 @@
 
 // try runs one granted attempt; done means that the answer is whole, an error that the request has ended.
 func (r *run) try(ctx context.Context, endpoint fleet.Endpoint, grant reservation.Grant) (done bool, err error) {
-	a := &attempt{run: r, endpoint: endpoint, grant: grant, id: r.attemptID(r.attempts)}
+	a := newAttempt(r, endpoint, grant)
 	result := a.serve(ctx)
 	a.release(ctx, result)
 	r.recordEnd(a, result)
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -108,6 +108,8 @@
 		Incarnation: uint64(p.Incarnation),
 		Started:     p.Started,
 		Position:    int64(p.Position),
+		ReadTokens:  int64(p.Read),
+		ReadTimeUs:  p.ReadTime.Microseconds(),
 	}
 }
 
@@ -120,6 +122,8 @@
 		Incarnation: fleet.Incarnation(m.Incarnation),
 		Started:     m.Started,
 		Position:    fleet.Tokens(m.Position),
+		Read:        fleet.Tokens(m.ReadTokens),
+		ReadTime:    microseconds(m.ReadTimeUs),
 	}
 }
 
