Pause a polling entry with an old instance list in its hands

Two mechanisms keep such an answer from bringing a leaving endpoint back: answers older than the bound of a poll are dropped, and a return counts only after three polls.

--- a/io/platform/deployment_test.go
+++ b/io/platform/deployment_test.go
@@ -46,6 +46,7 @@
 	entries  map[fleet.EntryID]*entry
 	cut      map[fleet.Zone]bool
 	barred   map[fleet.EntryID]bool
+	paused   map[fleet.EntryID]time.Duration
 	isolated map[fleet.Zone]bool
 	lateness float64
 	seen     map[uint64]float64
@@ -70,6 +71,7 @@
 		entries:   make(map[fleet.EntryID]*entry),
 		cut:       make(map[fleet.Zone]bool),
 		barred:    make(map[fleet.EntryID]bool),
+		paused:    make(map[fleet.EntryID]time.Duration),
 		isolated:  make(map[fleet.Zone]bool),
 		seen:      make(map[uint64]float64),
 	}
@@ -339,9 +341,19 @@
 	for _, instance := range l.instances.List() {
 		list = append(list, platform.Instance(instance))
 	}
+	l.sleep(l.store.Faults.Settings().Delay + l.takePause())
 	return list, nil
 }
 
+// takePause returns for how long the entry is paused with the next answer in its hands, once.
+func (l *link) takePause() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	pause := l.paused[l.entry]
+	delete(l.paused, l.entry)
+	return pause
+}
+
 // clientRows turns rows of the stand-in into those of the client.
 func clientRows(rows []standin.Row) []platform.Row {
 	converted := make([]platform.Row, len(rows))
--- a/io/platform/poller_test.go
+++ b/io/platform/poller_test.go
@@ -176,6 +176,32 @@
 	})
 }
 
+func TestPausedPollerBringsNoLeavingEndpointBack(t *testing.T) {
+	tests := map[string]time.Duration{"shorter than the bound of a poll": 4 * time.Second, "longer": 8 * time.Second}
+	for name, pause := range tests {
+		t.Run(name, func(t *testing.T) {
+			inDeployment(t, func(t *testing.T, d *deployment, _ platform.Reviser) {
+				d.store.Faults.Set(standin.FaultSettings{Delay: 200 * time.Millisecond})
+				id := d.pollerOf("a")
+				d.mu.Lock()
+				d.paused[id] = pause
+				d.mu.Unlock()
+				d.sleep(1500 * time.Millisecond)
+				d.instances.Put(standin.Instance{ID: "engine-0", Kind: fleet.KindEngine, Zone: "a", State: fleet.StateLeaving})
+				d.sleep(3500 * time.Millisecond)
+				for range 200 {
+					d.sleep(50 * time.Millisecond)
+					for _, e := range d.live() {
+						if state := e.board.Endpoints.View().Rows["engine-0"].State; e.zone == "a" && state != fleet.StateLeaving {
+							t.Fatalf("%s takes engine-0 for %q", e.id, state)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
 func TestBadRevisionIsRefusedAsAWhole(t *testing.T) {
 	tests := map[string]string{
 		"no JSON":       `"`,
