Let holders pause just before they send, and callers give up on them

Now some holders pause for up to four minutes between claim and send, and callers give up a second after their deadline.

--- a/io/platform/history_fakes_test.go
+++ b/io/platform/history_fakes_test.go
@@ -239,8 +239,11 @@
 	faults  func() float64
 }
 
-// send takes a call to the service and its answer back.
+// send takes a call to the service and its answer back; some holders pause just before they send.
 func (d *desk) send(ctx context.Context, g *gate, in step) (idempotency.Answer, idempotency.SendOutcome) {
+	if d.dice.chance(d.faults()) {
+		time.Sleep(d.dice.upTo(4 * time.Minute))
+	}
 	if !g.pass() || d.dice.chance(d.faults()) {
 		return idempotency.Answer{}, idempotency.SendNotSent
 	}
--- a/io/platform/history_world_test.go
+++ b/io/platform/history_world_test.go
@@ -172,23 +172,41 @@
 		})
 	}
 	call := w.history.begin()
+	told := make(chan seen, 1)
+	w.group.Go(func() error {
+		told <- w.ask(ctx, p, key, digest, in)
+		return nil
+	})
+	deadline, _ := ctx.Deadline()
 	out := seen{lost: true}
-	if p.gate.pass() {
-		result, _ := p.caller.Do(ctx, key, digest, func(ctx context.Context) (idempotency.Answer, idempotency.SendOutcome) {
-			return w.desk.send(ctx, p.gate, in)
-		})
-		out = seen{
-			state:          result.State,
-			earlierUnknown: result.EarlierUnknown,
-			repeated:       result.Repeated,
-			answer:         string(result.Answer.Body),
-		}
-		out.lost = !p.gate.pass() || leaves
+	select {
+	case out = <-told:
+		out.lost = out.lost || leaves
+	case <-time.After(time.Until(deadline) + time.Second):
 	}
 	w.history.end(call, in, out)
 	return out
 }
 
+// ask calls an entry and returns what it says, if it lives to say it.
+func (w *world) ask(
+	ctx context.Context, p *process, key idempotency.Key, digest idempotency.Digest, in step,
+) seen {
+	if !p.gate.pass() {
+		return seen{lost: true}
+	}
+	result, _ := p.caller.Do(ctx, key, digest, func(ctx context.Context) (idempotency.Answer, idempotency.SendOutcome) {
+		return w.desk.send(ctx, p.gate, in)
+	})
+	return seen{
+		state:          result.State,
+		earlierUnknown: result.EarlierUnknown,
+		repeated:       result.Repeated,
+		answer:         string(result.Answer.Body),
+		lost:           !p.gate.pass(),
+	}
+}
+
 // callerOf sends the requests of one key, one after another or at once.
 func (w *world) callerOf(account int) {
 	time.Sleep(w.dice.upTo(scheduleTime / 2))
