Keep a running attempt over two changes of the owner, and while its prompt is read

Ruled out: the two confirmations and the grace, which were kept. Causes: a handover by an owner that itself still learned what the endpoint runs dropped that state, and an adopted attempt whose prompt was still read counted as started, so that its lease could not be renewed. A handover now tells of the resynchronisation, and an adopted reading has a bound by its memory.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -14,6 +14,8 @@
 type Ledger struct {
 	// Settings bounds how long memory can stay reserved without use.
 	Settings Settings
+	// ReadBound returns how long the reading of a prompt that a former owner has granted may go on, by its memory.
+	ReadBound func(memory fleet.Tokens) time.Duration
 
 	incarnation fleet.Incarnation
 	rows        map[Key]*Reservation
@@ -21,7 +23,7 @@
 	strays      map[strayID]*Stray
 	released    map[Key]time.Time
 	order       []Key
-	claims      map[Key]time.Time
+	claims      map[Key]claim
 	total       Total
 	strayed     fleet.Tokens
 	listed      int
@@ -37,7 +39,7 @@
 		rows:     make(map[Key]*Reservation),
 		strays:   make(map[strayID]*Stray),
 		released: make(map[Key]time.Time),
-		claims:   make(map[Key]time.Time),
+		claims:   make(map[Key]claim),
 	}
 }
 
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -129,6 +129,17 @@
 			},
 			want: 100,
 		},
+		"a former owner's reading is adopted by its progress": {
+			steps: func(l *Ledger) {
+				l.ReadBound = func(fleet.Tokens) time.Duration { return time.Minute }
+				l.Renew(at(1), Progress{Key: key(9)})
+				l.Observe(at(2), at(2), listing(9))
+				l.Renew(at(6), Progress{Key: key(9)})
+				l.Expire(at(12))
+				l.Confirm(at(13), attemptOf(9))
+			},
+			want: 100,
+		},
 		"a former owner's attempt is adopted by its progress": {
 			steps: func(l *Ledger) {
 				l.Observe(at(1), at(1), listing(9))
--- a/core/ledger/reclaim.go
+++ b/core/ledger/reclaim.go
@@ -106,11 +106,12 @@
 	if row := l.rows[attempt.Key]; row != nil {
 		return row
 	}
-	if _, claimed := l.claims[attempt.Key]; !claimed {
+	claim, claimed := l.claims[attempt.Key]
+	if !claimed {
 		return nil
 	}
 	delete(l.claims, attempt.Key)
-	return l.admit(now, attempt.ID, attempt.Key, attempt.Memory)
+	return l.admit(now, attempt.ID, attempt.Memory, claim.progress)
 }
 
 // runs tells whether an attempt has a reservation.
@@ -169,8 +170,8 @@
 			l.dropStray(id)
 		}
 	}
-	for key, at := range l.claims {
-		if now.Sub(at) > releasedMemory {
+	for key, claim := range l.claims {
+		if now.Sub(claim.at) > releasedMemory {
 			delete(l.claims, key)
 		}
 	}
@@ -216,22 +217,35 @@
 	for id, stray := range l.strays {
 		if stray.Key == p.Key && id.attempt != "" {
 			l.dropStray(id)
-			return l.admit(now, id.attempt, p.Key, stray.Memory)
+			return l.admit(now, id.attempt, stray.Memory, p)
 		}
 	}
-	l.claims[p.Key] = now
+	l.claims[p.Key] = claim{at: now, progress: p}
 	return nil
 }
 
-// admit adds a reservation that a former owner has granted.
-func (l *Ledger) admit(now time.Time, attempt fleet.AttemptID, key Key, memory fleet.Tokens) *Reservation {
-	row := &Reservation{Key: key, Attempt: attempt, Output: memory, StartedAt: now, Incarnation: l.incarnation}
+// admit adds a reservation that a former owner has granted; its prompt may still be read.
+func (l *Ledger) admit(now time.Time, attempt fleet.AttemptID, memory fleet.Tokens, p Progress) *Reservation {
+	row := &Reservation{Key: p.Key, Attempt: attempt, Output: memory, Position: p.Position, Incarnation: l.incarnation}
 	row.GrantedAt = now
 	row.ExpiresAt = now.Add(l.Settings.Lease)
+	if p.Started {
+		row.StartedAt = now
+	} else if l.ReadBound != nil {
+		row.ReadBy = now.Add(l.ReadBound(memory))
+	}
 	l.insert(row)
 	return row
 }
 
+// claim is progress of an attempt that no listing has shown yet.
+type claim struct {
+	// at is when it came.
+	at time.Time
+	// progress is what was told.
+	progress Progress
+}
+
 // putStray counts unexplained memory as used.
 func (l *Ledger) putStray(stray *Stray) {
 	id := strayID{attempt: stray.Attempt, handle: stray.Handle}
--- a/core/scheduler/endpoint.go
+++ b/core/scheduler/endpoint.go
@@ -67,7 +67,7 @@
 	if handover != nil {
 		e.restore(handover)
 	}
-	if handover == nil || takeover.Resync {
+	if handover == nil || takeover.Resync || handover.Resyncing {
 		e.resync(now)
 	}
 }
@@ -75,6 +75,9 @@
 // prepare builds the empty account.
 func (e *Endpoint) prepare(now time.Time, endpoint fleet.Endpoint) {
 	e.ledger = ledger.New(e.Settings.Ledger)
+	e.ledger.ReadBound = func(memory fleet.Tokens) time.Duration {
+		return readBound*e.warmth.Present().ReadTime(memory) + e.Settings.Ledger.Lease
+	}
 	e.queue = admission.NewQueue(e.Settings.Credit, e.Settings.MaxQueue, e.Settings.MaxAccountQueue)
 	e.items = make(map[Ticket]*admission.Item)
 	e.warmth = warmup.Estimator{Settings: e.Settings.Warmup, Memory: endpoint.Memory}
@@ -142,6 +145,7 @@
 		Endpoint:     e.endpoint.ID,
 		Fence:        e.fence,
 		Generation:   e.generation,
+		Resyncing:    e.resyncing,
 		Granted:      e.granted,
 		Reservations: e.ledger.Reservations(),
 		Strays:       e.ledger.Strays(),
--- a/core/scheduler/simulation_test.go
+++ b/core/scheduler/simulation_test.go
@@ -213,6 +213,7 @@
 	for _, attempt := range reclaim.Attempts {
 		s.engine.remove(attempt)
 		if o := s.running[attempt]; o != nil {
+			s.t.Errorf("at %s: %s is reclaimed while its entry runs it", s.now, attempt)
 			o.ended = s.now
 			delete(s.running, attempt)
 		}
--- a/core/scheduler/takeover.go
+++ b/core/scheduler/takeover.go
@@ -12,6 +12,8 @@
 	Endpoint fleet.EndpointID
 	// Fence is the fencing number of the owner that gives it up.
 	Fence fleet.Fence
+	// Resyncing tells that its owner still learned what the endpoint runs.
+	Resyncing bool
 	// Generation is the last one granted.
 	Generation fleet.Generation
 	// Granted is the number of prompt tokens granted so far by priority at the endpoint, in steps of priorityStep.
