--- a/core/scheduler/pump.go
+++ b/core/scheduler/pump.go
@@ -12,8 +12,9 @@
 // allowanceStep is the time after which an empty allowance of reading is looked at again.
 const allowanceStep = 10 * time.Millisecond
 
-// readBound is the number of times of the predicted reading in which a reservation may be renewed without a token.
-const readBound = 4
+// readBound is the number of times of the predicted reading in which a reservation may be renewed without a token; a
+// long prompt may be left a tenth of the reading.
+const readBound = 10
 
 // pump brings the account up to now and decides on what waits.
 func (e *Endpoint) pump(now time.Time) {
