Give an idle endpoint no more than a cold one until its first answer

Cause: TestEngineTurnedColdDoesNotDie lost an engine to overload in about one run of six. Its time line showed an engine that died while idle: no attempt broke, the owner took it for warm, and three grants within 130 ms overloaded the new life (it bears two).

Now an endpoint on which no attempt has been answered in its present life is given as many grants as a cold one until the first answer tells its life, or 250 ms have passed. Seen failing first: without the check the test grants 6 of 6 requests before any answer, want 1.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -63,6 +63,31 @@
 	return l.total
 }
 
+// Confirmed tells whether any attempt in force was answered by the present life of the endpoint; a death would break it.
+func (l *Ledger) Confirmed() bool {
+	for _, r := range l.rows {
+		if !r.Held && r.Incarnation != 0 && r.Incarnation == l.incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// Unconfirmed returns how many attempts in force were granted after since and have not been answered, and when
+// the first of them was granted.
+func (l *Ledger) Unconfirmed(since time.Time) (count int, oldest time.Time) {
+	for _, r := range l.rows {
+		if r.Held || r.Incarnation != 0 || !r.GrantedAt.After(since) {
+			continue
+		}
+		count++
+		if oldest.IsZero() || r.GrantedAt.Before(oldest) {
+			oldest = r.GrantedAt
+		}
+	}
+	return count, oldest
+}
+
 // Get returns a reservation, or nil.
 func (l *Ledger) Get(key Key) *Reservation {
 	return l.rows[key]
--- a/core/scheduler/endpoint.go
+++ b/core/scheduler/endpoint.go
@@ -51,6 +51,8 @@
 	throughput  throughput
 	sweptAt     time.Time
 	random      *rand.Rand
+	// provenBy is when an idle endpoint is given more although no grant has been answered, or zero.
+	provenBy time.Time
 }
 
 // Start begins to own the endpoint, or to own it again under a larger fencing number. Generations count on from the
@@ -205,6 +207,9 @@
 	if e.queue.Len() > 0 && e.allowance <= 0 {
 		wake = earlier(wake, e.allowanceAt.Add(allowanceStep))
 	}
+	if e.queue.Len() > 0 {
+		wake = earlier(wake, e.provenBy)
+	}
 	if e.ledger.Attempts() == 0 {
 		wake = earlier(wake, e.warmth.NextIdle())
 	}
--- a/core/scheduler/pump.go
+++ b/core/scheduler/pump.go
@@ -22,6 +22,7 @@
 	e.warmth.Idle(now, e.ledger.Attempts() == 0)
 	e.endResync(now)
 	e.refill(now)
+	e.provenBy = time.Time{}
 	if refusal := e.closed(); refusal != "" {
 		e.refuseAll(refusal)
 		return
@@ -185,6 +186,8 @@
 		return needsTurn
 	case e.unlisted():
 		return needsTurn
+	case e.unproven(now):
+		return needsTurn
 	case i.Band == admission.Exclusive:
 		return fitsNow
 	case i.Band == admission.Long:
@@ -194,6 +197,20 @@
 	}
 }
 
+// unproven tells whether as many grants as a cold endpoint bears wait for a first answer while nothing else runs. An
+// idle endpoint may have turned cold without anybody seeing it; the first answer tells its life.
+func (e *Endpoint) unproven(now time.Time) bool {
+	if e.ledger.Confirmed() {
+		return false
+	}
+	count, oldest := e.ledger.Unconfirmed(now.Add(-e.Settings.ConfirmWithin))
+	if count < e.Settings.Warmup.Attempts {
+		return false
+	}
+	e.provenBy = oldest.Add(e.Settings.ConfirmWithin)
+	return true
+}
+
 // fitsLong tells whether a long item can be granted now.
 func (e *Endpoint) fitsLong(i *admission.Item, total ledger.Total) verdict {
 	slots := e.longSlots()
--- a/core/scheduler/settings.go
+++ b/core/scheduler/settings.go
@@ -41,6 +41,9 @@
 	MaxAccountQueue int
 	// Credit is the work that an account which comes back may be given ahead of others, for each unit of weight.
 	Credit float64
+	// ConfirmWithin is how long an idle endpoint is given no more than a cold one bears while none of its grants has
+	// been answered.
+	ConfirmWithin time.Duration
 	// SweepEvery is the time between listings.
 	SweepEvery time.Duration
 	// UrgentSweepEvery is the time between listings while memory is held or the endpoint's life is in doubt.
@@ -65,6 +68,7 @@
 		MaxQueue:         4096,
 		MaxAccountQueue:  256,
 		Credit:           20_000,
+		ConfirmWithin:    250 * time.Millisecond,
 		SweepEvery:       2 * time.Second,
 		UrgentSweepEvery: 500 * time.Millisecond,
 	}
--- /dev/null
+++ b/core/scheduler/unproven_test.go
@@ -0,0 +1,74 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/reservation"
+)
+
+// warmEndpoint returns an idle endpoint that has proven warm in its first life.
+func warmEndpoint(now time.Time) *Endpoint {
+	e := &Endpoint{Entry: "owner", Settings: DefaultSettings()}
+	e.Start(now, fleet.Endpoint{ID: "e", Memory: 400_000, State: fleet.StateLive}, 1, Takeover{Handover: &Handover{}})
+	e.warmth.State.Cold = false
+	e.warmth.State.Incarnation = 1
+	e.warmth.State.Pace = e.Settings.Warmup.Guess
+	e.ledger.Reincarnate(now, 1)
+	return e
+}
+
+func TestIdleEndpointIsProvenByItsFirstAnswer(t *testing.T) {
+	const offers = 6
+	tests := map[string]struct {
+		answer fleet.Incarnation
+		wait   time.Duration
+		want   int
+	}{
+		"no answer yet":             {want: 1},
+		"same life":                 {answer: 1, want: offers},
+		"another life, cold":        {answer: 2, want: 1},
+		"no answer within the time": {wait: DefaultSettings().ConfirmWithin + time.Millisecond, want: 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			e := warmEndpoint(now)
+			for i := range offers {
+				_, refusal := e.Offer(now, reservation.Request{
+					Endpoint: "e", Request: fleet.RequestID(fmt.Sprint(i)), Attempt: fleet.AttemptID(fmt.Sprint(i)),
+					Account: "c", Weight: 1, Prompt: 100, Output: 10,
+					StartBy: now.Add(time.Minute), FinishBy: now.Add(time.Minute),
+				})
+				if refusal != nil {
+					t.Fatal(refusal)
+				}
+			}
+			granted := slices.Clone(e.Advance(now))
+			if tc.answer != 0 {
+				now = now.Add(time.Millisecond)
+				first := granted[0].Grant
+				e.Renew(now, reservation.Progress{Endpoint: "e", Reservation: first.Reservation, Generation: first.Generation, Incarnation: tc.answer})
+			}
+			if tc.wait != 0 {
+				if wake := e.NextWake(); wake.After(now.Add(tc.wait)) {
+					t.Errorf("next wake at %s, want within %s", wake, tc.wait)
+				}
+				now = now.Add(tc.wait)
+			}
+			granted = append(granted, e.Advance(now)...)
+			grants := 0
+			for _, decision := range granted {
+				if decision.Refusal == nil {
+					grants++
+				}
+			}
+			if grants != tc.want {
+				t.Errorf("%d grants, want %d", grants, tc.want)
+			}
+		})
+	}
+}
