--- a/core/scheduler/unproven_test.go
+++ b/core/scheduler/unproven_test.go
@@ -51,7 +51,10 @@
 			if tc.answer != 0 {
 				now = now.Add(time.Millisecond)
 				first := granted[0].Grant
-				e.Renew(now, reservation.Progress{Endpoint: "e", Reservation: first.Reservation, Generation: first.Generation, Incarnation: tc.answer})
+				progress := reservation.Progress{Endpoint: "e", Reservation: first.Reservation, Generation: first.Generation, Incarnation: tc.answer}
+				if refusal := e.Renew(now, progress); refusal != nil {
+					t.Errorf("renewal with life %d: %v", tc.answer, refusal)
+				}
 			}
 			if tc.wait != 0 {
 				if wake := e.NextWake(); wake.After(now.Add(tc.wait)) {
