--- a/core/observe/observer.go
+++ b/core/observe/observer.go
@@ -5,6 +5,8 @@
 	"context"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
+
 	"wisteriadyke/core/blackboard"
 	"wisteriadyke/core/declare"
 	"wisteriadyke/core/fleet"
@@ -38,6 +40,8 @@
 	Owned Owned
 	// Timeline takes the events.
 	Timeline *timeline.Recorder
+	// Metrics takes the gauges.
+	Metrics metrics.Registry
 
 	revision uint64
 	zones    map[fleet.Zone]declare.ZoneState
@@ -65,6 +69,32 @@
 	o.lookAtZones()
 	o.lookAtEntries()
 	o.lookAtOwned()
+	o.measure()
+}
+
+// measure sets the gauges of what this entry owns and knows.
+func (o *Observer) measure() {
+	var running, queue, cold, used int64
+	for _, status := range o.owned {
+		running += int64(status.Running)
+		queue += int64(status.Queue)
+		used += int64(status.Used)
+		if status.Warmth.Cold {
+			cold++
+		}
+	}
+	o.gauge("scheduler.endpoints", int64(len(o.owned)))
+	o.gauge("scheduler.running", running)
+	o.gauge("scheduler.queue", queue)
+	o.gauge("scheduler.used_tokens", used)
+	o.gauge("scheduler.cold_endpoints", cold)
+	o.gauge("membership.entries", int64(len(o.entries)))
+	o.gauge("configuration.revision", int64(o.revision))
+}
+
+// gauge sets one gauge.
+func (o *Observer) gauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, o.Metrics).Update(value)
 }
 
 // lookAtConfiguration records a new revision.
--- a/core/observe/observer_test.go
+++ b/core/observe/observer_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	metrics "github.com/rcrowley/go-metrics"
+
 	"wisteriadyke/core/blackboard"
 	"wisteriadyke/core/declare"
 	"wisteriadyke/core/fleet"
@@ -75,7 +77,7 @@
 		t.Run(name, func(t *testing.T) {
 			board := &blackboard.Board{}
 			endpoints := &owned{}
-			o := &Observer{Board: board, Owned: endpoints, Timeline: &timeline.Recorder{Entry: "a"}}
+			o := &Observer{Board: board, Owned: endpoints, Timeline: &timeline.Recorder{Entry: "a"}, Metrics: metrics.NewRegistry()}
 			if tc.before != nil {
 				tc.before(board, endpoints)
 			}
--- a/core/ownership/controller.go
+++ b/core/ownership/controller.go
@@ -269,12 +269,13 @@
 	return view
 }
 
-// endpoints returns the endpoints of the zone; all are leaving while the zone is drained.
+// endpoints returns the model engines of the zone; all are leaving while the zone is drained. Plain services have no
+// memory to keep an account of and need no owner.
 func (c *Controller) endpoints() map[fleet.EndpointID]fleet.Endpoint {
 	zone, _ := c.Board.Zones.Get(c.Zone)
 	endpoints := make(map[fleet.EndpointID]fleet.Endpoint)
 	for id, endpoint := range c.Board.Endpoints.View().Rows {
-		if endpoint.Zone != c.Zone {
+		if endpoint.Zone != c.Zone || endpoint.Kind == fleet.KindService {
 			continue
 		}
 		if zone.Drained {
--- a/entry/process.go
+++ b/entry/process.go
@@ -141,7 +141,7 @@
 
 // observer returns the part that records changes in the time line.
 func (p *Process) observer() *observe.Observer {
-	return &observe.Observer{Board: p.board, Owned: p.pool, Timeline: p.timeline}
+	return &observe.Observer{Board: p.board, Owned: p.pool, Timeline: p.timeline, Metrics: p.metrics}
 }
 
 // serveCallers serves until ctx ends and finishes what has begun; it ends early when support does.
--- a/entry/status.go
+++ b/entry/status.go
@@ -67,7 +67,9 @@
 			Pool:     endpoint.Pool,
 			State:    endpoint.State,
 			Memory:   endpoint.Memory,
-			Owner:    ownership.Rendezvous(endpoint, entries),
+		}
+		if endpoint.Kind == fleet.KindEngine {
+			row.Owner = ownership.Rendezvous(endpoint, entries)
 		}
 		if s, ok := owned[id]; ok {
 			row = withAccount(row, s)
