Give the at-most-once histories a test program of their own

Ruled out: a data race (none was reported), and one test at fault: alone, the at-most-once tests passed 6 of 6 runs and TestConfigurationHistories 1 of 1. The load on the detector of both in one process is the likely cause; that is not proved.

No test is changed but for its place.

--- a/io/platform/claims_process_test.go
+++ b/io/platform/claimtest/claims_process_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package claimtest
 
 import (
 	"bufio"
