--- a/core/bench/figures_test.go
+++ b/core/bench/figures_test.go
@@ -135,6 +135,17 @@
 	return count
 }
 
+// deaths counts the engines that died of more than they bear in a cold start.
+func (m merged) deaths() int {
+	count := 0
+	for _, s := range m {
+		for _, b := range s.backends {
+			count += b.model.Stats().OverloadDeaths
+		}
+	}
+	return count
+}
+
 // goodput returns the mean of the simulations.
 func (m merged) goodput(from, to time.Duration) float64 {
 	var sum float64
--- a/core/bench/policy_benchmark_test.go
+++ b/core/bench/policy_benchmark_test.go
@@ -134,6 +134,7 @@
 					b.ReportMetric(quantile(m.waits(remaining(part)), 0.95), part.name+"_short_ttft_p95_s")
 				}
 				b.ReportMetric(float64(m.count(failed)), "failed")
+				b.ReportMetric(float64(m.deaths()), "engine_deaths")
 				b.ReportMetric(0, "ns/op")
 			}
 		})
