Place prompts where their prefix may be cached

Each entry asks the engines of its zone for their cache events in turn, four a second, so that the cost does not grow with the fleet but the hint gets older with it. The owner is told how much may be cached; memory is reserved for the whole prompt all the same. go test -race ./io/engine ./core/dispatch ./entry passed.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -37,6 +37,12 @@
 	View() placement.View
 }
 
+// cacheHint is a placement policy that tells how much of a prompt an endpoint may hold already.
+type cacheHint interface {
+	// Cached returns the number of leading prompt tokens that the endpoint may hold; it is a hint.
+	Cached(id fleet.EndpointID, need placement.Need) fleet.Tokens
+}
+
 // Dispatcher serves model requests. It reads the entries of the blackboard and writes nothing there.
 type Dispatcher struct {
 	// Board holds the live entries.
@@ -53,6 +59,8 @@
 	Engines Engines
 	// Placement orders the endpoints.
 	Placement placement.Policy
+	// Prefixes returns the prefixes of a prompt that engines may hold, the shortest first; nil tells of none.
+	Prefixes func(prompt string) []placement.Prefix
 	// Budget bounds retries.
 	Budget *retry.Budget
 	// Suspects knows the requests that may crash endpoints.
@@ -77,6 +85,9 @@
 		excluded:    make(map[fleet.EndpointID]bool),
 		arrivedAt:   time.Now(),
 	}
+	if d.Prefixes != nil {
+		r.prefixes = d.Prefixes(request.Prompt)
+	}
 	r.record(timeline.Event{Kind: timeline.KindRequestArrived, Tokens: request.PromptTokens})
 	err := r.serve(ctx)
 	if r.onTrial {
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -37,6 +37,7 @@
 	request     Request
 	sink        Sink
 	fingerprint retry.Fingerprint
+	prefixes    []placement.Prefix
 	excluded    map[fleet.EndpointID]bool
 	arrivedAt   time.Time
 	attempts    int
@@ -98,17 +99,32 @@
 
 // next returns the best endpoint that is not excluded.
 func (r *run) next() (fleet.Endpoint, bool) {
-	candidates := r.Placement.Candidates(r.Views.View(), placement.Need{
+	candidates := r.Placement.Candidates(r.Views.View(), r.need())
+	if len(candidates) == 0 {
+		return fleet.Endpoint{}, false
+	}
+	return candidates[0], true
+}
+
+// need is what the request asks of an endpoint.
+func (r *run) need() placement.Need {
+	return placement.Need{
 		Pool:     r.request.Pool,
 		Account:  r.request.Account,
 		Prompt:   r.request.PromptTokens,
 		Output:   r.request.MaxTokens,
+		Prefixes: r.prefixes,
 		Excluded: r.excluded,
-	})
-	if len(candidates) == 0 {
-		return fleet.Endpoint{}, false
 	}
-	return candidates[0], true
+}
+
+// cached returns how much of the prompt an endpoint may hold already.
+func (r *run) cached(endpoint fleet.Endpoint) fleet.Tokens {
+	hint, ok := r.Placement.(cacheHint)
+	if !ok {
+		return 0
+	}
+	return hint.Cached(endpoint.ID, r.need())
 }
 
 // reserve asks the owner of the endpoint for the next attempt.
@@ -125,6 +141,7 @@
 		Priority:  r.request.Priority,
 		Prompt:    r.request.PromptTokens,
 		Output:    r.request.MaxTokens,
+		Cached:    r.cached(endpoint),
 		StartBy:   r.startBy(),
 		FinishBy:  r.request.FinishBy,
 		Exclusive: exclusive,
--- a/entry/process.go
+++ b/entry/process.go
@@ -62,6 +62,7 @@
 	client   *peer.Client
 	peers    peers
 	viewer   *report.Viewer
+	prefixes *placement.Prefixes
 	reporter *report.Reporter
 	engines  *engine.Engines
 	operator *operator.Server
@@ -105,6 +106,7 @@
 	p.engines = &engine.Engines{HTTP: &http.Client{Transport: engine.NewTransport()}}
 	p.pool = &scheduler.Pool{Entry: p.Settings.Entry, Lister: p.engines}
 	p.client = peer.NewClient()
+	p.prefixes = &placement.Prefixes{}
 	p.viewer = &report.Viewer{Board: p.board, Zone: p.Settings.Zone}
 	p.reporter = &report.Reporter{
 		Entry:     p.Settings.Entry,
@@ -135,7 +137,7 @@
 		Listed: &p.board.Listed,
 		Log:    p.Log,
 	}
-	runs := []func(context.Context) error{poller.Run, p.pool.Run, p.operator.Run, p.notes.Run, p.once.Run, p.reporter.Run, p.observer().Run}
+	runs := []func(context.Context) error{poller.Run, p.pool.Run, p.operator.Run, p.notes.Run, p.once.Run, p.reporter.Run, p.observer().Run, p.cachePoller().Run}
 	return append(runs, p.peers.controllers()...)
 }
 
@@ -144,6 +146,11 @@
 	return &observe.Observer{Board: p.board, Owned: p.pool, Timeline: p.timeline, Metrics: p.metrics}
 }
 
+// cachePoller returns the part that learns what the engines of the zone may hold.
+func (p *Process) cachePoller() *engine.CachePoller {
+	return &engine.CachePoller{Board: p.board, Zone: p.Settings.Zone, Prefixes: p.prefixes, HTTP: p.engines.HTTP}
+}
+
 // serveCallers serves until ctx ends and finishes what has begun; it ends early when support does.
 func (p *Process) serveCallers(ctx, support context.Context) error {
 	serving, stopServing := context.WithCancel(support)
@@ -204,7 +211,7 @@
 
 // callers returns the server of callers.
 func (p *Process) callers() *caller.Server {
-	policy := &placement.Predicted{}
+	policy := &placement.Predicted{Prefixes: p.prefixes}
 	return &caller.Server{
 		Address: p.Settings.CallerAddress,
 		Entry:   p.Settings.Entry,
@@ -219,6 +226,7 @@
 				Owners:    &peer.Owners{Board: p.board, Entry: p.Settings.Entry, Local: p.peers.gate, Client: p.client},
 				Engines:   p.engines,
 				Placement: policy,
+				Prefixes:  engine.PlacementPrefixes,
 				Budget:    &retry.Budget{Ratio: retryRatio, Burst: retryBurst},
 				Suspects:  p.suspects,
 				Timeline:  p.timeline,
