Run the tests of configuration in bubbles on one processor

go test -race ./io/platform crashed in the race detector itself (tsan_rtl.cpp CHECK failed, once a SIGSEGV in maybeRunChan): 3 of 3 runs of the package and 1 of 3 of TestConfigurationHistories alone, on a busy machine. No data race was reported. The runtime runs the timers of a synctest bubble with one context of the race detector on whichever thread comes first, so two timers that are due at once on two threads break it. Avoiding timers of no length was tried and ruled out: 1 of 3 runs still crashed. What the tests check is unchanged.

Not run afterwards: the whole package.

--- a/io/platform/configuration_history_test.go
+++ b/io/platform/configuration_history_test.go
@@ -55,6 +55,7 @@
 }
 
 func TestConfigurationHistories(t *testing.T) {
+	onOneProcessor(t)
 	first, count := seedRange(t)
 	var total tallies
 	for seed := first; seed < first+count; seed++ {
--- a/io/platform/deployment_test.go
+++ b/io/platform/deployment_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"sync"
 	"testing"
@@ -87,6 +88,16 @@
 	return d
 }
 
+// onOneProcessor runs the rest of a test on one processor.
+//
+// The runtime of Go 1.26 runs the timers of a synctest bubble on several threads with one context of the race detector,
+// which crashes it now and then when two of them are due at once.
+func onOneProcessor(t *testing.T) {
+	t.Helper()
+	before := runtime.GOMAXPROCS(1)
+	t.Cleanup(func() { runtime.GOMAXPROCS(before) })
+}
+
 // start runs an entry.
 func (d *deployment) start(id fleet.EntryID, zone fleet.Zone) {
 	ctx, stop := context.WithCancel(d.ctx)
@@ -228,8 +239,11 @@
 	return a == b || !d.isolated[a] && !d.isolated[b]
 }
 
-// sleep waits and reports whether the world goes on.
+// sleep waits and reports whether the deployment goes on.
 func (d *deployment) sleep(length time.Duration) bool {
+	if length <= 0 {
+		return d.ctx.Err() == nil
+	}
 	timer := time.NewTimer(length)
 	defer timer.Stop()
 	select {
--- a/io/platform/poller_test.go
+++ b/io/platform/poller_test.go
@@ -23,6 +23,7 @@
 // inDeployment runs a test in virtual time on a deployment that has revision 1 in force and no faults.
 func inDeployment(t *testing.T, test func(t *testing.T, d *deployment, reviser platform.Reviser)) {
 	t.Helper()
+	onOneProcessor(t)
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
 		group, ctx := errgroup.WithContext(ctx)
