--- a/core/placement/index.go
+++ b/core/placement/index.go
@@ -55,55 +55,64 @@
 // NewIndex builds the index of a view; it ignores view.Index.
 func NewIndex(view View) *Index {
 	x := &Index{pools: make(map[fleet.PoolName]*pool)}
-	byZone := make(map[fleet.PoolName]map[fleet.Zone]*zone)
+	for name, zones := range group(view) {
+		x.pools[name] = newPool(view, zones)
+	}
+	return x
+}
+
+// group returns the names of the endpoints that take new work by pool and availability zone.
+func group(view View) map[fleet.PoolName]map[fleet.Zone][]fleet.EndpointID {
+	pools := make(map[fleet.PoolName]map[fleet.Zone][]fleet.EndpointID)
 	for id, endpoint := range view.Endpoints {
 		report, reported := view.Reports[id]
-		if !reported {
-			report = unreported(endpoint, view.Loads[id])
-		}
-		if !open(view, endpoint) || !report.Open {
+		if !open(view, endpoint) || reported && !report.Open {
 			continue
 		}
-		zones := byZone[endpoint.Pool]
+		zones := pools[endpoint.Pool]
 		if zones == nil {
-			zones = make(map[fleet.Zone]*zone)
-			byZone[endpoint.Pool] = zones
+			zones = make(map[fleet.Zone][]fleet.EndpointID)
+			pools[endpoint.Pool] = zones
 		}
-		z := zones[endpoint.Zone]
-		if z == nil {
-			z = &zone{state: view.Zones[endpoint.Zone], remote: endpoint.Zone != view.Local}
-			z.state.Zone = endpoint.Zone
-			zones[endpoint.Zone] = z
-		}
-		z.rows = append(z.rows, row{endpoint: endpoint, report: report, zone: z})
-	}
-	for name, zones := range byZone {
-		x.pools[name] = newPool(zones)
+		zones[endpoint.Zone] = append(zones[endpoint.Zone], id)
 	}
-	return x
+	return pools
 }
 
 // newPool puts the availability zones of a pool in order.
-func newPool(zones map[fleet.Zone]*zone) *pool {
+func newPool(view View, zones map[fleet.Zone][]fleet.EndpointID) *pool {
 	p := &pool{places: make(map[fleet.EndpointID]*row)}
-	for _, z := range zones {
-		slices.SortFunc(z.rows, func(a, b row) int { return cmp.Compare(a.endpoint.ID, b.endpoint.ID) })
-		z.short = z.sum(false)
-		z.long = z.sum(true)
+	for name, ids := range zones {
+		slices.Sort(ids)
+		z := newZone(view, name, ids)
 		for i := range z.rows {
-			p.places[z.rows[i].endpoint.ID] = &z.rows[i]
+			p.places[ids[i]] = &z.rows[i]
 		}
 		p.zones = append(p.zones, z)
 	}
 	slices.SortFunc(p.zones, func(a, b *zone) int {
-		if a.remote != b.remote {
-			return cmp.Compare(remoteness(a), remoteness(b))
-		}
-		return cmp.Compare(a.state.Zone, b.state.Zone)
+		return cmp.Or(cmp.Compare(remoteness(a), remoteness(b)), cmp.Compare(a.state.Zone, b.state.Zone))
 	})
 	return p
 }
 
+// newZone builds an availability zone of a pool.
+func newZone(view View, name fleet.Zone, ids []fleet.EndpointID) *zone {
+	z := &zone{state: view.Zones[name], remote: name != view.Local, rows: make([]row, len(ids))}
+	z.state.Zone = name
+	for i, id := range ids {
+		endpoint := view.Endpoints[id]
+		report, reported := view.Reports[id]
+		if !reported {
+			report = unreported(endpoint, view.Loads[id])
+		}
+		z.rows[i] = row{endpoint: endpoint, report: report, zone: z}
+	}
+	z.short = z.sum(false)
+	z.long = z.sum(true)
+	return z
+}
+
 // remoteness is 1 for a zone other than that of the deciding entry.
 func remoteness(z *zone) int {
 	if z.remote {
