Cut prompts that take nearly all memory of an engine

A prompt between 0.85 and the whole of an engine's memory had to wait until the engine was nearly empty, and held up all short requests meanwhile. The bound is on the prompt alone: a short prompt with a long answer is no better off in segments.

--- a/core/segment/generator.go
+++ b/core/segment/generator.go
@@ -1,4 +1,4 @@
-// Package segment serves prompts that are larger than the memory of any one engine.
+// Package segment serves prompts that take nearly all memory of any one engine, or more.
 package segment
 
 import (
@@ -18,6 +18,9 @@
 const (
 	// memoryShare is the part of the smallest engine's memory that one segment may take.
 	memoryShare = 0.4
+	// wholeShare is the part of the largest engine's memory that a prompt may take in one piece; a larger one would
+	// hold up all others until the engine is nearly empty.
+	wholeShare = 0.85
 	// readingTokens is the length of the reading that an engine makes of one segment.
 	readingTokens fleet.Tokens = 256
 	// segmentsAtOnce bounds the segments of one prompt that are read at the same time.
@@ -30,9 +33,9 @@
 	Generate(ctx context.Context, request dispatch.Request, sink dispatch.Sink) error
 }
 
-// Generator wraps another generator. A prompt that fits no engine of its pool is cut into segments, which are read
-// side by side on several engines, and a last pass answers from their readings. A crash costs the segment that it
-// hit. It reads the endpoints of the blackboard.
+// Generator wraps another generator. A prompt that takes nearly all memory of any engine of its pool, or more, is cut
+// into segments, which are read side by side on several engines, and a last pass answers from their readings. A crash
+// costs the segment that it hit. It reads the endpoints of the blackboard.
 type Generator struct {
 	// Board holds the endpoints.
 	Board *blackboard.Board
@@ -43,7 +46,7 @@
 // Generate serves one request; an error is a *dispatch.Failure or that of the sink.
 func (g *Generator) Generate(ctx context.Context, request dispatch.Request, sink dispatch.Sink) error {
 	largest, smallest := g.memory(request.Pool)
-	if largest == 0 || request.PromptTokens+request.MaxTokens <= largest {
+	if largest == 0 || fits(request, largest) {
 		return g.Next.Generate(ctx, request, sink)
 	}
 	var parts parts
@@ -59,6 +62,12 @@
 	return parts.failure(g.Generate(ctx, last, sink))
 }
 
+// fits tells whether an engine reads the prompt of a request in one piece.
+func fits(request dispatch.Request, memory fleet.Tokens) bool {
+	whole := fleet.Tokens(float64(memory) * wholeShare)
+	return request.PromptTokens <= whole && request.PromptTokens+request.MaxTokens <= memory
+}
+
 // parts knows whether any part of a request has run.
 type parts struct {
 	ran atomic.Bool
