--- a/docs/capacity/measure_test.go
+++ b/docs/capacity/measure_test.go
@@ -163,7 +163,7 @@
 		bytesPerSecond = 6000
 		memoryBytes    = 256 << 20
 	)
-	figures := measureRest(t, size{30, 110, 12}, stageSpread, 20*time.Second)
+	figures := measureRest(t, size{30, 110, 12}, stageReports, 20*time.Second)
 	t.Log(figures)
 	if got := figures["bytes_per_second"]; got > bytesPerSecond {
 		t.Errorf("control takes %.0f bytes/s per entry, want at most %d", got, bytesPerSecond)
