Hold back beside long prompts only who was given more

While a long prompt is read, accounts that were not light had an allowance of reading, also those that were given less than the account of the long prompt; their short requests waited for a debt that was not theirs. The allowance now binds only accounts that were given more, for their weight, than one whose long prompt is being read.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -263,6 +263,12 @@
 	return min(q.backlog, (own+cost)/share-cost)
 }
 
+// GivenMore tells whether an account was given more work for its weight than another.
+func (q *Queue) GivenMore(id, other fleet.AccountID) bool {
+	a, b := q.accounts[id], q.accounts[other]
+	return a != nil && b != nil && a.counter > b.counter
+}
+
 // Backlog returns all work that waits.
 func (q *Queue) Backlog() float64 {
 	return q.backlog
--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -130,3 +130,30 @@
 		t.Errorf("next due at %s, want %s", got, late.LastStart)
 	}
 }
+
+// TestGivenMore asserts that accounts are compared by the work that they were given for their weight.
+func TestGivenMore(t *testing.T) {
+	tests := map[string]struct {
+		id    fleet.AccountID
+		other fleet.AccountID
+		want  bool
+	}{
+		"more":                  {id: "small", other: "large", want: true},
+		"less":                  {id: "large", other: "small"},
+		"the same account":      {id: "small", other: "small"},
+		"an unknown account":    {id: "unknown", other: "large"},
+		"than an unknown other": {id: "small", other: "unknown"},
+	}
+	q := NewQueue(0, 100, 10)
+	push(q, "large", 4, 200, nil)
+	push(q, "small", 1, 100, nil)
+	q.Correct("large", 200)
+	q.Correct("small", 100)
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := q.GivenMore(tc.id, tc.other); got != tc.want {
+				t.Errorf("given more: %t, want %t", got, tc.want)
+			}
+		})
+	}
+}
--- a/core/scheduler/pump.go
+++ b/core/scheduler/pump.go
@@ -265,12 +265,23 @@
 	if unread > 0 && unread+uncached(i.Request) > window {
 		return needsTurn
 	}
-	if total.ReadingLong > 0 && !light && e.allowance <= 0 {
+	if total.ReadingLong > 0 && !light && e.allowance <= 0 && e.owesReading(i.Request.Account) {
 		return needsTurn
 	}
 	return fitsNow
 }
 
+// owesReading tells whether an account was given more than another one whose long prompt is being read.
+func (e *Endpoint) owesReading(id fleet.AccountID) bool {
+	owes := false
+	e.ledger.Each(func(r *ledger.Reservation) {
+		if !owes && r.Long && r.Reading() {
+			owes = e.queue.GivenMore(id, r.Account)
+		}
+	})
+	return owes
+}
+
 // grant reserves memory for an item and decides for it.
 func (e *Endpoint) grant(now time.Time, i *admission.Item) {
 	light := e.queue.Light(i.Request.Account)
