Count the work ahead of a request by its band

An account's long backlog was counted as work ahead of its quick and medium requests too, which are granted before it, so that these were refused as too late. The work ahead of a short request is now the short work alone, of the account and of all; a long one still counts everything. Three cases of TestAhead fail with the old count (1,005 and 11 in place of 5).

--- a/core/admission/account.go
+++ b/core/admission/account.go
@@ -16,6 +16,8 @@
 	counter float64
 	// backlog is the work that waits.
 	backlog float64
+	// short is the part of backlog in the quick and the medium band.
+	short float64
 	// queued counts the items that wait.
 	queued int
 	// seenAt is when it last asked.
@@ -39,6 +41,14 @@
 	return a
 }
 
+// waiting returns the work that may go before a new item of a band.
+func (a *account) waiting(band Band) float64 {
+	if band < Long {
+		return a.short
+	}
+	return a.backlog
+}
+
 // accountHeap returns the heap of the accounts with items of a band, by the work that they were given.
 func accountHeap(band Band) ordered[*account] {
 	return ordered[*account]{
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -134,6 +134,7 @@
 	a.backlog += i.Cost
 	q.backlog += i.Cost
 	if i.Band < Long {
+		a.short += i.Cost
 		q.short += i.Cost
 	}
 	a.bands[i.Band].push(i)
@@ -155,10 +156,12 @@
 	a.backlog -= i.Cost
 	q.backlog -= i.Cost
 	if i.Band < Long {
+		a.short -= i.Cost
 		q.short -= i.Cost
 	}
 	if a.queued == 0 {
 		a.backlog = 0
+		a.short = 0
 		q.weights -= a.weight
 	}
 	if q.Len() == 0 {
@@ -250,17 +253,21 @@
 }
 
 // Ahead returns the work that is done before a new item of an account at most, by its fair share and by all that
-// waits.
-func (q *Queue) Ahead(id fleet.AccountID, weight, cost float64) float64 {
+// waits. Items of the long band don't go before a quick or medium one.
+func (q *Queue) Ahead(id fleet.AccountID, band Band, weight, cost float64) float64 {
 	own := 0.0
 	weights := q.weights
+	all := q.backlog
+	if band < Long {
+		all = q.short
+	}
 	if a := q.accounts[id]; a != nil && a.queued > 0 {
-		own = a.backlog
+		own = a.waiting(band)
 	} else {
 		weights += weight
 	}
 	share := weight / max(weights, weight)
-	return min(q.backlog, (own+cost)/share-cost)
+	return min(all, (own+cost)/share-cost)
 }
 
 // GivenMore tells whether an account was given more work for its weight than another.
--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -131,6 +131,35 @@
 	}
 }
 
+// TestAhead asserts that an account's long items don't count against its short ones.
+func TestAhead(t *testing.T) {
+	tests := map[string]struct {
+		id   fleet.AccountID
+		band Band
+		want float64
+	}{
+		"quick item behind own long ones": {id: "reader", band: Quick, want: 5},
+		"medium item":                     {id: "reader", band: Medium, want: 5},
+		"long item behind own long ones":  {id: "reader", band: Long, want: 1005},
+		"quick item behind own quick one": {id: "writer", band: Quick, want: 5},
+		"quick item of a third account":   {id: "third", band: Quick, want: 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			q := NewQueue(0, 100, 10)
+			push(q, "reader", 1, 1000, func(i *Item) { i.Band = Long })
+			push(q, "writer", 1, 5, func(i *Item) { i.Band = Quick })
+			cost := 1.0
+			if tc.id == "reader" {
+				cost = 100
+			}
+			if got := q.Ahead(tc.id, tc.band, 1, cost); got != tc.want {
+				t.Errorf("%v work ahead, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
 // TestGivenMore asserts that accounts are compared by the work that they were given for their weight.
 func TestGivenMore(t *testing.T) {
 	tests := map[string]struct {
--- a/core/scheduler/predict.go
+++ b/core/scheduler/predict.go
@@ -64,9 +64,10 @@
 func (e *Endpoint) predictWait(need Need) time.Duration {
 	total := e.ledger.Total()
 	pace := e.warmth.Pace()
-	work := e.queue.Ahead(need.Account, max(need.Weight, minWeight), e.cost(need.Uncached, need.Output))
+	band := e.band(need.Prompt)
+	work := e.queue.Ahead(need.Account, band, max(need.Weight, minWeight), e.cost(need.Uncached, need.Output))
 	wait := e.workTime(work)
-	switch e.band(need.Prompt) {
+	switch band {
 	case admission.Quick:
 		return wait + pace.ReadTime(total.UnreadQuick)
 	case admission.Medium:
