End the cutting of prompts whose answers take the memory

Such a request now goes to the owner, which refuses it as too large, and a last pass that is no shorter than the prompt is not cut again. The new test did not end before: its readings are as long as the segments.

--- a/core/segment/generator.go
+++ b/core/segment/generator.go
@@ -46,7 +46,8 @@
 // Generate serves one request; an error is a *dispatch.Failure or that of the sink.
 func (g *Generator) Generate(ctx context.Context, request dispatch.Request, sink dispatch.Sink) error {
 	largest, smallest := g.memory(request.Pool)
-	if largest == 0 || fits(request, largest) {
+	if largest == 0 || fits(request, largest) || request.MaxTokens+readingTokens > largest {
+		// An answer that no engine has room for is refused by the owner, before any segment is read.
 		return g.Next.Generate(ctx, request, sink)
 	}
 	var parts parts
@@ -59,6 +60,9 @@
 	last.Prompt = strings.Join(readings, "\n")
 	last.PromptTokens = dispatch.CountTokens(last.Prompt)
 	last.StartBy = request.FinishBy
+	if last.PromptTokens >= request.PromptTokens {
+		return parts.failure(g.Next.Generate(ctx, last, sink))
+	}
 	return parts.failure(g.Generate(ctx, last, sink))
 }
 
--- a/core/segment/generator_test.go
+++ b/core/segment/generator_test.go
@@ -19,6 +19,8 @@
 	requests  []dispatch.Request
 	failPart  string
 	failState dispatch.State
+	// reading is the length of each answer in bytes, or 0 for the first and the last byte of the prompt.
+	reading int
 }
 
 func (f *fakeNext) Generate(_ context.Context, request dispatch.Request, sink dispatch.Sink) error {
@@ -28,6 +30,9 @@
 	if f.failState != "" && strings.HasSuffix(string(request.ID), f.failPart) {
 		return &dispatch.Failure{State: f.failState, Reason: "test"}
 	}
+	if f.reading > 0 {
+		return sink.Token(1, strings.Repeat("r", f.reading))
+	}
 	return sink.Token(1, request.Prompt[:1]+request.Prompt[len(request.Prompt)-1:])
 }
 
@@ -142,3 +147,27 @@
 		})
 	}
 }
+
+func TestGenerateEndsWhateverTheAnswerTakes(t *testing.T) {
+	tests := map[string]struct {
+		tokens, output int
+		parts          int
+	}{
+		"answer larger than the memory": {tokens: 50, output: 2_000, parts: 1},
+		"answer takes nearly all":       {tokens: 600, output: 700, parts: 5},
+		"readings are no shorter":       {tokens: 400, output: 744, parts: 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			next := &fakeNext{reading: 1_000}
+			request := requestOf(tc.tokens)
+			request.MaxTokens = fleet.Tokens(tc.output)
+			if err := generator(next, 1000).Generate(t.Context(), request, &collector{}); err != nil {
+				t.Fatal(err)
+			}
+			if len(next.requests) != tc.parts {
+				t.Errorf("%d parts, want %d", len(next.requests), tc.parts)
+			}
+		})
+	}
+}
