--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -261,16 +261,32 @@
 	}
 }
 
-// freeAddress returns a loopback address whose port is free now.
+// The ports of the tests lie below those that the system gives to connections, which could take one before the
+// process that it was chosen for.
+const (
+	firstPort = 20_000
+	lastPort  = 30_000
+)
+
+// nextPort is the port to try next.
+var nextPort = firstPort
+
+// freeAddress returns a loopback address whose port nothing listens at, another one at each call.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
 	var config net.ListenConfig
-	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for nextPort < lastPort {
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(nextPort))
+		nextPort++
+		listener, err := config.Listen(t.Context(), "tcp", address.String())
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		return address
 	}
-	defer func() { _ = listener.Close() }()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	t.Fatal("no port is free")
+	return netip.AddrPort{}
 }
 
 // timeline returns what all entries recorded of an endpoint.
