--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 
 	"wisteriadyke/core/blackboard"
 	"wisteriadyke/core/fleet"
@@ -69,6 +70,8 @@
 	Timeline *timeline.Recorder
 	// Metrics counts; nil counts nowhere.
 	Metrics metrics.Registry
+	// Log takes the dispatcher's messages.
+	Log zerolog.Logger
 }
 
 // Generate serves one request and passes the answer to sink; an error is a *Failure or that of the sink.
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -31,8 +31,14 @@
 	r.record(event)
 }
 
-// recordEnd appends the end of an attempt.
+// recordEnd appends and logs the end of an attempt.
 func (r *run) recordEnd(a *attempt, result result) {
+	r.Log.Debug().
+		Str("request", string(r.request.ID)).
+		Str("attempt", string(a.id)).
+		Str("endpoint", string(a.endpoint.ID)).
+		Str("outcome", string(result.release.Outcome)).
+		Msg("dispatch: attempt ended")
 	r.record(timeline.Event{
 		Kind:     timeline.KindAttemptEnded,
 		Attempt:  a.id,
@@ -43,8 +49,14 @@
 	})
 }
 
-// finish counts and records how the request ended.
+// finish counts, records and logs how the request ended.
 func (r *run) finish(err error) {
+	r.Log.Debug().
+		Str("request", string(r.request.ID)).
+		Str("account", string(r.request.Account)).
+		Str("class", string(r.request.Class)).
+		AnErr("failure", err).
+		Msg("dispatch: request ended")
 	if err == nil {
 		r.count(metricDone)
 		r.record(timeline.Event{Kind: timeline.KindRequestDone, Tokens: r.position, Took: time.Since(r.arrivedAt)})
--- a/core/timeline/filter.go
+++ b/core/timeline/filter.go
@@ -2,13 +2,14 @@
 
 import (
 	"slices"
+	"strings"
 
 	"wisteriadyke/core/fleet"
 )
 
 // Filter selects events; zero fields select all.
 type Filter struct {
-	// Request selects the events of one request.
+	// Request selects the events of one request and of its parts, whose names go on behind a slash.
 	Request fleet.RequestID
 	// Endpoint selects the events of one endpoint.
 	Endpoint fleet.EndpointID
@@ -18,7 +19,7 @@
 
 // Takes tells whether the filter selects an event.
 func (f Filter) Takes(event Event) bool {
-	if f.Request != "" && event.Request != f.Request {
+	if f.Request != "" && event.Request != f.Request && !strings.HasPrefix(string(event.Request), string(f.Request)+"/") {
 		return false
 	}
 	if f.Endpoint != "" && event.Endpoint != f.Endpoint {
--- a/core/timeline/recorder_test.go
+++ b/core/timeline/recorder_test.go
@@ -41,11 +41,15 @@
 	r := &Recorder{Entry: "a"}
 	r.Record(Event{Request: "r1", Endpoint: "e1", Account: "c1"})
 	r.Record(Event{Request: "r2", Endpoint: "e1", Account: "c2"})
+	r.Record(Event{Request: "r3/segment-1", Account: "c3"})
+	r.Record(Event{Request: "r3/answer", Account: "c3"})
+	r.Record(Event{Request: "r33", Account: "c3"})
 	tests := map[string]struct {
 		filter Filter
 		want   int
 	}{
-		"all":      {want: 2},
+		"all":      {want: 5},
+		"parts":    {filter: Filter{Request: "r3"}, want: 2},
 		"request":  {filter: Filter{Request: "r1"}, want: 1},
 		"endpoint": {filter: Filter{Endpoint: "e1"}, want: 2},
 		"account":  {filter: Filter{Account: "c2"}, want: 1},
--- a/entry/process.go
+++ b/entry/process.go
@@ -234,6 +234,7 @@
 				Suspects:  p.suspects,
 				Timeline:  p.timeline,
 				Metrics:   p.metrics,
+				Log:       p.Log,
 			},
 		},
 		Caller: &dispatch.RecordedCaller{
--- a/io/operator/server_test.go
+++ b/io/operator/server_test.go
@@ -127,3 +127,32 @@
 		}
 	}
 }
+
+func TestProfilesAreServedOnlyIfSet(t *testing.T) {
+	tests := map[string]struct {
+		profiling bool
+		key       string
+		want      int
+	}{
+		"not set":   {key: "secret", want: http.StatusNotFound},
+		"set":       {profiling: true, key: "secret", want: http.StatusOK},
+		"wrong key": {profiling: true, key: "other", want: http.StatusUnauthorized},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newServer()
+			s.Profiling = tc.profiling
+			handler, err := s.Handler()
+			if err != nil {
+				t.Fatal(err)
+			}
+			request := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/debug/pprof/heap", http.NoBody)
+			request.Header.Set("Authorization", "Bearer "+tc.key)
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, request)
+			if recorder.Code != tc.want {
+				t.Errorf("status %d, want %d", recorder.Code, tc.want)
+			}
+		})
+	}
+}
