Give up a reservation at an owner that has frozen

Ruled out: the detection of the dead entry, which ends new placements but not calls that wait.

While a reservation waits its owner is asked every half second whether it is alive, on a connection of its own, and the request goes elsewhere when it is not.

--- a/io/peer/owners.go
+++ b/io/peer/owners.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"wisteriadyke/core/blackboard"
 	"wisteriadyke/core/dispatch"
@@ -21,6 +22,10 @@
 	ownerLookupInterval = 50 * time.Millisecond
 	// ownerCandidates is the number of entries that are asked in one look, since an endpoint may just change its owner.
 	ownerCandidates = 2
+	// aliveInterval is the time between two questions whether an owner is alive, while a reservation waits for it.
+	aliveInterval = 500 * time.Millisecond
+	// aliveTimeout bounds one such question.
+	aliveTimeout = 700 * time.Millisecond
 )
 
 // Owners reaches the owner of each endpoint, this entry or another. It reads the endpoints and entries of the blackboard.
@@ -78,13 +83,51 @@
 	if err != nil {
 		return reservation.Grant{}, err
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	var group errgroup.Group
+	group.Go(func() error {
+		defer cancel()
+		return o.watch(ctx, owner)
+	})
 	reply, err := client.Reserve(ctx, toReserveRequest(request, time.Now()))
+	cancel()
+	// The watch ends with the call or has ended it.
+	_ = group.Wait()
 	if err != nil {
 		return reservation.Grant{}, unreachable()
 	}
 	return fromReserveReply(request.Endpoint, reply, time.Now())
 }
 
+// watch asks the owner now and then whether it is alive, and returns when it is not or ctx ends. A frozen process keeps
+// its connections, so that a reservation would wait there for as long as the request may.
+func (o *Owners) watch(ctx context.Context, owner fleet.EntryID) error {
+	ticker := time.NewTicker(aliveInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if err := o.alive(ctx, owner); err != nil {
+			return err
+		}
+	}
+}
+
+// alive asks the owner whether it is alive.
+func (o *Owners) alive(ctx context.Context, owner fleet.EntryID) error {
+	entry, found := o.Board.Entries.Get(owner)
+	if !found {
+		return unreachable()
+	}
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	_, err := NewDRPCOwnerClient(o.Client.gossipConn(ctx, entry.Address)).Alive(ctx, &AliveRequest{})
+	return errors.Wrapf(err, "owner %s", owner)
+}
+
 // Renew reports progress to the entry that granted the reservation, or to the present owner.
 func (o *Owners) Renew(ctx context.Context, progress reservation.Progress) error {
 	return o.tell(progress.Endpoint, progress.Owner, func(owner fleet.EntryID) error {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -105,6 +105,11 @@
 	return &OwnerReply{Refusal: refusal}, err
 }
 
+// Alive answers while this entry does.
+func (h *ownerHandler) Alive(context.Context, *AliveRequest) (*AliveReply, error) {
+	return &AliveReply{}, nil
+}
+
 // refusalMessage returns the message of a refusal and passes any other error on.
 func refusalMessage(err error) (*Refusal, error) {
 	if err == nil {
