--- a/cmd/root.go
+++ b/cmd/root.go
@@ -47,7 +47,7 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	root.AddCommand(newVersionCommand(), newEntryCommand(), newPublishCommand())
+	root.AddCommand(newVersionCommand(), newEntryCommand(), newGatewayCommand(), newPublishCommand())
 	root.AddCommand(newCheckCommand(), newZoneCommand())
 	root.AddCommand(newStatusCommand(), newTimelineCommand(), newStandinCommand())
 	return root
--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -90,10 +90,22 @@
 type result struct {
 	release reservation.Release
 	sinkErr error
+	// failed is the failure that the endpoint answered with, or nil.
+	failed *AttemptError
 	// bad tells that the answer was not fit to be passed on, though the connection held.
 	bad bool
 }
 
+// fail notes the error that ended the attempt.
+func (r *result) fail(err error) {
+	r.release.Outcome = failedOutcome(err)
+	var attemptErr *AttemptError
+	if errors.As(err, &attemptErr) && attemptErr.Certainty == CertainFailed {
+		r.release.Outcome = reservation.OutcomeFailed
+		r.failed = attemptErr
+	}
+}
+
 // serve runs the attempt and renews its reservation until it has ended.
 func (a *attempt) serve(ctx context.Context) result {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -126,24 +138,29 @@
 		Request:   a.request.ID,
 		Grant:     a.grant,
 		Prompt:    a.request.Prompt,
+		Payload:   a.request.Payload,
 		MaxTokens: a.request.MaxTokens,
+		FinishBy:  a.request.FinishBy,
 		From:      a.position,
 	})
 	if err != nil {
-		res.release.Outcome = failedOutcome(err)
+		res.fail(err)
 		return res
 	}
 	defer func() { _ = stream.Close() }()
 	for {
 		event, err := stream.Next()
 		if err != nil {
-			res.release.Outcome = failedOutcome(err)
+			res.fail(err)
 			return res
 		}
 		res.release.Incarnation = event.Incarnation
 		switch event.Kind {
 		case EventStarted:
 			a.note(true, func(p *reservation.Progress) { p.Incarnation = event.Incarnation })
+			if sink, ok := a.sink.(HeadSink); ok {
+				sink.Head(event.Head)
+			}
 			a.record(timeline.Event{Kind: timeline.KindAttemptStarted, Attempt: a.id, Endpoint: a.endpoint.ID})
 		case EventToken:
 			if err := a.token(event, startedAt, &res); err != nil {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -64,6 +64,8 @@
 	Prefixes func(prompt string) []placement.Prefix
 	// Budget bounds retries.
 	Budget *retry.Budget
+	// BudgetRefused charges the budget also for attempts that an endpoint refused.
+	BudgetRefused bool
 	// Suspects knows the requests that may crash endpoints.
 	Suspects *retry.Suspects
 	// Timeline records events; nil records none.
@@ -84,10 +86,14 @@
 		Dispatcher:  d,
 		request:     request,
 		sink:        sink,
-		fingerprint: retry.FingerprintOf(request.Account, request.Prompt),
+		fingerprint: request.Fingerprint,
+		position:    request.From,
 		excluded:    make(map[fleet.EndpointID]bool),
 		arrivedAt:   time.Now(),
 	}
+	if r.fingerprint == "" {
+		r.fingerprint = retry.FingerprintOf(request.Account, request.Prompt)
+	}
 	if d.Prefixes != nil {
 		r.prefixes = d.Prefixes(request.Prompt)
 	}
--- a/core/dispatch/ports.go
+++ b/core/dispatch/ports.go
@@ -7,6 +7,7 @@
 
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/reservation"
+	"wisteriadyke/core/retry"
 )
 
 // Owners asks the owner of an endpoint, wherever it is; every error that is a refusal is a *reservation.Refusal.
@@ -41,8 +42,12 @@
 	Grant reservation.Grant
 	// Prompt is the text to read.
 	Prompt string
+	// Payload is what the engines' client sends where the prompt is opaque; it comes from the request.
+	Payload any
 	// MaxTokens bounds the answer.
 	MaxTokens fleet.Tokens
+	// FinishBy is when the whole answer is due.
+	FinishBy time.Time
 	// From is the position at which the answer goes on.
 	From fleet.Tokens
 }
@@ -74,6 +79,8 @@
 	Cached fleet.Tokens
 	// Incarnation is the life of the engine.
 	Incarnation fleet.Incarnation
+	// Head is what the answer begins with, in EventStarted; the dispatcher passes it to a HeadSink unread.
+	Head any
 }
 
 // Stream yields the events of one attempt in order.
@@ -107,6 +114,8 @@
 	Code string
 	// Answer is what the endpoint answered with CertainFailed.
 	Answer []byte
+	// Payload is the whole failure of the endpoint where answers are opaque, or nil.
+	Payload any
 	// Err is the cause.
 	Err error
 }
@@ -121,7 +130,20 @@
 	return e.Err
 }
 
-// Request is one caller's request to a model.
+// Repeat tells what may follow an attempt that may have run.
+type Repeat int
+
+// What may follow an attempt that may have run.
+const (
+	// RepeatResume lets another attempt go on behind what was passed on.
+	RepeatResume Repeat = iota
+	// RepeatWhole lets another attempt begin anew as long as nothing was passed on.
+	RepeatWhole
+	// RepeatNever ends the request, whose outcome is then unknown.
+	RepeatNever
+)
+
+// Request is one caller's request to a model, or a call of a plain service whose answer is one piece.
 type Request struct {
 	// ID names the request.
 	ID fleet.RequestID
@@ -135,8 +157,18 @@
 	Pool fleet.PoolName
 	// Priority is that of the class.
 	Priority int
-	// Prompt is the text to read.
+	// Prompt is the text to read; "" where the prompt is opaque.
 	Prompt string
+	// Payload is what the engines' client sends where the prompt is opaque; the dispatcher never reads it.
+	Payload any
+	// Fingerprint identifies the request over resends; "" stands for that of its account and prompt.
+	Fingerprint retry.Fingerprint
+	// Repeat tells what may follow an attempt that may have run.
+	Repeat Repeat
+	// MaxAttempts bounds the endpoints that are sent the request; zero sets no bound.
+	MaxAttempts int
+	// From is the position behind which the caller wants the answer.
+	From fleet.Tokens
 	// PromptTokens is the length of the prompt.
 	PromptTokens fleet.Tokens
 	// MaxTokens bounds the answer.
@@ -153,6 +185,13 @@
 	Token(position fleet.Tokens, text string) error
 }
 
+// HeadSink is a Sink that also takes what an answer begins with.
+type HeadSink interface {
+	Sink
+	// Head takes the head of an attempt's answer, before its first piece; a later head replaces one that was not used.
+	Head(head any)
+}
+
 // State is the truth about a request that got no whole answer.
 type State string
 
@@ -178,6 +217,8 @@
 	EarlierUnknown bool
 	// Detail is the answer of an endpoint that failed the request, or nil.
 	Detail []byte
+	// Payload is the whole failure of the endpoint where answers are opaque, or nil.
+	Payload any
 }
 
 // Error returns state and reason.
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -44,6 +44,7 @@
 	ran         bool
 	onTrial     bool
 	refusals    int
+	sent        int
 	pauses      int
 	waitable    bool
 	position    fleet.Tokens
@@ -215,6 +216,9 @@
 	a.release(ctx, result)
 	r.recordEnd(a, result)
 	r.ran = r.ran || !certainlyNotRun(result.release.Outcome)
+	if result.release.Outcome != reservation.OutcomeNotRun {
+		r.sent++
+	}
 	switch {
 	case result.release.Outcome == reservation.OutcomeDone:
 		r.Suspects.Finished(ctx, r.fingerprint)
@@ -230,16 +234,21 @@
 // afterFailure decides whether a request goes on after a failed attempt.
 func (r *run) afterFailure(ctx context.Context, a *attempt, result result) error {
 	r.excluded[a.endpoint.ID] = true
-	if certainlyNotRun(result.release.Outcome) {
-		r.refusals++
-		if r.refusals >= maxRefusals {
-			return r.giveUp(ctx, ReasonNoEndpoint)
-		}
-		return nil
+	switch {
+	case certainlyNotRun(result.release.Outcome):
+		return r.afterRefusal(ctx, result)
+	case result.failed != nil:
+		return r.afterAnswer(result.failed)
 	}
 	if r.diagnose(ctx, a.endpoint, result.release.Incarnation) == verdictDied {
 		r.died(ctx, a, result.release.Incarnation)
 	}
+	if !r.repeatable() {
+		return &Failure{State: StateOutcomeUnknown, Reason: ReasonNoAnswer}
+	}
+	if r.exhausted() {
+		return r.giveUp(ctx, ReasonNoAnswer)
+	}
 	if !r.Budget.Spend() {
 		return r.giveUp(ctx, ReasonRetryBudget)
 	}
@@ -247,6 +256,50 @@
 	return nil
 }
 
+// afterRefusal decides whether a request goes on after an attempt that certainly did not run.
+func (r *run) afterRefusal(ctx context.Context, result result) error {
+	r.refusals++
+	if r.refusals >= maxRefusals {
+		return r.giveUp(ctx, ReasonNoEndpoint)
+	}
+	if result.release.Outcome != reservation.OutcomeRefused || !r.BudgetRefused {
+		return nil
+	}
+	if r.exhausted() {
+		return r.giveUp(ctx, ReasonNoEndpoint)
+	}
+	if !r.Budget.Spend() {
+		return r.giveUp(ctx, ReasonRetryBudget)
+	}
+	return nil
+}
+
+// afterAnswer decides whether a request goes on after an endpoint has answered with a failure.
+func (r *run) afterAnswer(failed *AttemptError) error {
+	if r.repeatable() && !r.exhausted() && r.Budget.Spend() {
+		r.count(metricRetries)
+		return nil
+	}
+	return &Failure{State: StateFailed, Reason: ReasonServiceFailed, Detail: failed.Answer, Payload: failed.Payload}
+}
+
+// repeatable tells whether another attempt may follow one that may have run.
+func (r *run) repeatable() bool {
+	switch r.request.Repeat {
+	case RepeatNever:
+		return false
+	case RepeatWhole:
+		return r.position == r.request.From
+	default:
+		return true
+	}
+}
+
+// exhausted tells whether as many endpoints were sent the request as it may have.
+func (r *run) exhausted() bool {
+	return r.request.MaxAttempts > 0 && r.sent >= r.request.MaxAttempts
+}
+
 // certainlyNotRun tells whether the endpoint surely did nothing of the attempt.
 func certainlyNotRun(outcome reservation.Outcome) bool {
 	return outcome == reservation.OutcomeNotRun || outcome == reservation.OutcomeRefused
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -77,6 +77,12 @@
 	State State
 	// Memory is the KV cache memory of an engine in tokens.
 	Memory Tokens
+	// Slots is the number of requests that it runs at once, or 0 if that is not known.
+	Slots int
+	// Incarnation is its life as the instance list knows it, or 0.
+	Incarnation Incarnation
+	// ColdUntil is when its cold start is over, as far as the instance list knows.
+	ColdUntil time.Time
 	// ChecksFence tells whether the endpoint refuses stale fencing numbers.
 	ChecksFence bool
 }
--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -2,6 +2,7 @@
 package reservation
 
 import (
+	"net/netip"
 	"time"
 
 	"wisteriadyke/core/fleet"
@@ -55,6 +56,18 @@
 	Priority int
 	// Lease is how long the grant lasts without progress.
 	Lease time.Duration
+	// Helpers are the endpoints that read parts of the prompt beside the one that is granted.
+	Helpers []Helper
+}
+
+// Helper is an endpoint that reads a part of a prompt for another one.
+type Helper struct {
+	// Endpoint is the endpoint.
+	Endpoint fleet.EndpointID
+	// Address is where it listens.
+	Address netip.AddrPort
+	// Ticket names the memory that is reserved there, or "" if it lends none.
+	Ticket string
 }
 
 // Outcome tells how an attempt ended.
@@ -70,6 +83,8 @@
 	OutcomeNotRun Outcome = "not_run"
 	// OutcomeBroken means that the connection broke while the attempt ran.
 	OutcomeBroken Outcome = "broken"
+	// OutcomeFailed means that the endpoint ran the attempt and answered with a failure.
+	OutcomeFailed Outcome = "failed"
 	// OutcomeRefused means that the endpoint refused the attempt.
 	OutcomeRefused Outcome = "refused"
 )
--- /dev/null
+++ b/core/roster/roster.go
@@ -0,0 +1,138 @@
+// Package roster keeps the list of endpoints over outages of the registry that it comes from.
+package roster
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"wisteriadyke/core/blackboard"
+	"wisteriadyke/core/fleet"
+)
+
+// Roster writes the endpoints of the blackboard. Entries that vanish while the registry is away, or shortly after, are
+// kept until their endpoints have had time to register again. Its fields are set before the first change.
+type Roster struct {
+	// Board takes the endpoints.
+	Board *blackboard.Board
+	// Grace is how long after the registry's return a vanished entry is kept; it comes from the registry's own promise
+	// on how soon entries are back.
+	Grace time.Duration
+	// Log takes messages about endpoints that come, leave and go.
+	Log zerolog.Logger
+
+	mu       sync.Mutex
+	away     bool
+	returned time.Time
+	vanished map[fleet.EndpointID]struct{}
+}
+
+// Replace takes the whole list.
+func (r *Roster) Replace(listed map[fleet.EndpointID]fleet.Endpoint, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rows := maps.Clone(listed)
+	for id, endpoint := range r.Board.Endpoints.View().Rows {
+		if _, found := listed[id]; found {
+			delete(r.vanished, id)
+			continue
+		}
+		if r.settled(now) {
+			r.gone(endpoint)
+			continue
+		}
+		r.keep(id)
+		rows[id] = endpoint
+	}
+	for id, endpoint := range listed {
+		r.seen(id, endpoint)
+	}
+	r.Board.Endpoints.Replace(rows)
+}
+
+// Put takes one entry that is new or has changed.
+func (r *Roster) Put(endpoint fleet.Endpoint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seen(endpoint.ID, endpoint)
+	delete(r.vanished, endpoint.ID)
+	r.Board.Endpoints.Set(endpoint.ID, endpoint)
+}
+
+// Remove takes away one entry.
+func (r *Roster) Remove(id fleet.EndpointID, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	endpoint, found := r.Board.Endpoints.Get(id)
+	if !found {
+		return
+	}
+	if !r.settled(now) {
+		r.keep(id)
+		return
+	}
+	r.gone(endpoint)
+	r.Board.Endpoints.Delete(id)
+}
+
+// Lost notes that the registry can't be reached.
+func (r *Roster) Lost() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.away = true
+}
+
+// Reached notes that the registry has answered, and drops the entries that are not back in time.
+func (r *Roster) Reached(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.away {
+		r.away = false
+		r.returned = now
+	}
+	if !r.settled(now) {
+		return
+	}
+	for id := range r.vanished {
+		if endpoint, found := r.Board.Endpoints.Get(id); found {
+			r.gone(endpoint)
+			r.Board.Endpoints.Delete(id)
+		}
+	}
+	clear(r.vanished)
+}
+
+// settled tells whether an entry that vanishes means that its endpoint has left; the caller holds the lock.
+func (r *Roster) settled(now time.Time) bool {
+	return !r.away && (r.returned.IsZero() || now.Sub(r.returned) >= r.Grace)
+}
+
+// keep holds an entry that has vanished; the caller holds the lock.
+func (r *Roster) keep(id fleet.EndpointID) {
+	if r.vanished == nil {
+		r.vanished = make(map[fleet.EndpointID]struct{})
+	}
+	r.vanished[id] = struct{}{}
+}
+
+// seen logs an entry that is new, lives anew or leaves; the caller holds the lock.
+func (r *Roster) seen(id fleet.EndpointID, endpoint fleet.Endpoint) {
+	known, found := r.Board.Endpoints.Get(id)
+	if found && known.Incarnation == endpoint.Incarnation && known.State == endpoint.State {
+		return
+	}
+	r.Log.Info().
+		Str("endpoint", string(id)).
+		Str("pool", string(endpoint.Pool)).
+		Str("zone", string(endpoint.Zone)).
+		Str("state", string(endpoint.State)).
+		Uint64("incarnation", uint64(endpoint.Incarnation)).
+		Msg("roster: endpoint listed")
+}
+
+// gone logs an entry that is dropped.
+func (r *Roster) gone(endpoint fleet.Endpoint) {
+	r.Log.Info().Str("endpoint", string(endpoint.ID)).Msg("roster: endpoint gone")
+}
--- /dev/null
+++ b/core/sharedload/book.go
@@ -0,0 +1,120 @@
+// Package sharedload places requests by what all entries run on each endpoint, without an owner of the endpoint.
+package sharedload
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"wisteriadyke/core/fleet"
+)
+
+// peerTTL is how long the figures of another entry are used; five of its reports are lost by then.
+const peerTTL = time.Second
+
+// Usage is what runs on one endpoint.
+type Usage struct {
+	// Running counts the attempts that run or wait there.
+	Running int
+	// Quick counts those of them that hardly tolerate pauses.
+	Quick int
+	// Reading is how long the outstanding reading takes there.
+	Reading time.Duration
+	// Memory is the context that the attempts will have taken when they end, in tokens.
+	Memory fleet.Tokens
+}
+
+// add returns the sum of two usages.
+func (u Usage) add(other Usage) Usage {
+	return Usage{
+		Running: u.Running + other.Running,
+		Quick:   u.Quick + other.Quick,
+		Reading: u.Reading + other.Reading,
+		Memory:  u.Memory + other.Memory,
+	}
+}
+
+// sub returns the usage without another.
+func (u Usage) sub(other Usage) Usage {
+	return Usage{
+		Running: u.Running - other.Running,
+		Quick:   u.Quick - other.Quick,
+		Reading: u.Reading - other.Reading,
+		Memory:  u.Memory - other.Memory,
+	}
+}
+
+// told is what another entry last told.
+type told struct {
+	usages map[fleet.EndpointID]Usage
+	at     time.Time
+}
+
+// Book knows what this entry runs on each endpoint, exactly, and what others run, as they last told. Its zero value is
+// ready to use.
+type Book struct {
+	mu    sync.Mutex
+	own   map[fleet.EndpointID]Usage
+	peers map[fleet.EntryID]told
+}
+
+// Add notes work of this entry.
+func (b *Book) Add(work map[fleet.EndpointID]Usage) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.own == nil {
+		b.own = make(map[fleet.EndpointID]Usage)
+	}
+	for id, u := range work {
+		b.own[id] = b.own[id].add(u)
+	}
+}
+
+// Remove takes back work of this entry.
+func (b *Book) Remove(work map[fleet.EndpointID]Usage) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, u := range work {
+		left := b.own[id].sub(u)
+		if left == (Usage{}) {
+			delete(b.own, id)
+			continue
+		}
+		b.own[id] = left
+	}
+}
+
+// Own returns what this entry runs.
+func (b *Book) Own() map[fleet.EndpointID]Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.own)
+}
+
+// Told takes what another entry runs.
+func (b *Book) Told(entry fleet.EntryID, usages map[fleet.EndpointID]Usage, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.peers == nil {
+		b.peers = make(map[fleet.EntryID]told)
+	}
+	b.peers[entry] = told{usages: usages, at: now}
+}
+
+// Totals returns what all entries run on each endpoint.
+func (b *Book) Totals(now time.Time) map[fleet.EndpointID]Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	totals := make(map[fleet.EndpointID]Usage, len(b.own))
+	maps.Copy(totals, b.own)
+	for entry, t := range b.peers {
+		if now.Sub(t.at) > peerTTL {
+			delete(b.peers, entry)
+			continue
+		}
+		for id, u := range t.usages {
+			totals[id] = totals[id].add(u)
+		}
+	}
+	return totals
+}
--- /dev/null
+++ b/gateway/process.go
@@ -0,0 +1,218 @@
+// Package gateway composes the controllers and servers of one entry instance on the Cierzo platform.
+package gateway
+
+import (
+	"context"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"wisteriadyke/core/blackboard"
+	"wisteriadyke/core/dispatch"
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/freshness"
+	"wisteriadyke/core/outlier"
+	"wisteriadyke/core/report"
+	"wisteriadyke/core/retry"
+	"wisteriadyke/core/roster"
+	"wisteriadyke/core/routing"
+	"wisteriadyke/core/sharedload"
+	"wisteriadyke/core/timeline"
+	"wisteriadyke/io/boottime"
+	"wisteriadyke/io/settings"
+	"wisteriadyke/io/tcp"
+	"wisteriadyke/platform/ingress"
+	"wisteriadyke/platform/store"
+	"wisteriadyke/platform/worker"
+)
+
+const (
+	// keyMargin is taken off the time for which a removed key may be accepted: a request may be under way to the entry,
+	// and clocks of two instances drift.
+	keyMargin = 700 * time.Millisecond
+	// rosterGrace is how long endpoints have to register again after an outage of the store; the platform says two
+	// seconds.
+	rosterGrace = 2500 * time.Millisecond
+	// balancerDelay is how long the balancer takes to send no new connections to an entry that is not ready: two misses
+	// at one question a second.
+	balancerDelay = 2500 * time.Millisecond
+	// lastAnswers is the part of the grace time that is left when open requests are broken off.
+	lastAnswers = 300 * time.Millisecond
+	// memoryShare is the part of the memory from which the garbage collector works harder.
+	memoryShare = 0.7
+	// gcPercent trades memory, of which there is plenty, for processor time.
+	gcPercent = 300
+	// probeTimeout bounds the connection that shows whether an endpoint lives.
+	probeTimeout = 300 * time.Millisecond
+)
+
+// Process is one entry instance. Its fields are set before Run.
+type Process struct {
+	// Settings are those of the entry.
+	Settings settings.Gateway
+	// Log takes the messages of all parts.
+	Log zerolog.Logger
+
+	board    *blackboard.Board
+	current  *routing.Current
+	evidence *freshness.Evidence
+	timeline *timeline.Recorder
+	metrics  metrics.Registry
+	store    *store.Client
+	book     *sharedload.Book
+	outliers *outlier.Detector
+	ingress  *ingress.Server
+}
+
+// Run serves until ctx ends, then shuts down gracefully.
+func (p *Process) Run(ctx context.Context) error {
+	p.limitRuntime()
+	p.build()
+	p.Log.Info().Str("entry", string(p.Settings.Entry)).Str("zone", string(p.Settings.Zone)).Msg("gateway: started")
+	support, stopSupport := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopSupport()
+	group, support := errgroup.WithContext(support)
+	for _, run := range p.controllers() {
+		group.Go(func() error { return run(support) })
+	}
+	group.Go(func() error {
+		defer stopSupport()
+		return p.serveCallers(ctx, support)
+	})
+	err := group.Wait()
+	p.Log.Info().Err(err).Msg("gateway: stopped")
+	return err
+}
+
+// limitRuntime fits the runtime to a share of one core and little memory.
+func (p *Process) limitRuntime() {
+	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(float64(p.Settings.Memory) * memoryShare * (1 << 20)))
+}
+
+// build makes the parts that others need.
+func (p *Process) build() {
+	p.board = &blackboard.Board{}
+	p.current = &routing.Current{}
+	p.evidence = &freshness.Evidence{Clock: boottime.Now}
+	p.timeline = &timeline.Recorder{Entry: p.Settings.Entry}
+	p.metrics = metrics.NewRegistry()
+	p.store = &store.Client{Address: p.Settings.Store, HTTP: store.NewHTTP()}
+	p.book = &sharedload.Book{}
+	p.outliers = &outlier.Detector{}
+	p.ingress = &ingress.Server{
+		Address:      p.Settings.CallerAddress,
+		ReadyAddress: p.Settings.ReadyAddress,
+		Entry:        p.Settings.Entry,
+		Current:      p.current,
+		Evidence:     p.evidence,
+		KeyTTL:       p.Settings.RevokeTime - keyMargin,
+		Generator:    p.dispatcher(),
+		Ready:        p.ready,
+	}
+}
+
+// controllers returns all parts that run beside the serving of callers.
+func (p *Process) controllers() []func(context.Context) error {
+	operator := &store.OperatorWatch{
+		Client:   p.store,
+		Current:  p.current,
+		Board:    p.board,
+		Evidence: p.evidence,
+		Log:      p.Log,
+	}
+	registry := &store.RegistryWatch{
+		Client: p.store,
+		Roster: &roster.Roster{Board: p.board, Grace: rosterGrace, Log: p.Log},
+		Log:    p.Log,
+	}
+	return []func(context.Context) error{operator.Run, registry.Run}
+}
+
+// dispatcher returns the dispatcher of all requests.
+func (p *Process) dispatcher() *dispatch.Dispatcher {
+	viewer := &report.Viewer{Board: p.board, Zone: p.Settings.Zone}
+	policy := &sharedload.Policy{Book: p.book, Pool: p.pool, Usable: p.outliers.Usable}
+	entries := 9.0
+	return &dispatch.Dispatcher{
+		Board: p.board,
+		Views: viewer,
+		Entry: p.Settings.Entry,
+		Zone:  p.Settings.Zone,
+		Owners: &sharedload.Granter{
+			Entry:     p.Settings.Entry,
+			Board:     p.board,
+			Views:     viewer,
+			Policy:    policy,
+			RateShare: p.rateShare,
+			Outliers:  p.outliers,
+		},
+		Engines: &worker.Workers{
+			Pooled: worker.NewPooled(),
+			Fresh:  worker.NewFresh(),
+			Dialer: &tcp.Dialer{Timeout: probeTimeout, Silence: probeTimeout},
+		},
+		Placement:     policy,
+		Budget:        &retry.Budget{Ratio: p.Settings.RetryRatio / 2, Burst: p.Settings.RetryBurst / entries / 2},
+		BudgetRefused: true,
+		Suspects:      &retry.Suspects{Entry: p.Settings.Entry},
+		Timeline:      p.timeline,
+		Metrics:       p.metrics,
+		Log:           p.Log,
+	}
+}
+
+// pool returns what the configuration tells of a pool.
+func (p *Process) pool(name fleet.PoolName) (routing.Pool, bool) {
+	table := p.current.Table()
+	if table == nil {
+		return routing.Pool{}, false
+	}
+	pool, found := table.Pools[name]
+	return pool, found
+}
+
+// rateShare returns the requests a second that this entry may send to one endpoint of a pool.
+func (p *Process) rateShare(name fleet.PoolName) (int, bool) {
+	pool, _ := p.pool(name)
+	if pool.ColdRate <= 0 {
+		return 0, false
+	}
+	return max(1, int(pool.ColdRate*p.Settings.ColdFactor/9)), true
+}
+
+// ready tells the balancer whether the entry takes new connections.
+func (p *Process) ready() bool {
+	return p.current.Table() != nil
+}
+
+// serveCallers serves until ctx ends and finishes what has begun within the grace time; it ends early when support does.
+func (p *Process) serveCallers(ctx, support context.Context) error {
+	serving, stopServing := context.WithCancel(support)
+	defer stopServing()
+	group, serving := errgroup.WithContext(serving)
+	group.Go(func() error { return p.ingress.Run(serving) })
+	group.Go(func() error {
+		defer stopServing()
+		select {
+		case <-ctx.Done():
+		case <-serving.Done():
+			return nil
+		}
+		p.Log.Info().Msg("gateway: shutting down gracefully")
+		p.ingress.SetDraining()
+		timer := time.NewTimer(balancerDelay)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-serving.Done():
+		}
+		return nil
+	})
+	return group.Wait()
+}
--- a/io/jsonfile/reference_test.go
+++ b/io/jsonfile/reference_test.go
@@ -25,8 +25,9 @@
 
 func TestReferencePages(t *testing.T) {
 	tests := map[string][]jsonfile.Field{
-		"settings.md":     settings.Reference(),
-		"declarations.md": declaration.Reference(),
+		"settings.md":         settings.Reference(),
+		"gateway-settings.md": settings.GatewayReference(),
+		"declarations.md":     declaration.Reference(),
 	}
 	for name, want := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/io/jsonhttp/client.go
+++ b/io/jsonhttp/client.go
@@ -88,6 +88,11 @@
 	})
 }
 
+// NewWithTransport returns a client with connections of the caller's making.
+func NewWithTransport(transport *http.Transport) *http.Client {
+	return newClient(transport)
+}
+
 // newClient returns a client that follows no redirect, since following one sends a request again.
 func newClient(transport *http.Transport) *http.Client {
 	return &http.Client{
--- a/standin/register/register.go
+++ b/standin/register/register.go
@@ -51,8 +51,16 @@
 
 // Announce puts the endpoint in the list with state, and tries again every second until it works or ctx ends.
 func (r *Registration) Announce(ctx context.Context, state fleet.State) error {
-	body := instanceBody(r.Endpoint)
-	body.State = state
+	body := instanceBody{
+		ID:          r.Endpoint.ID,
+		Kind:        r.Endpoint.Kind,
+		Pool:        r.Endpoint.Pool,
+		Zone:        r.Endpoint.Zone,
+		Address:     r.Endpoint.Address,
+		State:       state,
+		Memory:      r.Endpoint.Memory,
+		ChecksFence: r.Endpoint.ChecksFence,
+	}
 	content, err := json.Marshal(body)
 	if err != nil {
 		return errors.Wrapf(err, "announce %s", r.Endpoint.ID)
