Tell peers what runs where, and drop late vanished endpoints in time

Change: entries list themselves in the store and tell each other their usage at most ten times a second; readiness ends with the signal; entries that vanish after the registry's return are kept for less than the drain time.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -17,16 +17,19 @@
 type Roster struct {
 	// Board takes the endpoints.
 	Board *blackboard.Board
-	// Grace is how long after the registry's return a vanished entry is kept; it comes from the registry's own promise
-	// on how soon entries are back.
+	// Grace is how long after the registry's return an entry is kept that vanished meanwhile; it comes from the
+	// registry's own promise on how soon entries are back.
 	Grace time.Duration
+	// LateGrace is how long an entry is kept that vanishes within Grace after the return: its endpoint may not have
+	// registered again yet, or may be leaving.
+	LateGrace time.Duration
 	// Log takes messages about endpoints that come, leave and go.
 	Log zerolog.Logger
 
 	mu       sync.Mutex
 	away     bool
 	returned time.Time
-	vanished map[fleet.EndpointID]struct{}
+	vanished map[fleet.EndpointID]time.Time
 }
 
 // Replace takes the whole list.
@@ -43,7 +46,7 @@
 			r.gone(endpoint)
 			continue
 		}
-		r.keep(id)
+		r.keep(id, now)
 		rows[id] = endpoint
 	}
 	for id, endpoint := range listed {
@@ -70,7 +73,7 @@
 		return
 	}
 	if !r.settled(now) {
-		r.keep(id)
+		r.keep(id, now)
 		return
 	}
 	r.gone(endpoint)
@@ -92,16 +95,20 @@
 		r.away = false
 		r.returned = now
 	}
-	if !r.settled(now) {
-		return
-	}
-	for id := range r.vanished {
+	for id, until := range r.vanished {
+		if until.IsZero() {
+			r.vanished[id] = r.returned.Add(r.Grace)
+			continue
+		}
+		if now.Before(until) {
+			continue
+		}
 		if endpoint, found := r.Board.Endpoints.Get(id); found {
 			r.gone(endpoint)
 			r.Board.Endpoints.Delete(id)
 		}
+		delete(r.vanished, id)
 	}
-	clear(r.vanished)
 }
 
 // settled tells whether an entry that vanishes means that its endpoint has left; the caller holds the lock.
@@ -110,11 +117,19 @@
 }
 
 // keep holds an entry that has vanished; the caller holds the lock.
-func (r *Roster) keep(id fleet.EndpointID) {
+func (r *Roster) keep(id fleet.EndpointID, now time.Time) {
+	if _, found := r.vanished[id]; found {
+		return
+	}
 	if r.vanished == nil {
-		r.vanished = make(map[fleet.EndpointID]struct{})
+		r.vanished = make(map[fleet.EndpointID]time.Time)
+	}
+	if r.away {
+		// The time runs from the registry's return, which Reached notes.
+		r.vanished[id] = time.Time{}
+		return
 	}
-	r.vanished[id] = struct{}{}
+	r.vanished[id] = now.Add(r.LateGrace)
 }
 
 // seen logs an entry that is new, lives anew or leaves; the caller holds the lock.
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -5,6 +5,7 @@
 	"context"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -23,6 +24,7 @@
 	"wisteriadyke/core/sharedload"
 	"wisteriadyke/core/timeline"
 	"wisteriadyke/io/boottime"
+	"wisteriadyke/io/peer"
 	"wisteriadyke/io/settings"
 	"wisteriadyke/io/tcp"
 	"wisteriadyke/platform/ingress"
@@ -36,7 +38,10 @@
 	keyMargin = 700 * time.Millisecond
 	// rosterGrace is how long endpoints have to register again after an outage of the store; the platform says two
 	// seconds.
-	rosterGrace = 2500 * time.Millisecond
+	rosterGrace = 2 * time.Second
+	// rosterLateGrace is how long an entry is kept that vanishes soon after an outage; with one look at the registry it
+	// stays below the drain time of endpoints.
+	rosterLateGrace = 800 * time.Millisecond
 	// balancerDelay is how long the balancer takes to send no new connections to an entry that is not ready: two misses
 	// at one question a second.
 	balancerDelay = 2500 * time.Millisecond
@@ -66,6 +71,7 @@
 	book     *sharedload.Book
 	outliers *outlier.Detector
 	ingress  *ingress.Server
+	leaving  atomic.Bool
 }
 
 // Run serves until ctx ends, then shuts down gracefully.
@@ -128,10 +134,29 @@
 	}
 	registry := &store.RegistryWatch{
 		Client: p.store,
-		Roster: &roster.Roster{Board: p.board, Grace: rosterGrace, Log: p.Log},
+		Roster: &roster.Roster{Board: p.board, Grace: rosterGrace, LateGrace: rosterLateGrace, Log: p.Log},
 		Log:    p.Log,
 	}
-	return []func(context.Context) error{operator.Run, registry.Run}
+	entries := &store.EntriesWatch{Client: p.store, Self: p.self(), Board: p.board, Log: p.Log}
+	client := peer.NewClient()
+	teller := &sharedload.Teller{
+		Entry:     p.Settings.Entry,
+		Book:      p.book,
+		Board:     p.board,
+		Transport: &peer.UsageTransport{Client: client},
+	}
+	peers := &peer.Server{Address: p.Settings.PeerAddress, Usages: teller, Client: client}
+	return []func(context.Context) error{operator.Run, registry.Run, entries.Run, teller.Run, peers.Run}
+}
+
+// self returns this entry as others know it.
+func (p *Process) self() fleet.Entry {
+	return fleet.Entry{
+		ID:      p.Settings.Entry,
+		Zone:    p.Settings.Zone,
+		Address: p.Settings.PeerAddress,
+		State:   fleet.StateLive,
+	}
 }
 
 // dispatcher returns the dispatcher of all requests.
@@ -183,12 +208,17 @@
 	if pool.ColdRate <= 0 {
 		return 0, false
 	}
-	return max(1, int(pool.ColdRate*p.Settings.ColdFactor/9)), true
+	return max(1, int(pool.ColdRate*p.Settings.ColdFactor)/p.entries()), true
+}
+
+// entries returns the number of known entries, at least this one.
+func (p *Process) entries() int {
+	return max(1, len(p.board.Entries.View().Rows))
 }
 
 // ready tells the balancer whether the entry takes new connections.
 func (p *Process) ready() bool {
-	return p.current.Table() != nil
+	return !p.leaving.Load() && p.current.Table() != nil
 }
 
 // serveCallers serves until ctx ends and finishes what has begun within the grace time; it ends early when support does.
@@ -205,6 +235,7 @@
 			return nil
 		}
 		p.Log.Info().Msg("gateway: shutting down gracefully")
+		p.leaving.Store(true)
 		p.ingress.SetDraining()
 		timer := time.NewTimer(balancerDelay)
 		defer timer.Stop()
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -19,7 +19,7 @@
 type Server struct {
 	// Address is where it listens.
 	Address netip.AddrPort
-	// Owner answers for the endpoints that this entry owns.
+	// Owner answers for the endpoints that this entry owns; nil means that it owns none.
 	Owner dispatch.Owners
 	// Prober answers probes; nil means that none are answered, nor passed on.
 	Prober Prober
@@ -29,6 +29,8 @@
 	Claims Claims
 	// Reports takes what other owners tell; nil means that it is not taken.
 	Reports Reports
+	// Usages takes what other entries run; nil means that it is not taken.
+	Usages Usages
 	// Client passes probes on.
 	Client *Client
 }
@@ -54,8 +56,15 @@
 
 // register adds the services that are answered.
 func (s *Server) register(mux *drpcmux.Mux) error {
-	if err := DRPCRegisterOwner(mux, &ownerHandler{owner: s.Owner}); err != nil {
-		return err
+	if s.Owner != nil {
+		if err := DRPCRegisterOwner(mux, &ownerHandler{owner: s.Owner}); err != nil {
+			return err
+		}
+	}
+	if s.Usages != nil {
+		if err := DRPCRegisterUsage(mux, &usageHandler{usages: s.Usages}); err != nil {
+			return err
+		}
 	}
 	if s.Prober != nil {
 		if err := DRPCRegisterMember(mux, &memberHandler{prober: s.Prober, client: s.Client}); err != nil {
