Plan the reading of long prompts by the harm to quick answers and the objective

Cause: parts of 150 ms beside other reading exceeded the pause objective of the quick answers at their endpoints, which made most of them late although their first events were in time. Quick requests avoid endpoints with long attempts.

--- a/core/dispatch/ports.go
+++ b/core/dispatch/ports.go
@@ -173,6 +173,8 @@
 	PromptTokens fleet.Tokens
 	// MaxTokens bounds the answer.
 	MaxTokens fleet.Tokens
+	// Objective is the time to the first token that the caller hopes for, or 0.
+	Objective time.Duration
 	// StartBy is when the wait for the first token ends.
 	StartBy time.Time
 	// FinishBy is when the whole answer is due.
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -92,12 +92,13 @@
 // need is what the request asks of an endpoint.
 func (r *run) need() placement.Need {
 	return placement.Need{
-		Pool:     r.request.Pool,
-		Account:  r.request.Account,
-		Prompt:   r.request.PromptTokens,
-		Output:   r.request.MaxTokens,
-		Prefixes: r.prefixes,
-		Excluded: r.excluded,
+		Pool:      r.request.Pool,
+		Account:   r.request.Account,
+		Prompt:    r.request.PromptTokens,
+		Output:    r.request.MaxTokens,
+		Objective: r.request.Objective,
+		Prefixes:  r.prefixes,
+		Excluded:  r.excluded,
 	}
 }
 
@@ -125,6 +126,7 @@
 		Prompt:    r.request.PromptTokens,
 		Output:    r.request.MaxTokens,
 		Cached:    r.cached(endpoint),
+		Objective: r.request.Objective,
 		StartBy:   r.startBy(),
 		FinishBy:  r.request.FinishBy,
 		Exclusive: exclusive,
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -36,6 +36,8 @@
 	Prompt fleet.Tokens
 	// Output is the largest length of the answer.
 	Output fleet.Tokens
+	// Objective is the time to the first token that the caller hopes for, or 0.
+	Objective time.Duration
 	// Prefixes holds the digests of the prompt's beginnings, the shortest first.
 	Prefixes []Prefix
 	// At is when the decision is made; zero stands for now.
--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -32,6 +32,8 @@
 	Output fleet.Tokens
 	// Cached is the number of leading prompt tokens that the endpoint may hold already; it is a hint.
 	Cached fleet.Tokens
+	// Objective is the time to the first token that the caller hopes for, or 0.
+	Objective time.Duration
 	// StartBy is when the wait for the first token ends.
 	StartBy time.Time
 	// FinishBy is when the whole answer is due.
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -90,6 +90,8 @@
 	ColdRate float64
 	// ColdTime is how long a cold start takes.
 	ColdTime time.Duration
+	// PauseObjective is the shortest one of the routes that the pool serves, or 0 if none has any.
+	PauseObjective time.Duration
 	// Engine is the published pace of the pool's model engines, or nil for plain services.
 	Engine *enginemodel.Model
 }
@@ -137,6 +139,7 @@
 		r := &t.Routes[i]
 		host := HostName(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
+		t.pauseObjective(r)
 	}
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -144,6 +147,20 @@
 	return t
 }
 
+// pauseObjective notes the pause objective of a route with the pools that serve it.
+func (t *Table) pauseObjective(r *Route) {
+	for _, s := range r.Shares {
+		pool, found := t.Pools[s.Pool]
+		if !found || r.PauseObjective <= 0 {
+			continue
+		}
+		if pool.PauseObjective <= 0 || r.PauseObjective < pool.PauseObjective {
+			pool.PauseObjective = r.PauseObjective
+			t.Pools[s.Pool] = pool
+		}
+	}
+}
+
 // Match returns the route with the longest prefix of the path among those of the host.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	for _, r := range t.hosts[HostName(host)] {
--- a/core/sharedload/granter.go
+++ b/core/sharedload/granter.go
@@ -12,6 +12,7 @@
 	"wisteriadyke/core/placement"
 	"wisteriadyke/core/ratelimit"
 	"wisteriadyke/core/reservation"
+	"wisteriadyke/core/routing"
 )
 
 const (
@@ -21,10 +22,6 @@
 	queuedPerSlot = 1.5
 	// fullWait is when to come back to a pool whose endpoints are all full.
 	fullWait = 1500 * time.Millisecond
-	// maxHelpers is the number of endpoints that an engine takes as helpers.
-	maxHelpers = 16
-	// helperRead is the reading time that each of the endpoints of a joint reading should have at most.
-	helperRead = 150 * time.Millisecond
 )
 
 // Granter grants attempts by the shared book in place of an owner. It implements dispatch.Owners.
@@ -103,12 +100,11 @@
 	made := reservation.Grant{Endpoint: endpoint.ID, Reservation: id, Owner: g.Entry}
 	entry := &grant{work: map[fleet.EndpointID]Usage{}, reading: map[fleet.EndpointID]Usage{}}
 	usage := Usage{Running: 1, Memory: request.Prompt + request.Output}
-	pool, _ := g.Policy.Pool(endpoint.Pool)
-	if pool.Engine != nil {
+	if pool, _ := g.Policy.Pool(endpoint.Pool); pool.Engine != nil {
 		if isQuick(pool, request.Prompt) {
 			usage.Quick = 1
 		} else {
-			made.Helpers = g.helpers(view, endpoint, request)
+			made.Helpers = g.helpers(view, pool, endpoint, request)
 		}
 		part := pool.Engine.Read(request.Prompt) / time.Duration(len(made.Helpers)+1)
 		entry.reading[endpoint.ID] = Usage{Reading: part}
@@ -127,20 +123,17 @@
 }
 
 // helpers chooses the endpoints that read parts of a long prompt beside the one that is granted.
-func (g *Granter) helpers(view placement.View, first fleet.Endpoint, request reservation.Request) []reservation.Helper {
-	pool, _ := g.Policy.Pool(first.Pool)
-	wanted := min(int(pool.Engine.Read(request.Prompt)/helperRead), maxHelpers)
-	need := placement.Need{
-		Pool:     first.Pool,
-		Prompt:   request.Prompt,
-		Excluded: map[fleet.EndpointID]bool{first.ID: true},
-	}
-	var helpers []reservation.Helper
-	for _, c := range g.Policy.ranked(view, pool, need) {
-		if len(helpers) >= wanted {
-			break
-		}
-		helpers = append(helpers, reservation.Helper{Endpoint: c.endpoint.ID, Address: c.endpoint.Address})
+func (g *Granter) helpers(
+	view placement.View, pool routing.Pool, first fleet.Endpoint, request reservation.Request,
+) []reservation.Helper {
+	need := placement.Need{Pool: first.Pool, Prompt: request.Prompt}
+	plan, found := planReading(pool, g.Policy.states(view, need), request.Prompt, request.Output, request.Objective)
+	if !found || plan.first.endpoint.ID != first.ID {
+		return nil
+	}
+	helpers := make([]reservation.Helper, 0, len(plan.helpers))
+	for _, s := range plan.helpers {
+		helpers = append(helpers, reservation.Helper{Endpoint: s.endpoint.ID, Address: s.endpoint.Address})
 	}
 	return helpers
 }
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -14,15 +14,13 @@
 const (
 	// quickRead is the reading time up to which a prompt counts as quick; a pass with one such reading stays below the
 	// shortest pause that callers of streams accept.
-	quickRead = 80 * time.Millisecond
-	// runningCost is what each running attempt adds to the time that a newcomer takes, beside its reading.
+	quickRead = 120 * time.Millisecond
+	// runningCost is what each running call adds at a plain service.
 	runningCost = 4 * time.Millisecond
-	// overfullCost is what each attempt beyond an endpoint's slots adds, about the time until a slot is free.
-	overfullCost = 150 * time.Millisecond
-	// quickCost is what reading a long prompt on an endpoint costs for each quick attempt there that is held up.
-	quickCost = 60 * time.Millisecond
 	// rankCost keeps quick prompts and long ones on different endpoints while load is low.
 	rankCost = 2 * time.Millisecond
+	// longCost is what each long attempt at an endpoint costs a quick newcomer, whose passes will take longer.
+	longCost = 25 * time.Millisecond
 )
 
 // Policy orders endpoints by the time that a request would take there and by what it costs the others there.
@@ -35,45 +33,46 @@
 	Usable func(endpoint fleet.Endpoint, now time.Time) bool
 }
 
-// candidate is an endpoint with what it would cost to place a request there.
-type candidate struct {
-	endpoint fleet.Endpoint
-	usage    Usage
-	rank     int
-	cost     time.Duration
-}
-
 // Candidates returns the endpoints of the pool that have room, the best first.
 func (p *Policy) Candidates(view placement.View, need placement.Need) []fleet.Endpoint {
 	pool, found := p.Pool(need.Pool)
 	if !found {
 		return nil
 	}
-	var endpoints []fleet.Endpoint
-	for _, c := range p.ranked(view, pool, need) {
-		endpoints = append(endpoints, c.endpoint)
+	states := p.states(view, need)
+	if !isQuick(pool, need.Prompt) {
+		if plan, found := planReading(pool, states, need.Prompt, need.Output, need.Objective); found {
+			return []fleet.Endpoint{plan.first.endpoint}
+		}
+	}
+	slices.SortStableFunc(states, func(a, b state) int { return cmp.Compare(quickCost(pool, &a), quickCost(pool, &b)) })
+	endpoints := make([]fleet.Endpoint, 0, len(states))
+	for _, s := range states {
+		endpoints = append(endpoints, s.endpoint)
 	}
 	return endpoints
 }
 
-// ranked returns the usable endpoints of a pool, the best for the request first.
-func (p *Policy) ranked(view placement.View, pool routing.Pool, need placement.Need) []candidate {
-	now := cmp.Or(need.At, time.Now())
+// states returns the usable endpoints of a pool in an order that all entries agree on.
+func (p *Policy) states(view placement.View, need placement.Need) []state {
+	now := need.At
+	if now.IsZero() {
+		now = time.Now()
+	}
 	totals := p.Book.Totals(now)
-	var found []candidate
+	var found []state
 	for id, endpoint := range view.Endpoints {
 		if endpoint.Pool != need.Pool || need.Excluded[id] || !p.open(view, endpoint, now) {
 			continue
 		}
-		found = append(found, candidate{endpoint: endpoint, usage: totals[id]})
+		found = append(found, state{endpoint: endpoint, usage: totals[id]})
 	}
-	slices.SortFunc(found, func(a, b candidate) int { return cmp.Compare(rankOf(a.endpoint.ID), rankOf(b.endpoint.ID)) })
-	quick := isQuick(pool, need.Prompt)
+	slices.SortFunc(found, func(a, b state) int {
+		return cmp.Or(cmp.Compare(rankOf(a.endpoint.ID), rankOf(b.endpoint.ID)), cmp.Compare(a.endpoint.ID, b.endpoint.ID))
+	})
 	for i := range found {
 		found[i].rank = i
-		found[i].cost = costOf(pool, found[i], len(found), quick)
 	}
-	slices.SortStableFunc(found, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 	return found
 }
 
@@ -87,20 +86,19 @@
 	return pool.Engine == nil || pool.Engine.Read(prompt) <= quickRead
 }
 
-// costOf returns the cost of placing a request at an endpoint. Load pattern: long prompts burst while quick ones run;
-// both keep to endpoints of their own, quick ones from the front of a fixed order and long ones from its end.
-func costOf(pool routing.Pool, c candidate, count int, quick bool) time.Duration {
-	cost := c.usage.Reading + time.Duration(c.usage.Running)*runningCost
-	if over := c.usage.Running - c.endpoint.Slots; c.endpoint.Slots > 0 && over >= 0 {
-		cost += time.Duration(over+1) * overfullCost
-	}
+// quickCost returns the cost of placing a quick request at an endpoint: the time to its first token and the length of
+// the passes that follow. Load pattern: quick requests burst while long prompts are read; they keep away from reading
+// endpoints, and fill endpoints from the front of a fixed order while long prompts come from its end.
+func quickCost(pool routing.Pool, s *state) time.Duration {
 	if pool.Engine == nil {
+		cost := time.Duration(s.usage.Running) * runningCost
+		if over := s.usage.Running - s.endpoint.Slots; s.endpoint.Slots > 0 && over >= 0 {
+			cost += time.Duration(over+1) * overfullWait
+		}
 		return cost
 	}
-	if quick {
-		return cost + time.Duration(c.rank)*rankCost
-	}
-	return cost + time.Duration(c.usage.Quick)*quickCost + time.Duration(count-1-c.rank)*rankCost
+	long := time.Duration(s.usage.Running-s.usage.Quick) * longCost
+	return s.wait(pool) + s.pass(pool) + long + time.Duration(s.rank)*rankCost
 }
 
 // rankOf gives endpoints an order that all entries agree on.
