--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -111,6 +111,13 @@
 	}
 }
 
+// Settling tells whether entries that have vanished are still kept.
+func (r *Roster) Settling() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.vanished) > 0
+}
+
 // settled tells whether an entry that vanishes means that its endpoint has left; the caller holds the lock.
 func (r *Roster) settled(now time.Time) bool {
 	return !r.away && (r.returned.IsZero() || now.Sub(r.returned) >= r.Grace)
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,99 @@
+package roster
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"wisteriadyke/core/blackboard"
+	"wisteriadyke/core/fleet"
+)
+
+const (
+	testGrace     = 2 * time.Second
+	testLateGrace = 800 * time.Millisecond
+)
+
+func TestVanishedEntries(t *testing.T) {
+	start := time.Unix(1000, 0)
+	tests := map[string]struct {
+		// steps run in order, each at a time after the start.
+		steps func(r *Roster, at func(time.Duration) time.Time)
+		want  []fleet.EndpointID
+	}{
+		"removed while the registry answers": {
+			steps: func(r *Roster, at func(time.Duration) time.Time) { r.Remove("b", at(time.Second)) },
+			want:  []fleet.EndpointID{"a"},
+		},
+		"gone at the first answer after an outage, kept for the grace": {
+			steps: func(r *Roster, at func(time.Duration) time.Time) {
+				r.Lost()
+				r.Remove("b", at(5*time.Second))
+				r.Reached(at(5 * time.Second))
+				r.Reached(at(6900 * time.Millisecond))
+			},
+			want: []fleet.EndpointID{"a", "b"},
+		},
+		"gone at the first answer after an outage, dropped behind the grace": {
+			steps: func(r *Roster, at func(time.Duration) time.Time) {
+				r.Lost()
+				r.Remove("b", at(5*time.Second))
+				r.Reached(at(5 * time.Second))
+				r.Reached(at(7 * time.Second))
+			},
+			want: []fleet.EndpointID{"a"},
+		},
+		"gone soon after the return, dropped within the drain time": {
+			steps: func(r *Roster, at func(time.Duration) time.Time) {
+				r.Lost()
+				r.Reached(at(5 * time.Second))
+				r.Remove("b", at(5500*time.Millisecond))
+				r.Reached(at(5500 * time.Millisecond))
+				r.Reached(at(6300 * time.Millisecond))
+			},
+			want: []fleet.EndpointID{"a"},
+		},
+		"back after an outage": {
+			steps: func(r *Roster, at func(time.Duration) time.Time) {
+				r.Lost()
+				r.Remove("b", at(5*time.Second))
+				r.Reached(at(5 * time.Second))
+				r.Put(fleet.Endpoint{ID: "b"})
+				r.Reached(at(9 * time.Second))
+			},
+			want: []fleet.EndpointID{"a", "b"},
+		},
+		"missing in the whole list that is read after an outage": {
+			steps: func(r *Roster, at func(time.Duration) time.Time) {
+				r.Lost()
+				r.Replace(map[fleet.EndpointID]fleet.Endpoint{"a": {ID: "a"}}, at(5*time.Second))
+				r.Reached(at(5 * time.Second))
+				r.Reached(at(6 * time.Second))
+			},
+			want: []fleet.EndpointID{"a", "b"},
+		},
+		"missing in the whole list while the registry answers": {
+			steps: func(r *Roster, at func(time.Duration) time.Time) {
+				r.Replace(map[fleet.EndpointID]fleet.Endpoint{"a": {ID: "a"}}, at(5*time.Second))
+			},
+			want: []fleet.EndpointID{"a"},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := &Roster{Board: &blackboard.Board{}, Grace: testGrace, LateGrace: testLateGrace}
+			r.Put(fleet.Endpoint{ID: "a"})
+			r.Put(fleet.Endpoint{ID: "b"})
+			r.Reached(start)
+			tc.steps(r, func(after time.Duration) time.Time { return start.Add(after) })
+			var got []fleet.EndpointID
+			for id := range r.Board.Endpoints.View().Rows {
+				got = append(got, id)
+			}
+			slices.Sort(got)
+			if !slices.Equal(got, tc.want) {
+				t.Errorf("endpoints = %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
