--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -16,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"wisteriadyke/standin/loopback"
 )
 
 const (
@@ -263,30 +264,14 @@
 
 // The ports of the tests lie below those that the system gives to connections, which could take one before the
 // process that it was chosen for.
-const (
-	firstPort = 20_000
-	lastPort  = 30_000
-)
-
-// nextPort is the port to try next.
-var nextPort = firstPort
-
 // freeAddress returns a loopback address whose port nothing listens at, another one at each call.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	var config net.ListenConfig
-	for nextPort < lastPort {
-		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(nextPort))
-		nextPort++
-		listener, err := config.Listen(t.Context(), "tcp", address.String())
-		if err != nil {
-			continue
-		}
-		_ = listener.Close()
-		return address
+	address, err := loopback.FreeAddress(t.Context())
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no port is free")
-	return netip.AddrPort{}
+	return address
 }
 
 // timeline returns what all entries recorded of an endpoint.
--- /dev/null
+++ b/gateway/path_test.go
@@ -0,0 +1,234 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"wisteriadyke/standin/cierzo"
+)
+
+// streamCall is a call of the route of streams.
+var streamCall = call{method: http.MethodPost, uri: "/s/x", header: []string{"X-Token-Counts: 1000,500"}, body: "prompt"}
+
+func TestRequestsArePassedUnchanged(t *testing.T) {
+	w := newWorld(t)
+	k := w.worker(&cierzo.Worker{ID: "i-1", Service: "services"})
+	e := w.entry()
+	got := w.send(e, call{
+		method: http.MethodPost,
+		uri:    "/u/a%2Fb/./c//d?x=%20&y",
+		header: []string{
+			"X-Tenant: evil", "X-Expect-Instance: i-9", "X-Helpers: 10.0.0.1:1", "X-Request-Urgency: 0",
+			"Connection: X-Hop", "X-Hop: 1", "X-Own: kept",
+		},
+		body: "one body",
+	})
+	if got.status != http.StatusOK || got.body != "answer of i-1" || got.header.Get("X-Response-Seal") != "seal-i-1" {
+		t.Fatalf("answer = %+v", got)
+	}
+	seen := k.Requests()
+	if len(seen) != 1 {
+		t.Fatalf("%d requests reached the worker, want 1", len(seen))
+	}
+	if s := seen[0]; s.URI != "/u/a%2Fb/./c//d?x=%20&y" || s.Body != "one body" || s.Host != "App.Example.:80" {
+		t.Errorf("request = %+v", s)
+	}
+	want := map[string]string{
+		"X-Tenant": "acme", "X-Expect-Instance": "i-1", "X-Helpers": "", "X-Hop": "", "X-Own": "kept", "X-Credential": "",
+		"X-Attempt-Id": "attempt-1", "X-Request-Urgency": "2",
+	}
+	for name, value := range want {
+		if got := seen[0].Header.Get(name); got != value {
+			t.Errorf("%s = %q, want %q", name, got, value)
+		}
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	w := newWorld(t)
+	w.worker(&cierzo.Worker{ID: "i-1", Service: "services"})
+	e := w.entry()
+	tests := map[string]struct {
+		call call
+		want int
+	}{
+		"unknown path":      {call: call{method: http.MethodGet, uri: "/none/x"}, want: http.StatusNotFound},
+		"unknown host":      {call: call{method: http.MethodGet, uri: "/r/x", header: []string{"Host: b"}}, want: http.StatusBadRequest},
+		"prefix, no slash":  {call: call{method: http.MethodGet, uri: "/r"}, want: http.StatusNotFound},
+		"no engine is left": {call: streamCall, want: http.StatusServiceUnavailable},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := w.send(e, tc.call)
+			if got.status != tc.want {
+				t.Errorf("status = %d, want %d", got.status, tc.want)
+			}
+			if tc.want == http.StatusServiceUnavailable && got.header.Get("Retry-After") == "" {
+				t.Error("the refusal does not tell when to come back")
+			}
+		})
+	}
+}
+
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	w := newWorld(t)
+	const events = 6
+	breaks := func(rw http.ResponseWriter, r *http.Request, _ cierzo.Seen) bool {
+		if r.Header.Get("Last-Event-Id") != "" {
+			return false
+		}
+		rw.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		rw.Header().Set("X-Response-Seal", "seal-of-first")
+		rw.Header().Set("Content-Type", "text/event-stream")
+		_, _ = rw.Write([]byte(cierzo.Stream(1, 3) + "id: 4\ndata: pie"))
+		_ = http.NewResponseController(rw).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	first := w.worker(&cierzo.Worker{ID: "i-1", Events: events, Intercept: breaks})
+	second := w.worker(&cierzo.Worker{ID: "i-2", Events: events, Intercept: breaks})
+	e := w.entry()
+	got := w.send(e, streamCall)
+	if got.status != http.StatusOK || !got.whole || got.body != cierzo.Stream(1, events) {
+		t.Fatalf("answer = %+v", got)
+	}
+	if seal := got.header.Get("X-Response-Seal"); seal != "seal-of-first" {
+		t.Errorf("seal = %q, want that of the first worker", seal)
+	}
+	if n := len(first.Requests()) + len(second.Requests()); n != 2 {
+		t.Errorf("%d requests reached workers, want 2", n)
+	}
+}
+
+func TestBrokenAnswers(t *testing.T) {
+	reset := func(http.ResponseWriter, *http.Request, cierzo.Seen) bool { panic(http.ErrAbortHandler) }
+	head := func(attempt, seal string, status int) func(http.ResponseWriter, *http.Request, cierzo.Seen) bool {
+		return func(rw http.ResponseWriter, _ *http.Request, _ cierzo.Seen) bool {
+			if attempt != "" {
+				rw.Header().Set("X-Attempt-Id", attempt)
+			}
+			if seal != "" {
+				rw.Header().Set("X-Response-Seal", seal)
+			}
+			rw.WriteHeader(status)
+			_, _ = rw.Write([]byte("body"))
+			return true
+		}
+	}
+	notRun := func(rw http.ResponseWriter, _ *http.Request, _ cierzo.Seen) bool {
+		rw.Header().Set("X-Not-Executed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}
+	tests := map[string]struct {
+		call      call
+		intercept func(http.ResponseWriter, *http.Request, cierzo.Seen) bool
+		status    int
+		body      string
+		arrivals  int
+	}{
+		"reset, once":        {call{method: "POST", uri: "/u/x"}, reset, http.StatusBadGateway, "", 1},
+		"reset, idempotent":  {call{method: "GET", uri: "/r/x"}, reset, http.StatusBadGateway, "", 2},
+		"reset, key":         {call{method: "GET", uri: "/r/x", header: []string{"Idempotency-Key: 7"}}, reset, http.StatusBadGateway, "", 2},
+		"crossed, once":      {call{method: "POST", uri: "/u/x"}, head("attempt-0", "s", 200), http.StatusBadGateway, "", 1},
+		"no attempt, once":   {call{method: "POST", uri: "/u/x"}, head("", "s", 200), http.StatusBadGateway, "", 1},
+		"no seal, once":      {call{method: "POST", uri: "/u/x"}, head("attempt-1", "", 200), http.StatusBadGateway, "", 1},
+		"failure, once":      {call{method: "POST", uri: "/u/x"}, head("attempt-1", "s", 500), http.StatusInternalServerError, "body", 1},
+		"failure, repeated":  {call{method: "GET", uri: "/r/x"}, head("attempt-1", "s", 500), http.StatusInternalServerError, "body", 2},
+		"not run, once":      {call{method: "POST", uri: "/u/x"}, notRun, http.StatusServiceUnavailable, "", 1},
+		"not run, repeated":  {call{method: "GET", uri: "/r/x"}, notRun, http.StatusServiceUnavailable, "", 2},
+		"not found, as said": {call{method: "POST", uri: "/u/x"}, head("attempt-1", "s", 404), http.StatusNotFound, "body", 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			first := w.worker(&cierzo.Worker{ID: "i-1", Service: "services", Intercept: tc.intercept})
+			second := w.worker(&cierzo.Worker{ID: "i-2", Service: "services", Intercept: tc.intercept})
+			got := w.send(w.entry(), tc.call)
+			if got.status != tc.status || got.body != tc.body {
+				t.Errorf("answer = %+v, want status %d and body %q", got, tc.status, tc.body)
+			}
+			if n := len(first.Requests()) + len(second.Requests()); n != tc.arrivals {
+				t.Errorf("%d requests reached workers, want %d", n, tc.arrivals)
+			}
+		})
+	}
+}
+
+// TestKeptConnectionIsNotReplayed closes kept connections after a request was read: net/http must not send it again.
+func TestKeptConnectionIsNotReplayed(t *testing.T) {
+	w := newWorld(t)
+	served := 0
+	k := w.worker(&cierzo.Worker{ID: "i-1", Service: "services", Intercept: func(http.ResponseWriter, *http.Request, cierzo.Seen) bool {
+		served++
+		if served > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		return false
+	}})
+	e := w.entry()
+	if got := w.send(e, call{method: http.MethodGet, uri: "/r/x"}); got.status != http.StatusOK {
+		t.Fatalf("first answer = %+v", got)
+	}
+	w.send(e, call{method: http.MethodGet, uri: "/r/x", header: []string{"Idempotency-Key: 7"}})
+	if n := len(k.Requests()); n != 2 {
+		t.Errorf("%d requests reached the worker, want 2", n)
+	}
+}
+
+func TestWorkEndsWhenTheCallerLeaves(t *testing.T) {
+	w := newWorld(t)
+	k := w.worker(&cierzo.Worker{ID: "i-1", Events: 100, Work: 2 * time.Second, Pause: 50 * time.Millisecond})
+	e := w.entry()
+	conn := w.open(e, streamCall)
+	w.eventually("the worker has the request", func() bool { return len(k.Requests()) == 1 })
+	_ = conn.Close()
+	left := time.Now()
+	w.eventually("the worker's connection is closed", func() bool { return k.Gone() == 1 })
+	if took := time.Since(left); took > 500*time.Millisecond {
+		t.Errorf("the work ended after %v, want 500ms at most", took)
+	}
+}
+
+func TestEndpointsThatLeaveGetNothing(t *testing.T) {
+	tests := map[string]func(w *world, k *cierzo.Worker){
+		"draining":     func(w *world, k *cierzo.Worker) { k.Register(w.store, "draining") },
+		"removed":      func(w *world, k *cierzo.Worker) { w.store.Remove("servers", k.ID) },
+		"unreadable":   func(w *world, k *cierzo.Worker) { w.store.Put("servers", k.ID, "e30=") },
+		"zone drained": func(w *world, k *cierzo.Worker) { w.store.Put("op", "evacuate/"+k.Zone, "e30=") },
+	}
+	for name, leave := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			stays := w.worker(&cierzo.Worker{ID: "i-1", Events: 1})
+			leaves := w.worker(&cierzo.Worker{ID: "i-2", Events: 1, Zone: "b"})
+			e := w.entry()
+			leave(w, leaves)
+			// Endpoints drain for two seconds.
+			time.Sleep(1500 * time.Millisecond)
+			before := len(leaves.Requests())
+			for range 8 {
+				if got := w.send(e, streamCall); got.status != http.StatusOK {
+					t.Fatalf("answer = %+v", got)
+				}
+			}
+			if n := len(leaves.Requests()) - before; n != 0 || len(stays.Requests()) < 8 {
+				t.Errorf("%d requests reached the leaving worker, %d the other", n, len(stays.Requests()))
+			}
+		})
+	}
+}
+
+func TestGracefulShutdownFinishesStreams(t *testing.T) {
+	w := newWorld(t)
+	k := w.worker(&cierzo.Worker{ID: "i-1", Events: 20, Pause: 50 * time.Millisecond})
+	e := w.entry()
+	conn := w.open(e, streamCall)
+	defer func() { _ = conn.Close() }()
+	w.eventually("the worker has the request", func() bool { return len(k.Requests()) == 1 })
+	e.stop()
+	w.eventually("the entry is not ready", func() bool { return e.readyStatus() != http.StatusOK })
+	if got := w.read(conn, http.MethodPost); !got.whole || got.body != cierzo.Stream(1, 20) {
+		t.Errorf("answer = %+v", got)
+	}
+}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -42,11 +42,6 @@
 	// rosterLateGrace is how long an entry is kept that vanishes soon after an outage; with one look at the registry it
 	// stays below the drain time of endpoints.
 	rosterLateGrace = 800 * time.Millisecond
-	// balancerDelay is how long the balancer takes to send no new connections to an entry that is not ready: two misses
-	// at one question a second.
-	balancerDelay = 2500 * time.Millisecond
-	// lastAnswers is the part of the grace time that is left when open requests are broken off.
-	lastAnswers = 300 * time.Millisecond
 	// memoryShare is the part of the memory from which the garbage collector works harder.
 	memoryShare = 0.7
 	// gcPercent trades memory, of which there is plenty, for processor time.
@@ -237,7 +232,7 @@
 		p.Log.Info().Msg("gateway: shutting down gracefully")
 		p.leaving.Store(true)
 		p.ingress.SetDraining()
-		timer := time.NewTimer(balancerDelay)
+		timer := time.NewTimer(p.Settings.BalancerDelay)
 		defer timer.Stop()
 		select {
 		case <-timer.C:
--- a/io/settings/gateway.go
+++ b/io/settings/gateway.go
@@ -28,6 +28,8 @@
 	RevokeTime time.Duration `json:"revoke_time" check:"default=5s,min=1s,max=1h"`
 	// GraceTime is how long the process has between the signal to stop and its end.
 	GraceTime time.Duration `json:"grace_time" check:"default=8s,min=1s,max=10m"`
+	// BalancerDelay is how long the balancer takes to send no new connections to an entry that is not ready.
+	BalancerDelay time.Duration `json:"balancer_delay" check:"default=2500ms,min=0s,max=5m"`
 	// RetryRatio is the number of retries that each request earns.
 	RetryRatio float64 `json:"retry_ratio" check:"default=0.1,min=0,max=1"`
 	// RetryBurst is the number of retries that all entries together can save up.
