--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -92,6 +92,11 @@
 	sinkErr error
 	// failed is the failure that the endpoint answered with, or nil.
 	failed *AttemptError
+	// cause is the error that ended the attempt, or nil.
+	cause error
+	// lastTokenAt and longestPause tell how evenly the answer came.
+	lastTokenAt  time.Time
+	longestPause time.Duration
 	// bad tells that the answer was not fit to be passed on, though the connection held.
 	bad bool
 }
@@ -99,6 +104,7 @@
 // fail notes the error that ended the attempt.
 func (r *result) fail(err error) {
 	r.release.Outcome = failedOutcome(err)
+	r.cause = err
 	var attemptErr *AttemptError
 	if errors.As(err, &attemptErr) && attemptErr.Certainty == CertainFailed {
 		r.release.Outcome = reservation.OutcomeFailed
@@ -195,7 +201,10 @@
 		res.release.Read = a.request.PromptTokens - event.Cached
 		res.release.ReadTime = now.Sub(startedAt)
 		a.firstToken(now)
+	} else {
+		res.longestPause = max(res.longestPause, now.Sub(res.lastTokenAt))
 	}
+	res.lastTokenAt = now
 	res.release.Generated++
 	res.release.GenerateTime = now.Sub(startedAt) - res.release.ReadTime
 	a.position = event.Position
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -31,13 +31,20 @@
 	r.record(event)
 }
 
-// recordEnd appends and logs the end of an attempt.
+// recordEnd appends and logs the end of an attempt with what decided its place.
 func (r *run) recordEnd(a *attempt, result result) {
-	r.Log.Debug().
+	r.Log.Info().
 		Str("request", string(r.request.ID)).
 		Str("attempt", string(a.id)).
 		Str("endpoint", string(a.endpoint.ID)).
+		Int("helpers", len(a.grant.Helpers)).
+		Int64("prompt_tokens", int64(r.request.PromptTokens)).
+		Dur("predicted_ms", a.grant.Predicted).
+		Dur("first_token_ms", result.release.ReadTime).
+		Dur("longest_pause_ms", result.longestPause).
+		Int64("generated", int64(result.release.Generated)).
 		Str("outcome", string(result.release.Outcome)).
+		AnErr("cause", result.cause).
 		Msg("dispatch: attempt ended")
 	r.record(timeline.Event{
 		Kind:     timeline.KindAttemptEnded,
@@ -51,10 +58,14 @@
 
 // finish counts, records and logs how the request ended.
 func (r *run) finish(err error) {
-	r.Log.Debug().
+	r.Log.Info().
 		Str("request", string(r.request.ID)).
 		Str("account", string(r.request.Account)).
 		Str("class", string(r.request.Class)).
+		Str("pool", string(r.request.Pool)).
+		Int64("prompt_tokens", int64(r.request.PromptTokens)).
+		Int("attempts", r.attempts).
+		Dur("took_ms", time.Since(r.arrivedAt)).
 		AnErr("failure", err).
 		Msg("dispatch: request ended")
 	if err == nil {
--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -58,6 +58,8 @@
 	Priority int
 	// Lease is how long the grant lasts without progress.
 	Lease time.Duration
+	// Predicted is the time to the first token that was predicted, or 0.
+	Predicted time.Duration
 	// Helpers are the endpoints that read parts of the prompt beside the one that is granted.
 	Helpers []Helper
 }
--- a/core/sharedload/estimate.go
+++ b/core/sharedload/estimate.go
@@ -43,10 +43,12 @@
 	return wait
 }
 
-// harm returns how many of the quick attempts at the endpoint are made late by reading that takes some time there.
-func (s *state) harm(pool routing.Pool, reading time.Duration) float64 {
-	pause := s.usage.Reading + reading + s.pass(pool)
-	return float64(s.usage.Quick) * lateChance(pause, pauseObjective(pool))
+// harm returns how many of the quick attempts at the endpoint are made late by more reading there; those that the
+// present reading makes late already don't count.
+func (s *state) harm(pool routing.Pool, more time.Duration) float64 {
+	pause := s.usage.Reading + s.pass(pool)
+	objective := pauseObjective(pool)
+	return float64(s.usage.Quick) * (lateChance(pause+more, objective) - lateChance(pause, objective))
 }
 
 // free returns the memory that is not promised.
--- a/core/sharedload/granter.go
+++ b/core/sharedload/granter.go
@@ -103,8 +103,10 @@
 	if pool, _ := g.Policy.Pool(endpoint.Pool); pool.Engine != nil {
 		if isQuick(pool, request.Prompt) {
 			usage.Quick = 1
+			s := state{endpoint: endpoint, usage: g.Policy.Book.Totals(time.Now())[endpoint.ID]}
+			made.Predicted = s.wait(pool) + pool.Engine.Read(request.Prompt) + s.pass(pool)
 		} else {
-			made.Helpers = g.helpers(view, pool, endpoint, request)
+			made.Helpers, made.Predicted = g.helpers(view, pool, endpoint, request)
 		}
 		part := pool.Engine.Read(request.Prompt) / time.Duration(len(made.Helpers)+1)
 		entry.reading[endpoint.ID] = Usage{Reading: part}
@@ -122,20 +124,21 @@
 	return made
 }
 
-// helpers chooses the endpoints that read parts of a long prompt beside the one that is granted.
+// helpers chooses the endpoints that read parts of a long prompt beside the one that is granted, and predicts the time
+// to its first token.
 func (g *Granter) helpers(
 	view placement.View, pool routing.Pool, first fleet.Endpoint, request reservation.Request,
-) []reservation.Helper {
+) ([]reservation.Helper, time.Duration) {
 	need := placement.Need{Pool: first.Pool, Prompt: request.Prompt}
 	plan, found := planReading(pool, g.Policy.states(view, need), request.Prompt, request.Output, request.Objective)
 	if !found || plan.first.endpoint.ID != first.ID {
-		return nil
+		return nil, 0
 	}
 	helpers := make([]reservation.Helper, 0, len(plan.helpers))
 	for _, s := range plan.helpers {
 		helpers = append(helpers, reservation.Helper{Endpoint: s.endpoint.ID, Address: s.endpoint.Address})
 	}
-	return helpers
+	return helpers, plan.done
 }
 
 // Renew notes that the prompt has been read once the first token has come.
--- a/core/sharedload/joint.go
+++ b/core/sharedload/joint.go
@@ -23,6 +23,7 @@
 	first   state
 	helpers []state
 	part    time.Duration
+	done    time.Duration
 	cost    float64
 }
 
@@ -94,5 +95,5 @@
 		cost += value(prompt) * (lateChance(done, objective) + delayCost*float64(done)/float64(objective))
 	}
 	helpers := slices.Concat(states[:first], states[first+1:])
-	return reading{first: states[first], helpers: helpers, part: part, cost: cost}, true
+	return reading{first: states[first], helpers: helpers, part: part, done: done, cost: cost}, true
 }
