Keep slots free for choices that entries make at the same time

Cause: 12 in 100 quick requests at the peak missed their first event; nearly all of them came to engines with all slots taken, which the deciding entries believed to have free ones: others had just chosen the same engine. Change: the last four slots cost a newcomer more with each one taken, usages are told every 50 ms instead of 100, and the fixed order weighs 4 ms a rank instead of 2, so that engines at its end stay free for long prompts.

--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -41,6 +41,7 @@
 		Int64("prompt_tokens", int64(r.request.PromptTokens)).
 		Dur("predicted_ms", a.grant.Predicted).
 		Dur("first_token_ms", result.release.ReadTime).
+		Dur("answer_ms", result.release.GenerateTime).
 		Dur("longest_pause_ms", result.longestPause).
 		Int64("generated", int64(result.release.Generated)).
 		Str("outcome", string(result.release.Outcome)).
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -18,7 +18,12 @@
 	// runningCost is what each running call adds at a plain service.
 	runningCost = 4 * time.Millisecond
 	// rankCost keeps quick prompts and long ones on different endpoints while load is low.
-	rankCost = 2 * time.Millisecond
+	rankCost = 4 * time.Millisecond
+	// nearFullCost is what each attempt costs a newcomer at an endpoint within nearFull of its slots: entries that decide
+	// at the same time don't see each other's choice yet.
+	nearFullCost = 20 * time.Millisecond
+	// nearFull is the number of slots that such choices may take.
+	nearFull = 4
 	// longCost is what each long attempt at an endpoint costs a quick newcomer, whose passes will take longer.
 	longCost = 25 * time.Millisecond
 )
@@ -98,6 +103,9 @@
 		return cost
 	}
 	long := time.Duration(s.usage.Running-s.usage.Quick) * longCost
+	if over := s.usage.Running - s.endpoint.Slots + nearFull; s.endpoint.Slots > 0 && over > 0 {
+		long += time.Duration(over) * nearFullCost
+	}
 	return s.wait(pool) + s.pass(pool) + long + time.Duration(s.rank)*rankCost
 }
 
--- a/core/sharedload/teller.go
+++ b/core/sharedload/teller.go
@@ -15,7 +15,7 @@
 
 const (
 	// tellPeriod is the time between two looks at what this entry runs; a pass of an engine takes about as long.
-	tellPeriod = 100 * time.Millisecond
+	tellPeriod = 50 * time.Millisecond
 	// tellAgain is how long unchanged figures are not told again; it is well within peerTTL.
 	tellAgain = 400 * time.Millisecond
 	// tellTimeout bounds one message.
