--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -184,7 +184,8 @@
 // transientReason tells whether the same endpoint may take the request soon.
 func transientReason(reason reservation.Reason) bool {
 	switch reason {
-	case reservation.ReasonNotOwner, reservation.ReasonUnreachable, reservation.ReasonResynchronizing, reservation.ReasonCold:
+	case reservation.ReasonNotOwner, reservation.ReasonUnreachable, reservation.ReasonResynchronizing,
+		reservation.ReasonCold, reservation.ReasonNoMemory:
 		return true
 	default:
 		return false
--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -160,6 +160,8 @@
 	ReasonUnreachable Reason = "unreachable"
 	// ReasonResynchronizing means that a new owner still learns what the endpoint runs.
 	ReasonResynchronizing Reason = "resynchronizing"
+	// ReasonNoMemory means that engines did not lend the memory that a large prompt needs.
+	ReasonNoMemory Reason = "no_memory"
 	// ReasonCold means that the endpoint is in a cold start and bears no more now.
 	ReasonCold Reason = "cold"
 )
--- a/core/sharedload/estimate.go
+++ b/core/sharedload/estimate.go
@@ -13,7 +13,11 @@
 	// overfullWait is what each attempt beyond an endpoint's slots adds to the wait, about the time until a slot is free.
 	overfullWait = 150 * time.Millisecond
 	// valueTokens is the length of a prompt that is worth as much to its caller as one quick answer.
-	valueTokens = 7000
+	valueTokens = 9000
+	// maxValue bounds the worth of a long prompt.
+	maxValue = 60
+	// lateLoss is the part of a request's worth that is lost when it misses an objective.
+	lateLoss = 0.75
 	// defaultPause is the pause objective that is taken for pools whose routes name none.
 	defaultPause = 250 * time.Millisecond
 )
@@ -79,5 +83,5 @@
 
 // value returns what a request is worth to its caller, relative to a quick one.
 func value(prompt fleet.Tokens) float64 {
-	return max(1, float64(prompt)/valueTokens)
+	return min(max(1, float64(prompt)/valueTokens), maxValue)
 }
--- a/core/sharedload/granter.go
+++ b/core/sharedload/granter.go
@@ -37,6 +37,8 @@
 	// RateShare returns the requests within rateSpan that this entry may send to one endpoint of a pool; false means any.
 	RateShare func(fleet.PoolName) (int, bool)
 
+	// Tickets holds memory at helpers.
+	Tickets *Tickets
 	// Outliers learns which endpoints fail.
 	Outliers *outlier.Detector
 
@@ -50,26 +52,40 @@
 type grant struct {
 	work    map[fleet.EndpointID]Usage
 	reading map[fleet.EndpointID]Usage
+	helpers []reservation.Helper
 }
 
-// Reserve grants an attempt at once or refuses it.
-func (g *Granter) Reserve(_ context.Context, request reservation.Request) (reservation.Grant, error) {
-	now := time.Now()
+// Reserve grants an attempt or refuses it; only memory at helpers takes time.
+func (g *Granter) Reserve(ctx context.Context, request reservation.Request) (reservation.Grant, error) {
+	made, stored, err := g.decide(request, time.Now())
+	if err != nil || stored == nil {
+		return made, err
+	}
+	if err := g.Tickets.Take(ctx, made.Helpers, stored); err != nil {
+		g.drop(made.Reservation)
+		return reservation.Grant{}, &reservation.Refusal{Reason: reservation.ReasonNoMemory, RetryAfter: fullWait}
+	}
+	return made, nil
+}
+
+// decide grants an attempt or refuses it, and returns the memory that each helper must lend.
+func (g *Granter) decide(request reservation.Request, now time.Time) (reservation.Grant, []fleet.Tokens, error) {
 	endpoint, found := g.Board.Endpoints.Get(request.Endpoint)
 	view := g.Views.View()
 	if !found || !g.Policy.open(view, endpoint, now) {
-		return reservation.Grant{}, &reservation.Refusal{Reason: reservation.ReasonLeaving}
+		return reservation.Grant{}, nil, &reservation.Refusal{Reason: reservation.ReasonLeaving}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	usage := g.Policy.Book.Totals(now)[endpoint.ID]
 	if endpoint.Slots > 0 && float64(usage.Running) >= queuedPerSlot*float64(endpoint.Slots) {
-		return reservation.Grant{}, &reservation.Refusal{Reason: reservation.ReasonQueueFull, RetryAfter: fullWait}
+		return reservation.Grant{}, nil, &reservation.Refusal{Reason: reservation.ReasonQueueFull, RetryAfter: fullWait}
 	}
 	if !g.withinRate(endpoint, now) {
-		return reservation.Grant{}, &reservation.Refusal{Reason: reservation.ReasonCold, RetryAfter: rateSpan}
+		return reservation.Grant{}, nil, &reservation.Refusal{Reason: reservation.ReasonCold, RetryAfter: rateSpan}
 	}
-	return g.grant(view, endpoint, request), nil
+	made, stored := g.grant(view, endpoint, request)
+	return made, stored, nil
 }
 
 // withinRate counts one more request to an endpoint, unless its rate is used up; the caller holds the lock.
@@ -94,51 +110,58 @@
 }
 
 // grant notes the work of an attempt; the caller holds the lock.
-func (g *Granter) grant(view placement.View, endpoint fleet.Endpoint, request reservation.Request) reservation.Grant {
+func (g *Granter) grant(
+	view placement.View, endpoint fleet.Endpoint, request reservation.Request,
+) (reservation.Grant, []fleet.Tokens) {
 	g.serial++
 	id := fleet.ReservationID(fmt.Sprintf("%s.%d", g.Entry, g.serial))
 	made := reservation.Grant{Endpoint: endpoint.ID, Reservation: id, Owner: g.Entry}
 	entry := &grant{work: map[fleet.EndpointID]Usage{}, reading: map[fleet.EndpointID]Usage{}}
 	usage := Usage{Running: 1, Memory: request.Prompt + request.Output}
+	var stored []fleet.Tokens
 	if pool, _ := g.Policy.Pool(endpoint.Pool); pool.Engine != nil {
+		plan := g.plan(view, pool, endpoint, request)
+		made.Predicted = plan.done
 		if isQuick(pool, request.Prompt) {
 			usage.Quick = 1
-			s := state{endpoint: endpoint, usage: g.Policy.Book.Totals(time.Now())[endpoint.ID]}
-			made.Predicted = s.wait(pool) + pool.Engine.Read(request.Prompt) + s.pass(pool)
-		} else {
-			made.Helpers, made.Predicted = g.helpers(view, pool, endpoint, request)
 		}
-		part := pool.Engine.Read(request.Prompt) / time.Duration(len(made.Helpers)+1)
-		entry.reading[endpoint.ID] = Usage{Reading: part}
-		for _, h := range made.Helpers {
-			entry.reading[h.Endpoint] = Usage{Reading: part}
+		entry.reading[endpoint.ID] = Usage{Reading: plan.part}
+		stored = plan.stored
+		for i, s := range plan.helpers {
+			made.Helpers = append(made.Helpers, reservation.Helper{Endpoint: s.endpoint.ID, Address: s.endpoint.Address})
+			entry.reading[s.endpoint.ID] = Usage{Reading: plan.part}
+			if stored != nil {
+				entry.work[s.endpoint.ID] = Usage{Memory: stored[i]}
+				usage.Memory -= stored[i]
+			}
 		}
 	}
 	entry.work[endpoint.ID] = usage
+	entry.helpers = made.Helpers
 	if g.grants == nil {
 		g.grants = make(map[fleet.ReservationID]*grant)
 	}
 	g.grants[id] = entry
 	g.Policy.Book.Add(entry.work)
 	g.Policy.Book.Add(entry.reading)
-	return made
+	return made, stored
 }
 
-// helpers chooses the endpoints that read parts of a long prompt beside the one that is granted, and predicts the time
-// to its first token.
-func (g *Granter) helpers(
+// plan returns where the prompt of a request is read whose first endpoint is chosen.
+func (g *Granter) plan(
 	view placement.View, pool routing.Pool, first fleet.Endpoint, request reservation.Request,
-) ([]reservation.Helper, time.Duration) {
+) reading {
 	need := placement.Need{Pool: first.Pool, Prompt: request.Prompt}
-	plan, found := planReading(pool, g.Policy.states(view, need), request.Prompt, request.Output, request.Objective)
-	if !found || plan.first.endpoint.ID != first.ID {
-		return nil, 0
-	}
-	helpers := make([]reservation.Helper, 0, len(plan.helpers))
-	for _, s := range plan.helpers {
-		helpers = append(helpers, reservation.Helper{Endpoint: s.endpoint.ID, Address: s.endpoint.Address})
+	states := g.Policy.states(view, need)
+	if !isQuick(pool, request.Prompt) {
+		plan, found := planReading(pool, states, request.Prompt, request.Output, request.Objective)
+		if found && plan.first.endpoint.ID == first.ID {
+			return plan
+		}
 	}
-	return helpers, plan.done
+	s := state{endpoint: first, usage: g.Policy.Book.Totals(time.Now())[first.ID]}
+	part := pool.Engine.Read(request.Prompt)
+	return reading{first: s, part: part, done: s.wait(pool) + part + s.pass(pool)}
 }
 
 // Renew notes that the prompt has been read once the first token has come.
@@ -157,17 +180,23 @@
 
 // Release takes the work of an attempt back.
 func (g *Granter) Release(_ context.Context, release reservation.Release) error {
+	g.drop(release.Reservation)
+	g.observe(release, time.Now())
+	return nil
+}
+
+// drop takes back what an attempt has.
+func (g *Granter) drop(id fleet.ReservationID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	held, found := g.grants[release.Reservation]
+	held, found := g.grants[id]
 	if !found {
-		return nil
+		return
 	}
-	delete(g.grants, release.Reservation)
-	g.observe(release, time.Now())
+	delete(g.grants, id)
 	g.Policy.Book.Remove(held.reading)
 	g.Policy.Book.Remove(held.work)
-	return nil
+	g.Tickets.Give(held.helpers)
 }
 
 // observe learns from the end of an attempt whether its endpoint is fit for work.
--- a/core/sharedload/joint.go
+++ b/core/sharedload/joint.go
@@ -22,9 +22,13 @@
 type reading struct {
 	first   state
 	helpers []state
-	part    time.Duration
-	done    time.Duration
-	cost    float64
+	// stored is the memory that each helper lends, in tokens; nil if none lends any.
+	stored []fleet.Tokens
+	part   time.Duration
+	done   time.Duration
+	// harm is what others lose, and cost that together with what the request itself loses.
+	harm float64
+	cost float64
 }
 
 // planReading chooses the endpoints that read a long prompt, from one to all that help.
@@ -34,13 +38,18 @@
 // endpoints or to such that generate none.
 func planReading(pool routing.Pool, states []state, prompt, output fleet.Tokens, objective time.Duration) (reading, bool) {
 	total := pool.Engine.Read(prompt)
+	alone := slices.ContainsFunc(states, func(s state) bool { return s.free(pool) >= prompt+output })
 	best, found := reading{}, false
 	for _, order := range []func(a, b state) int{byHarm(pool, total), byWait(pool)} {
 		sorted := slices.Clone(states)
 		slices.SortStableFunc(sorted, order)
 		for count := 1; count <= min(len(sorted), maxHelpers+1); count++ {
 			plan, ok := planWith(pool, sorted[:count], total, prompt, output, objective)
-			if ok && (!found || plan.cost < best.cost) {
+			if !ok || alone && plan.stored != nil {
+				continue
+			}
+			plan.cost += plan.harm
+			if !found || plan.cost < best.cost {
 				best, found = plan, true
 			}
 		}
@@ -70,30 +79,35 @@
 	}
 }
 
-// planWith returns the reading by all of the given endpoints; it reports false if none has the memory.
+// planWith returns the reading by all of the given endpoints; it reports false if they lack the memory.
 func planWith(
 	pool routing.Pool, states []state, total time.Duration, prompt, output fleet.Tokens, objective time.Duration,
 ) (reading, bool) {
 	part := total / time.Duration(len(states))
-	first := -1
+	first := 0
 	var start time.Duration
-	var cost float64
+	var cost, harm float64
 	for i := range states {
 		s := &states[i]
 		start = max(start, s.wait(pool))
-		cost += s.harm(pool, part)
-		if s.free(pool) >= prompt+output && (first < 0 || s.free(pool) > states[first].free(pool)) {
+		harm += lateLoss * s.harm(pool, part)
+		if s.free(pool) > states[first].free(pool) {
 			first = i
 		}
 	}
-	if first < 0 {
-		return reading{}, false
+	var stored []fleet.Tokens
+	if states[first].free(pool) < prompt+output {
+		sizes, enough := spreadMemory(pool, states, first, prompt, output)
+		if !enough {
+			return reading{}, false
+		}
+		stored = slices.Concat(sizes[:first], sizes[first+1:])
 	}
 	done := start + part + states[first].pass(pool)
 	cost += helperRisk * float64(len(states)-1)
 	if objective > 0 {
-		cost += value(prompt) * (lateChance(done, objective) + delayCost*float64(done)/float64(objective))
+		cost += value(prompt) * (lateLoss*lateChance(done, objective) + delayCost*float64(done)/float64(objective))
 	}
 	helpers := slices.Concat(states[:first], states[first+1:])
-	return reading{first: states[first], helpers: helpers, part: part, done: done, cost: cost}, true
+	return reading{first: states[first], helpers: helpers, stored: stored, part: part, done: done, harm: harm, cost: cost}, true
 }
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -36,6 +36,8 @@
 	Pool func(fleet.PoolName) (routing.Pool, bool)
 	// Usable tells whether an endpoint may be given work now.
 	Usable func(endpoint fleet.Endpoint, now time.Time) bool
+
+	demand Demand
 }
 
 // Candidates returns the endpoints of the pool that have room, the best first.
@@ -45,10 +47,15 @@
 		return nil
 	}
 	states := p.states(view, need)
+	if pool.Engine != nil {
+		p.demand.observe(pool.Name, states, time.Now())
+	}
 	if !isQuick(pool, need.Prompt) {
-		if plan, found := planReading(pool, states, need.Prompt, need.Output, need.Objective); found {
-			return []fleet.Endpoint{plan.first.endpoint}
+		plan, found := planReading(pool, states, need.Prompt, need.Output, need.Objective)
+		if !found || !p.worthwhile(pool, states, need, plan.done) {
+			return nil
 		}
+		return []fleet.Endpoint{plan.first.endpoint}
 	}
 	slices.SortStableFunc(states, func(a, b state) int { return cmp.Compare(quickCost(pool, &a), quickCost(pool, &b)) })
 	endpoints := make([]fleet.Endpoint, 0, len(states))
@@ -58,6 +65,17 @@
 	return endpoints
 }
 
+// worthwhile tells whether the caller of a long prompt gains more by its reading than others lose.
+func (p *Policy) worthwhile(pool routing.Pool, states []state, need placement.Need, done time.Duration) bool {
+	demand := p.demand.observe(pool.Name, states, time.Now())
+	lost := demand.displaced(pool, len(states), pool.Engine.Read(need.Prompt))
+	gained := value(need.Prompt)
+	if need.Objective > 0 {
+		gained *= 1 - lateLoss*lateChance(done, need.Objective)
+	}
+	return lost <= gained
+}
+
 // states returns the usable endpoints of a pool in an order that all entries agree on.
 func (p *Policy) states(view placement.View, need placement.Need) []state {
 	now := need.At
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -65,6 +65,8 @@
 	store    *store.Client
 	book     *sharedload.Book
 	outliers *outlier.Detector
+	workers  *worker.Workers
+	tickets  *sharedload.Tickets
 	ingress  *ingress.Server
 	leaving  atomic.Bool
 }
@@ -106,6 +108,12 @@
 	p.store = &store.Client{Address: p.Settings.Store, HTTP: store.NewHTTP()}
 	p.book = &sharedload.Book{}
 	p.outliers = &outlier.Detector{}
+	p.workers = &worker.Workers{
+		Pooled: worker.NewPooled(),
+		Fresh:  worker.NewFresh(),
+		Dialer: &tcp.Dialer{Timeout: probeTimeout, Silence: probeTimeout},
+	}
+	p.tickets = &sharedload.Tickets{Entry: p.Settings.Entry, Memory: p.workers, Log: p.Log}
 	p.ingress = &ingress.Server{
 		Address:      p.Settings.CallerAddress,
 		ReadyAddress: p.Settings.ReadyAddress,
@@ -141,7 +149,7 @@
 		Transport: &peer.UsageTransport{Client: client},
 	}
 	peers := &peer.Server{Address: p.Settings.PeerAddress, Usages: teller, Client: client}
-	return []func(context.Context) error{operator.Run, registry.Run, entries.Run, teller.Run, peers.Run}
+	return []func(context.Context) error{operator.Run, registry.Run, entries.Run, teller.Run, peers.Run, p.tickets.Run}
 }
 
 // self returns this entry as others know it.
@@ -170,13 +178,10 @@
 			Views:     viewer,
 			Policy:    policy,
 			RateShare: p.rateShare,
+			Tickets:   p.tickets,
 			Outliers:  p.outliers,
 		},
-		Engines: &worker.Workers{
-			Pooled: worker.NewPooled(),
-			Fresh:  worker.NewFresh(),
-			Dialer: &tcp.Dialer{Timeout: probeTimeout, Silence: probeTimeout},
-		},
+		Engines:       p.workers,
 		Placement:     policy,
 		Budget:        &retry.Budget{Ratio: p.Settings.RetryRatio / 2, Burst: p.Settings.RetryBurst / entries / 2},
 		BudgetRefused: true,
