--- /dev/null
+++ b/core/sharedload/world_test.go
@@ -0,0 +1,93 @@
+package sharedload
+
+import (
+	"fmt"
+	"time"
+
+	"wisteriadyke/core/blackboard"
+	"wisteriadyke/core/enginemodel"
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/outlier"
+	"wisteriadyke/core/placement"
+	"wisteriadyke/core/routing"
+)
+
+// testPool is a pool of engines with the published pace of the first deployments.
+var testPool = routing.Pool{
+	Name:           "engines",
+	PauseObjective: 250 * time.Millisecond,
+	Engine: &enginemodel.Model{
+		Slots:          16,
+		Memory:         315_000,
+		Step:           850 * time.Microsecond,
+		StepPerWriter:  4250 * time.Nanosecond,
+		StepPerContext: 2.85,
+		ReadPerToken:   1e6 / 177,
+		ReadPerPair:    0.184,
+		Chunk:          2048,
+		Stride:         51,
+	},
+}
+
+// testEndpoint returns an engine of the pool.
+func testEndpoint(number int) fleet.Endpoint {
+	return fleet.Endpoint{
+		ID:    fleet.EndpointID(fmt.Sprintf("i-%02d", number)),
+		Pool:  testPool.Name,
+		Zone:  "a",
+		State: fleet.StateLive,
+		Slots: testPool.Engine.Slots,
+	}
+}
+
+// testFleet is a policy and a granter over engines.
+type testFleet struct {
+	board   *blackboard.Board
+	policy  *Policy
+	granter *Granter
+	memory  *fakeMemory
+}
+
+// newFleet returns a fleet of some idle engines.
+func newFleet(engines int) *testFleet {
+	f := &testFleet{board: &blackboard.Board{}, memory: &fakeMemory{}}
+	for i := range engines {
+		endpoint := testEndpoint(i)
+		f.board.Endpoints.Set(endpoint.ID, endpoint)
+	}
+	outliers := &outlier.Detector{}
+	f.policy = &Policy{
+		Book:   &Book{},
+		Pool:   func(name fleet.PoolName) (routing.Pool, bool) { return testPool, name == testPool.Name },
+		Usable: outliers.Usable,
+	}
+	f.granter = &Granter{
+		Entry:     "entry-1",
+		Board:     f.board,
+		Views:     f,
+		Policy:    f.policy,
+		RateShare: func(fleet.PoolName) (int, bool) { return 0, false },
+		Tickets:   &Tickets{Entry: "entry-1", Memory: f.memory},
+		Outliers:  outliers,
+	}
+	return f
+}
+
+// View returns what placements are decided on.
+func (f *testFleet) View() placement.View {
+	return placement.View{Endpoints: f.board.Endpoints.View().Rows, Zones: f.board.Zones.View().Rows, Local: "a"}
+}
+
+// use notes work of another entry at all engines with a number in a range.
+func (f *testFleet) use(from, to int, usage Usage) {
+	usages := make(map[fleet.EndpointID]Usage)
+	for i := from; i < to; i++ {
+		usages[testEndpoint(i).ID] = usage
+	}
+	f.policy.Book.Told(fleet.EntryID(fmt.Sprintf("entry-%d-%d", from, to)), usages, time.Now())
+}
+
+// states returns the present states.
+func (f *testFleet) states() []state {
+	return f.policy.states(f.View(), placement.Need{Pool: testPool.Name})
+}
