Pass on between entries how fresh the configuration is

Change: with each telling of usages an entry learns which version its peer has in force and how long ago that was surely the newest; the age counts from the question.

--- a/gateway/keys_test.go
+++ b/gateway/keys_test.go
@@ -59,3 +59,35 @@
 		})
 	}
 }
+
+// TestEntryTurnedAwayTrustsItsPeer turns one of two entries away from the store: it goes on by what the other knows, but
+// not once the configuration has changed.
+func TestEntryTurnedAwayTrustsItsPeer(t *testing.T) {
+	w := newWorld(t)
+	w.worker(&cierzo.Worker{ID: "i-1", Service: "services"})
+	var away atomic.Bool
+	door, closeDoor := w.store.Door(func(*http.Request) cierzo.Fault {
+		if away.Load() {
+			return cierzo.FaultBusy
+		}
+		return cierzo.FaultNone
+	})
+	defer closeDoor()
+	first, second := w.entry(), w.entryWith(door)
+	read := call{method: http.MethodGet, uri: "/r/x"}
+	w.eventually("the entries know each other", func() bool { return second.process.entries() == 2 && first.process.entries() == 2 })
+	away.Store(true)
+	lost := time.Now()
+	for time.Since(lost) < second.settings.RevokeTime+time.Second {
+		if got := w.send(second, read); got.status != http.StatusOK {
+			t.Fatalf("status = %d after %v, want 200", got.status, time.Since(lost))
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	cierzo.Configuration(w.store, 2, map[string][]string{"acme": {"another"}}, cierzo.Routes()...)
+	changed := time.Now()
+	w.eventually("the removed key is refused", func() bool { return w.send(second, read).status == http.StatusServiceUnavailable })
+	if took := time.Since(changed); took > second.settings.RevokeTime {
+		t.Errorf("the removed key was taken for %v", took)
+	}
+}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -57,18 +57,19 @@
 	// Log takes the messages of all parts.
 	Log zerolog.Logger
 
-	board    *blackboard.Board
-	current  *routing.Current
-	evidence *freshness.Evidence
-	timeline *timeline.Recorder
-	metrics  metrics.Registry
-	store    *store.Client
-	book     *sharedload.Book
-	outliers *outlier.Detector
-	workers  *worker.Workers
-	tickets  *sharedload.Tickets
-	ingress  *ingress.Server
-	leaving  atomic.Bool
+	board     *blackboard.Board
+	current   *routing.Current
+	evidence  *freshness.Evidence
+	testimony *freshness.Testimony
+	timeline  *timeline.Recorder
+	metrics   metrics.Registry
+	store     *store.Client
+	book      *sharedload.Book
+	outliers  *outlier.Detector
+	workers   *worker.Workers
+	tickets   *sharedload.Tickets
+	ingress   *ingress.Server
+	leaving   atomic.Bool
 }
 
 // Run serves until ctx ends, then shuts down gracefully.
@@ -103,6 +104,7 @@
 	p.board = &blackboard.Board{}
 	p.current = &routing.Current{}
 	p.evidence = &freshness.Evidence{Clock: boottime.Now}
+	p.testimony = &freshness.Testimony{Evidence: p.evidence, Version: p.version}
 	p.timeline = &timeline.Recorder{Entry: p.Settings.Entry}
 	p.metrics = metrics.NewRegistry()
 	p.store = &store.Client{Address: p.Settings.Store, HTTP: store.NewHTTP()}
@@ -146,9 +148,9 @@
 		Entry:     p.Settings.Entry,
 		Book:      p.book,
 		Board:     p.board,
-		Transport: &peer.UsageTransport{Client: client},
+		Transport: &peer.UsageTransport{Client: client, Testimonies: p.testimony},
 	}
-	peers := &peer.Server{Address: p.Settings.PeerAddress, Usages: teller, Client: client}
+	peers := &peer.Server{Address: p.Settings.PeerAddress, Usages: teller, Witness: p.testimony, Client: client}
 	return []func(context.Context) error{operator.Run, registry.Run, entries.Run, teller.Run, peers.Run, p.tickets.Run}
 }
 
@@ -192,6 +194,14 @@
 	}
 }
 
+// version returns the version of the configuration in force, or 0 before the first one.
+func (p *Process) version() int64 {
+	if table := p.current.Table(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
 // pool returns what the configuration tells of a pool.
 func (p *Process) pool(name fleet.PoolName) (routing.Pool, bool) {
 	table := p.current.Table()
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -72,6 +72,12 @@
 
 // entry starts an entry and waits until it is ready and knows all workers.
 func (w *world) entry() *runningEntry {
+	w.t.Helper()
+	return w.entryWith(w.store.Address())
+}
+
+// entryWith starts an entry that reaches the store at an address.
+func (w *world) entryWith(store netip.AddrPort) *runningEntry {
 	w.t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	number := len(w.entries) + 1
@@ -83,7 +89,7 @@
 			ReadyAddress:   freeAddress(w.t),
 			PeerAddress:    freeAddress(w.t),
 			MetricsAddress: freeAddress(w.t),
-			Store:          w.store.Address(),
+			Store:          store,
 			RevokeTime:     5 * time.Second,
 			GraceTime:      8 * time.Second,
 			BalancerDelay:  200 * time.Millisecond,
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -31,6 +31,8 @@
 	Reports Reports
 	// Usages takes what other entries run; nil means that it is not taken.
 	Usages Usages
+	// Witness tells those entries how fresh the configuration is; nil tells nothing.
+	Witness Witness
 	// Client passes probes on.
 	Client *Client
 }
@@ -62,7 +64,7 @@
 		}
 	}
 	if s.Usages != nil {
-		if err := DRPCRegisterUsage(mux, &usageHandler{usages: s.Usages}); err != nil {
+		if err := DRPCRegisterUsage(mux, &usageHandler{usages: s.Usages, witness: s.Witness}); err != nil {
 			return err
 		}
 	}
--- a/io/peer/usages.go
+++ b/io/peer/usages.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -16,10 +17,26 @@
 	TakeUsages(entry fleet.EntryID, usages map[fleet.EndpointID]sharedload.Usage)
 }
 
+// Witness tells how fresh an entry's configuration is.
+type Witness interface {
+	// Testify returns the version in force and how long ago it was surely the newest one; false means that it isn't known.
+	Testify() (version int64, age time.Duration, known bool)
+}
+
+// Testimonies takes what other entries answer about the configuration.
+type Testimonies interface {
+	// Asked returns the moment at which another entry is asked.
+	Asked() time.Duration
+	// Heard takes the answer of an entry that was asked at a moment.
+	Heard(asked time.Duration, version int64, age time.Duration)
+}
+
 // UsageTransport carries usages to other entries.
 type UsageTransport struct {
 	// Client reaches the other entries.
 	Client *Client
+	// Testimonies takes what they answer about the configuration; nil takes nothing.
+	Testimonies Testimonies
 }
 
 // Tell sends all that this entry runs.
@@ -36,13 +53,24 @@
 			MemoryTokens: int64(u.Memory),
 		})
 	}
-	_, err := NewDRPCUsageClient(t.Client.gossipConn(ctx, to)).Take(ctx, message)
-	return errors.Wrapf(err, "usages to %s", to)
+	var asked time.Duration
+	if t.Testimonies != nil {
+		asked = t.Testimonies.Asked()
+	}
+	reply, err := NewDRPCUsageClient(t.Client.gossipConn(ctx, to)).Take(ctx, message)
+	if err != nil {
+		return errors.Wrapf(err, "usages to %s", to)
+	}
+	if t.Testimonies != nil && reply.EvidenceAgeUs != nil {
+		t.Testimonies.Heard(asked, reply.ConfigurationVersion, microseconds(*reply.EvidenceAgeUs))
+	}
+	return nil
 }
 
 // usageHandler turns messages into usages.
 type usageHandler struct {
-	usages Usages
+	usages  Usages
+	witness Witness
 }
 
 // Take takes all that one entry runs.
@@ -57,5 +85,13 @@
 		}
 	}
 	h.usages.TakeUsages(fleet.EntryID(m.Entry), usages)
-	return &UsageReply{}, nil
+	reply := &UsageReply{}
+	if h.witness == nil {
+		return reply, nil
+	}
+	if version, age, known := h.witness.Testify(); known {
+		us := age.Microseconds()
+		reply.ConfigurationVersion, reply.EvidenceAgeUs = version, &us
+	}
+	return reply, nil
 }
--- a/standin/cierzo/store.go
+++ b/standin/cierzo/store.go
@@ -65,6 +65,17 @@
 	s.server = httptest.NewServer(http.HandlerFunc(s.serve))
 }
 
+// Door serves the same rows at another port, with faults of its own; the caller closes it.
+func (s *Store) Door(fault func(r *http.Request) Fault) (netip.AddrPort, func()) {
+	door := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.serveWith(w, r, fault)
+	}))
+	return addressOf(door), func() {
+		door.CloseClientConnections()
+		door.Close()
+	}
+}
+
 // Close stops serving.
 func (s *Store) Close() {
 	s.server.CloseClientConnections()
@@ -113,12 +124,17 @@
 
 // serve answers one call, unless a fault comes first.
 func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
+	s.serveWith(w, r, s.Fault)
+}
+
+// serveWith answers one call, unless a fault comes first; a nil function knows no faults.
+func (s *Store) serveWith(w http.ResponseWriter, r *http.Request, decide func(r *http.Request) Fault) {
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
 	fault := FaultNone
-	if s.Fault != nil {
-		fault = s.Fault(r)
+	if decide != nil {
+		fault = decide(r)
 	}
 	switch fault {
 	case FaultBusy:
