Tell all entries of requests that crash endpoints, serve operators and bound the log

Change: entries tell each other of endpoints that died while they ran a request; the third death quarantines it for half a minute, without a trial; the metrics address serves metrics, status and time line; log lines are written in the background and counted when lost; SIGHUP reloads the log level.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -1,14 +1,17 @@
 package cmd
 
 import (
+	"context"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
 
 	"wisteriadyke/gateway"
+	"wisteriadyke/io/boundedlog"
 	"wisteriadyke/io/settings"
 )
 
@@ -24,18 +27,60 @@
 			if err != nil {
 				return err
 			}
-			level, err := zerolog.ParseLevel(config.LogLevel)
-			if err != nil {
-				return inputErrorf("log_level: %v", err)
+			setLogLevel(config)
+			out := boundedlog.New(c.OutOrStdout())
+			process := &gateway.Process{Settings: config, Log: newLog(out), LinesDropped: out.Dropped}
+			err = runGateway(c.Context(), process, path)
+			if closeErr := out.Close(); err == nil {
+				err = closeErr
 			}
-			ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
-			defer stop()
-			signal.Ignore(syscall.SIGHUP)
-			process := &gateway.Process{Settings: config, Log: newLog(c.OutOrStdout()).Level(level)}
-			return process.Run(ctx)
+			return err
 		},
 	}
 	command.Flags().StringVar(&path, "settings", "", "settings `file` in JSON with comments")
 	_ = command.MarkFlagRequired("settings")
 	return command
 }
+
+// runGateway runs an entry until it is told to stop, and reads its settings again at each SIGHUP.
+func runGateway(ctx context.Context, process *gateway.Process, path string) error {
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	var group errgroup.Group
+	group.Go(func() error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-hangups:
+				reload(process.Log, path)
+			}
+		}
+	})
+	group.Go(func() error {
+		defer stop()
+		return process.Run(ctx)
+	})
+	return group.Wait()
+}
+
+// reload puts the settings in force that may change while an entry runs: the level of messages.
+func reload(log zerolog.Logger, path string) {
+	config, err := settings.ReadGateway(path)
+	if err != nil {
+		log.Error().Err(err).Msg("settings: not reloaded; the old ones stay in force")
+		return
+	}
+	setLogLevel(config)
+	log.Info().Str("log_level", config.LogLevel).Msg("settings: reloaded; all but the log level needs a restart")
+}
+
+// setLogLevel puts the level of messages in force; reading the settings has checked it.
+func setLogLevel(config settings.Gateway) {
+	if level, err := zerolog.ParseLevel(config.LogLevel); err == nil {
+		zerolog.SetGlobalLevel(level)
+	}
+}
--- a/core/dispatch/trial.go
+++ b/core/dispatch/trial.go
@@ -16,6 +16,9 @@
 	case retry.StandingElsewhere:
 		return false, r.failure(ReasonOnTrial, jitter(comeBackAfter))
 	case retry.StandingQuarantined:
+		if r.Suspects.Tolerated > 0 {
+			return false, r.failure(ReasonQuarantined, 0)
+		}
 		return r.verify(ctx)
 	default:
 		return false, nil
--- a/core/retry/suspects.go
+++ b/core/retry/suspects.go
@@ -15,10 +15,16 @@
 const (
 	// DeathsToQuarantine is the number of endpoints that a request may crash before it is not run any more.
 	DeathsToQuarantine = 2
+	// ToleratedDeaths is the number of endpoints that a request may crash where no trials are made; the platform's rules
+	// count from the third.
+	ToleratedDeaths = 3
 	// trialTime is how long the entry that saw a death alone may run the request again.
 	trialTime = 2 * time.Minute
 	// quarantineTime is how long a request that crashes endpoints is refused.
 	quarantineTime = 24 * time.Hour
+	// tolerantQuarantineTime is how long a request is refused that ran on after its first deaths, without a trial that
+	// would have told it from its neighbours.
+	tolerantQuarantineTime = 30 * time.Second
 	// clearedTime is how long it is known that a suspected request has finished.
 	clearedTime = 10 * time.Minute
 )
@@ -55,11 +61,17 @@
 	Cleared bool
 	// ChangedAt is when the note last changed.
 	ChangedAt time.Time
+	// Tolerated is the number of deaths after which the request is quarantined without a trial; 0 stands for trials.
+	Tolerated int
 }
 
 // Quarantined tells that the request is not run any more.
 func (n Note) Quarantined() bool {
-	return !n.Cleared && len(n.Deaths) >= DeathsToQuarantine
+	limit := DeathsToQuarantine
+	if n.Tolerated > 0 {
+		limit = n.Tolerated
+	}
+	return !n.Cleared && len(n.Deaths) >= limit
 }
 
 // expired tells that the note has no effect any more.
@@ -72,6 +84,8 @@
 	switch {
 	case n.Cleared:
 		return clearedTime
+	case n.Tolerated > 0:
+		return tolerantQuarantineTime
 	case n.Quarantined():
 		return quarantineTime
 	default:
@@ -135,6 +149,9 @@
 	Entry fleet.EntryID
 	// Spreader tells the other entries; nil tells none.
 	Spreader Spreader
+	// Tolerated is the number of deaths after which a request is quarantined without a trial, for endpoints that often
+	// fail many requests at once; 0 puts a request on trial after its first death.
+	Tolerated int
 
 	mu      sync.Mutex
 	notes   map[Fingerprint]Note
@@ -152,6 +169,8 @@
 		return StandingClear
 	case note.Quarantined():
 		return StandingQuarantined
+	case s.Tolerated > 0:
+		return StandingClear
 	case note.Holder == s.Entry:
 		return StandingTrial
 	default:
@@ -174,6 +193,7 @@
 		Deaths:      []Death{death},
 		Holder:      s.Entry,
 		ChangedAt:   time.Now(),
+		Tolerated:   s.Tolerated,
 	})
 	s.spread(ctx, note)
 	return note
--- a/entry/status.go
+++ b/entry/status.go
@@ -17,8 +17,8 @@
 		Entry:                 p.Settings.Entry,
 		Zone:                  p.Settings.Zone,
 		ConfigurationRevision: p.board.Configuration.View().Rows[blackboard.Only{}].Revision,
-		Zones:                 p.zones(),
-		Entries:               p.entries(),
+		Zones:                 operator.ZonesOf(p.board),
+		Entries:               operator.EntriesOf(p.board),
 		Endpoints:             p.endpoints(),
 	}
 	for _, note := range p.suspects.Notes() {
@@ -32,26 +32,6 @@
 	return status
 }
 
-// zones returns the operators' decisions on availability zones, by name.
-func (p *Process) zones() []operator.ZoneStatus {
-	var found []operator.ZoneStatus
-	for _, z := range p.board.Zones.View().Rows {
-		found = append(found, operator.ZoneStatus{Zone: z.Zone, Drained: z.Drained, Revision: z.Revision})
-	}
-	slices.SortFunc(found, func(a, b operator.ZoneStatus) int { return cmp.Compare(a.Zone, b.Zone) })
-	return found
-}
-
-// entries returns the known entries, by name.
-func (p *Process) entries() []operator.EntryStatus {
-	var found []operator.EntryStatus
-	for _, e := range p.board.Entries.View().Rows {
-		found = append(found, operator.EntryStatus{Entry: e.ID, Zone: e.Zone, State: e.State})
-	}
-	slices.SortFunc(found, func(a, b operator.EntryStatus) int { return cmp.Compare(a.Entry, b.Entry) })
-	return found
-}
-
 // endpoints returns the known endpoints, by name, with the account of those that this entry owns.
 func (p *Process) endpoints() []operator.EndpointStatus {
 	owned := make(map[fleet.EndpointID]scheduler.Status)
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -24,6 +24,7 @@
 	"wisteriadyke/core/sharedload"
 	"wisteriadyke/core/timeline"
 	"wisteriadyke/io/boottime"
+	"wisteriadyke/io/operator"
 	"wisteriadyke/io/peer"
 	"wisteriadyke/io/settings"
 	"wisteriadyke/io/tcp"
@@ -50,18 +51,24 @@
 	probeTimeout = 300 * time.Millisecond
 )
 
+// metricLinesDropped counts log lines that were lost since the output was too slow.
+const metricLinesDropped = "log.lines_dropped"
+
 // Process is one entry instance. Its fields are set before Run.
 type Process struct {
 	// Settings are those of the entry.
 	Settings settings.Gateway
 	// Log takes the messages of all parts.
 	Log zerolog.Logger
+	// LinesDropped returns the number of messages that were lost since the output was too slow; nil stands for none.
+	LinesDropped func() int64
 
 	board     *blackboard.Board
 	current   *routing.Current
 	evidence  *freshness.Evidence
 	testimony *freshness.Testimony
 	timeline  *timeline.Recorder
+	suspects  *retry.Suspects
 	metrics   metrics.Registry
 	store     *store.Client
 	book      *sharedload.Book
@@ -107,6 +114,10 @@
 	p.testimony = &freshness.Testimony{Evidence: p.evidence, Version: p.version}
 	p.timeline = &timeline.Recorder{Entry: p.Settings.Entry}
 	p.metrics = metrics.NewRegistry()
+	if p.LinesDropped != nil {
+		p.metrics.GetOrRegister(metricLinesDropped, metrics.NewFunctionalGauge(p.LinesDropped))
+	}
+	p.suspects = &retry.Suspects{Entry: p.Settings.Entry, Tolerated: retry.ToleratedDeaths}
 	p.store = &store.Client{Address: p.Settings.Store, HTTP: store.NewHTTP()}
 	p.book = &sharedload.Book{}
 	p.outliers = &outlier.Detector{}
@@ -130,7 +141,7 @@
 
 // controllers returns all parts that run beside the serving of callers.
 func (p *Process) controllers() []func(context.Context) error {
-	operator := &store.OperatorWatch{
+	operations := &store.OperatorWatch{
 		Client:   p.store,
 		Current:  p.current,
 		Board:    p.board,
@@ -148,10 +159,18 @@
 		Entry:     p.Settings.Entry,
 		Book:      p.book,
 		Board:     p.board,
-		Transport: &peer.UsageTransport{Client: client, Testimonies: p.testimony},
+		Transport: &peer.UsageTransport{Client: client, Deaths: p.suspects, Testimonies: p.testimony},
+	}
+	peers := &peer.Server{Address: p.Settings.PeerAddress, Usages: teller, Deaths: p.suspects, Witness: p.testimony, Client: client}
+	operators := &operator.Server{
+		Address:  p.Settings.MetricsAddress,
+		Status:   p.status,
+		Timeline: p.timeline,
+		Metrics:  p.metrics,
+	}
+	return []func(context.Context) error{
+		operators.Run, operations.Run, registry.Run, entries.Run, teller.Run, peers.Run, p.tickets.Run,
 	}
-	peers := &peer.Server{Address: p.Settings.PeerAddress, Usages: teller, Witness: p.testimony, Client: client}
-	return []func(context.Context) error{operator.Run, registry.Run, entries.Run, teller.Run, peers.Run, p.tickets.Run}
 }
 
 // self returns this entry as others know it.
@@ -187,7 +206,7 @@
 		Placement:     policy,
 		Budget:        &retry.Budget{Ratio: p.Settings.RetryRatio / 2, Burst: p.Settings.RetryBurst / entries / 2},
 		BudgetRefused: true,
-		Suspects:      &retry.Suspects{Entry: p.Settings.Entry},
+		Suspects:      p.suspects,
 		Timeline:      p.timeline,
 		Metrics:       p.metrics,
 		Log:           p.Log,
--- /dev/null
+++ b/io/operator/board.go
@@ -0,0 +1,28 @@
+package operator
+
+import (
+	"cmp"
+	"slices"
+
+	"wisteriadyke/core/blackboard"
+)
+
+// ZonesOf returns the operators' decisions on availability zones, by name.
+func ZonesOf(board *blackboard.Board) []ZoneStatus {
+	var found []ZoneStatus
+	for _, z := range board.Zones.View().Rows {
+		found = append(found, ZoneStatus{Zone: z.Zone, Drained: z.Drained, Revision: z.Revision})
+	}
+	slices.SortFunc(found, func(a, b ZoneStatus) int { return cmp.Compare(a.Zone, b.Zone) })
+	return found
+}
+
+// EntriesOf returns the known entries, by name.
+func EntriesOf(board *blackboard.Board) []EntryStatus {
+	var found []EntryStatus
+	for _, e := range board.Entries.View().Rows {
+		found = append(found, EntryStatus{Entry: e.ID, Zone: e.Zone, State: e.State})
+	}
+	slices.SortFunc(found, func(a, b EntryStatus) int { return cmp.Compare(a.Entry, b.Entry) })
+	return found
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -31,6 +31,8 @@
 	Reports Reports
 	// Usages takes what other entries run; nil means that it is not taken.
 	Usages Usages
+	// Deaths takes what they tell of requests that endpoints died of.
+	Deaths Deaths
 	// Witness tells those entries how fresh the configuration is; nil tells nothing.
 	Witness Witness
 	// Client passes probes on.
@@ -64,7 +66,7 @@
 		}
 	}
 	if s.Usages != nil {
-		if err := DRPCRegisterUsage(mux, &usageHandler{usages: s.Usages, witness: s.Witness}); err != nil {
+		if err := DRPCRegisterUsage(mux, &usageHandler{usages: s.Usages, deaths: s.Deaths, witness: s.Witness}); err != nil {
 			return err
 		}
 	}
--- a/io/peer/usages.go
+++ b/io/peer/usages.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/retry"
 	"wisteriadyke/core/sharedload"
 )
 
@@ -17,6 +18,14 @@
 	TakeUsages(entry fleet.EntryID, usages map[fleet.EndpointID]sharedload.Usage)
 }
 
+// Deaths knows the requests that endpoints died of; *retry.Suspects does.
+type Deaths interface {
+	// Notes returns all that is known.
+	Notes() []retry.Note
+	// Take joins what another entry knows with that.
+	Take(note retry.Note) retry.Note
+}
+
 // Witness tells how fresh an entry's configuration is.
 type Witness interface {
 	// Testify returns the version in force and how long ago it was surely the newest one; false means that it isn't known.
@@ -35,6 +44,8 @@
 type UsageTransport struct {
 	// Client reaches the other entries.
 	Client *Client
+	// Deaths holds what is told of requests that endpoints died of.
+	Deaths Deaths
 	// Testimonies takes what they answer about the configuration; nil takes nothing.
 	Testimonies Testimonies
 }
@@ -53,6 +64,9 @@
 			MemoryTokens: int64(u.Memory),
 		})
 	}
+	for _, note := range t.Deaths.Notes() {
+		message.Deaths = append(message.Deaths, toDeaths(note, time.Now())...)
+	}
 	var asked time.Duration
 	if t.Testimonies != nil {
 		asked = t.Testimonies.Asked()
@@ -70,6 +84,7 @@
 // usageHandler turns messages into usages.
 type usageHandler struct {
 	usages  Usages
+	deaths  Deaths
 	witness Witness
 }
 
@@ -85,6 +100,9 @@
 		}
 	}
 	h.usages.TakeUsages(fleet.EntryID(m.Entry), usages)
+	for _, d := range m.Deaths {
+		h.deaths.Take(fromDeath(fleet.EntryID(m.Entry), d, time.Now()))
+	}
 	reply := &UsageReply{}
 	if h.witness == nil {
 		return reply, nil
@@ -95,3 +113,31 @@
 	}
 	return reply, nil
 }
+
+// toDeaths turns a note into its messages; a note that was cleared tells of no death.
+func toDeaths(note retry.Note, now time.Time) []*RequestDeath {
+	if note.Cleared {
+		return nil
+	}
+	var deaths []*RequestDeath
+	for _, d := range note.Deaths {
+		deaths = append(deaths, &RequestDeath{
+			Fingerprint: string(note.Fingerprint),
+			Endpoint:    string(d.Endpoint),
+			Incarnation: uint64(d.Incarnation),
+			AgeUs:       now.Sub(note.ChangedAt).Microseconds(),
+		})
+	}
+	return deaths
+}
+
+// fromDeath turns a message into a note.
+func fromDeath(from fleet.EntryID, m *RequestDeath, now time.Time) retry.Note {
+	return retry.Note{
+		Fingerprint: retry.Fingerprint(m.Fingerprint),
+		Deaths:      []retry.Death{{Endpoint: fleet.EndpointID(m.Endpoint), Incarnation: fleet.Incarnation(m.Incarnation)}},
+		Holder:      from,
+		ChangedAt:   now.Add(-microseconds(m.AgeUs)),
+		Tolerated:   retry.ToleratedDeaths,
+	}
+}
