Probe endpoints that can't be reached, and their zone, before requests find out

Cause: while a zone was cut off, each entry sent a request to each of its endpoints every 0.4 to 3 s to learn whether it was back, and each of these waited for the connection until it was late. Change: endpoints are probed by a connection before their pause ends, and all of a zone once one of them can't be reached.

--- a/core/outlier/detector.go
+++ b/core/outlier/detector.go
@@ -9,9 +9,8 @@
 )
 
 const (
-	// firstPause is how long an endpoint is left alone after one failure; connections are tried again well within the
-	// time that a caller waits.
-	firstPause = 400 * time.Millisecond
+	// firstPause is how long an endpoint is left alone after one failure; it leaves time for a probe before it ends.
+	firstPause = 600 * time.Millisecond
 	// lastPause bounds the pause; a crashed endpoint is back after some seconds.
 	lastPause = 3 * time.Second
 )
@@ -27,12 +26,57 @@
 type Detector struct {
 	mu      sync.Mutex
 	records map[fleet.EndpointID]record
+	alarms  map[fleet.Zone]bool
+}
+
+// Unreachable notes that no connection to an endpoint could be opened, which may hold for all of its zone.
+func (d *Detector) Unreachable(endpoint fleet.Endpoint, now time.Time) {
+	d.Failed(endpoint, now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.alarms == nil {
+		d.alarms = make(map[fleet.Zone]bool)
+	}
+	d.alarms[endpoint.Zone] = true
+}
+
+// takeAlarms returns the zones with endpoints that could not be reached since the last call.
+func (d *Detector) takeAlarms() map[fleet.Zone]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	alarms := d.alarms
+	d.alarms = nil
+	return alarms
+}
+
+// due tells whether the pause of an endpoint is about to end.
+func (d *Detector) due(endpoint fleet.Endpoint, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r, found := d.records[endpoint.ID]
+	return found && r.incarnation == endpoint.Incarnation && now.Before(r.until) && r.until.Sub(now) <= probeLead
+}
+
+// extend prolongs the pause of an endpoint that could not be reached again.
+func (d *Detector) extend(endpoint fleet.Endpoint, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fail(endpoint, now)
 }
 
 // Failed notes that an attempt could not be sent to an endpoint or that it broke off there.
 func (d *Detector) Failed(endpoint fleet.Endpoint, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if r := d.records[endpoint.ID]; r.incarnation == endpoint.Incarnation && now.Before(r.until) {
+		// Attempts that were under way when the endpoint failed tell nothing new.
+		return
+	}
+	d.fail(endpoint, now)
+}
+
+// fail notes one more failure; the caller holds the lock.
+func (d *Detector) fail(endpoint fleet.Endpoint, now time.Time) {
 	if d.records == nil {
 		d.records = make(map[fleet.EndpointID]record)
 	}
@@ -40,10 +84,6 @@
 	if r.incarnation != endpoint.Incarnation {
 		r = record{incarnation: endpoint.Incarnation}
 	}
-	if now.Before(r.until) {
-		// Attempts that were under way when the endpoint failed tell nothing new.
-		return
-	}
 	r.failures++
 	r.until = now.Add(min(firstPause<<min(r.failures-1, 8), lastPause))
 	d.records[endpoint.ID] = r
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -85,7 +85,7 @@
 			r.Put(fleet.Endpoint{ID: "a"})
 			r.Put(fleet.Endpoint{ID: "b"})
 			r.Reached(start)
-			tc.steps(r, func(after time.Duration) time.Time { return start.Add(after) })
+			tc.steps(r, start.Add)
 			var got []fleet.EndpointID
 			for id := range r.Board.Endpoints.View().Rows {
 				got = append(got, id)
--- a/core/sharedload/granter.go
+++ b/core/sharedload/granter.go
@@ -206,7 +206,9 @@
 		return
 	}
 	switch release.Outcome {
-	case reservation.OutcomeNotRun, reservation.OutcomeBroken:
+	case reservation.OutcomeNotRun:
+		g.Outliers.Unreachable(endpoint, now)
+	case reservation.OutcomeBroken:
 		g.Outliers.Failed(endpoint, now)
 	case reservation.OutcomeDone, reservation.OutcomeFailed:
 		g.Outliers.Succeeded(endpoint)
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -168,8 +168,9 @@
 		Timeline: p.timeline,
 		Metrics:  p.metrics,
 	}
+	prober := &outlier.Prober{Board: p.board, Detector: p.outliers, Connect: p.workers.Connect}
 	return []func(context.Context) error{
-		operators.Run, operations.Run, registry.Run, entries.Run, teller.Run, peers.Run, p.tickets.Run,
+		prober.Run, operators.Run, operations.Run, registry.Run, entries.Run, teller.Run, peers.Run, p.tickets.Run,
 	}
 }
 
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -125,7 +125,10 @@
 	}
 	for _, e := range w.entries {
 		select {
-		case <-e.ended:
+		case err := <-e.ended:
+			if err != nil {
+				w.t.Errorf("an entry ended with %v", err)
+			}
 		case <-time.After(patience):
 			w.t.Error("an entry does not end")
 		}
@@ -146,7 +149,12 @@
 
 // readyStatus asks as the balancer does.
 func (e *runningEntry) readyStatus() int {
-	response, err := http.Get(fmt.Sprintf("http://%s/wisteriadyke/ready", e.settings.ReadyAddress))
+	target := fmt.Sprintf("http://%s/wisteriadyke/ready", e.settings.ReadyAddress)
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, target, nil)
+	if err != nil {
+		return 0
+	}
+	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0
 	}
@@ -182,7 +190,8 @@
 // open sends a call and returns its connection.
 func (w *world) open(e *runningEntry, c call) net.Conn {
 	w.t.Helper()
-	conn, err := net.Dial("tcp", e.settings.CallerAddress.String())
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(w.t.Context(), "tcp", e.settings.CallerAddress.String())
 	if err != nil {
 		w.t.Fatal(err)
 	}
