Use three quarters of the allowed retries, and let warm endpoints take twice the cold rate

Change: the share counts the entries that are known; the cold rate is doubled for endpoints that are not known to be cold.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -9,6 +9,8 @@
 	Ratio float64
 	// Burst is the number of retries that can be saved up.
 	Burst float64
+	// Sharers returns the number of entries that share Burst; nil stands for one.
+	Sharers func() int
 
 	mu    sync.Mutex
 	spent float64
@@ -25,7 +27,11 @@
 func (b *Budget) Spend() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.spent+1 > b.Burst {
+	burst := b.Burst
+	if b.Sharers != nil {
+		burst /= float64(max(1, b.Sharers()))
+	}
+	if b.spent+1 > max(1, burst) {
 		return false
 	}
 	b.spent++
--- a/core/sharedload/granter.go
+++ b/core/sharedload/granter.go
@@ -34,8 +34,8 @@
 	Views interface{ View() placement.View }
 	// Policy orders endpoints.
 	Policy *Policy
-	// RateShare returns the requests within rateSpan that this entry may send to one endpoint of a pool; false means any.
-	RateShare func(fleet.PoolName) (int, bool)
+	// RateShare returns the requests within rateSpan that this entry may send to an endpoint; false means any.
+	RateShare func(endpoint fleet.Endpoint, now time.Time) (int, bool)
 
 	// Tickets holds memory at helpers.
 	Tickets *Tickets
@@ -90,7 +90,7 @@
 
 // withinRate counts one more request to an endpoint, unless its rate is used up; the caller holds the lock.
 func (g *Granter) withinRate(endpoint fleet.Endpoint, now time.Time) bool {
-	share, bounded := g.RateShare(endpoint.Pool)
+	share, bounded := g.RateShare(endpoint, now)
 	if !bounded {
 		return true
 	}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -45,6 +45,11 @@
 	rosterLateGrace = 800 * time.Millisecond
 	// memoryShare is the part of the memory from which the garbage collector works harder.
 	memoryShare = 0.7
+	// budgetShare is the part of the allowed retries that is used, since the windows of all entries differ.
+	budgetShare = 0.75
+	// warmFactor is how much more a warm endpoint may be sent than a cold one. It may turn cold at any moment, and entries
+	// don't all use their shares at once.
+	warmFactor = 2
 	// gcPercent trades memory, of which there is plenty, for processor time.
 	gcPercent = 300
 	// probeTimeout bounds the connection that shows whether an endpoint lives.
@@ -174,6 +179,15 @@
 	}
 }
 
+// budget returns this entry's share of the retries that all may make.
+func (p *Process) budget() *retry.Budget {
+	return &retry.Budget{
+		Ratio:   p.Settings.RetryRatio * budgetShare,
+		Burst:   p.Settings.RetryBurst * budgetShare,
+		Sharers: p.entries,
+	}
+}
+
 // self returns this entry as others know it.
 func (p *Process) self() fleet.Entry {
 	return fleet.Entry{
@@ -188,7 +202,6 @@
 func (p *Process) dispatcher() *dispatch.Dispatcher {
 	viewer := &report.Viewer{Board: p.board, Zone: p.Settings.Zone}
 	policy := &sharedload.Policy{Book: p.book, Pool: p.pool, Usable: p.outliers.Usable}
-	entries := 9.0
 	return &dispatch.Dispatcher{
 		Board: p.board,
 		Views: viewer,
@@ -205,7 +218,7 @@
 		},
 		Engines:       p.workers,
 		Placement:     policy,
-		Budget:        &retry.Budget{Ratio: p.Settings.RetryRatio / 2, Burst: p.Settings.RetryBurst / entries / 2},
+		Budget:        p.budget(),
 		BudgetRefused: true,
 		Suspects:      p.suspects,
 		Timeline:      p.timeline,
@@ -232,13 +245,17 @@
 	return pool, found
 }
 
-// rateShare returns the requests a second that this entry may send to one endpoint of a pool.
-func (p *Process) rateShare(name fleet.PoolName) (int, bool) {
-	pool, _ := p.pool(name)
+// rateShare returns the requests a second that this entry may send to an endpoint.
+func (p *Process) rateShare(endpoint fleet.Endpoint, now time.Time) (int, bool) {
+	pool, _ := p.pool(endpoint.Pool)
 	if pool.ColdRate <= 0 {
 		return 0, false
 	}
-	return max(1, int(pool.ColdRate*p.Settings.ColdFactor)/p.entries()), true
+	rate := pool.ColdRate * p.Settings.ColdFactor
+	if now.After(endpoint.ColdUntil) {
+		rate *= warmFactor
+	}
+	return max(1, int(rate)/p.entries()), true
 }
 
 // entries returns the number of known entries, at least this one.
