--- a/core/ratelimit/window.go
+++ b/core/ratelimit/window.go
@@ -1,27 +1,29 @@
-// Package ratelimit bounds what is sent within any span of a given length.
+// Package ratelimit bounds what is sent within a sliding second.
 package ratelimit
 
 import "time"
 
-// Window remembers the latest events within a span. It is not safe for concurrent use.
+// Window remembers when the latest requests were sent. Its zero value is ready to use; it is not safe for concurrent
+// use.
 type Window struct {
-	// Span is the length of the sliding window.
-	Span time.Duration
-
 	at []time.Time
 }
 
-// Count returns the number of events within the span before now.
-func (w *Window) Count(now time.Time) int {
+// Take notes one request unless it exceeds the rate, in requests a second. A rate below one allows one request in the
+// time that it gives for each.
+func (w *Window) Take(rate float64, now time.Time) bool {
+	if rate <= 0 {
+		return false
+	}
+	span := max(time.Second, time.Duration(float64(time.Second)/rate))
 	first := 0
-	for first < len(w.at) && now.Sub(w.at[first]) >= w.Span {
+	for first < len(w.at) && now.Sub(w.at[first]) >= span {
 		first++
 	}
 	w.at = w.at[first:]
-	return len(w.at)
-}
-
-// Add notes one event.
-func (w *Window) Add(now time.Time) {
+	if len(w.at) >= max(1, int(rate)) {
+		return false
+	}
 	w.at = append(w.at, now)
+	return true
 }
--- a/core/ratelimit/window_test.go
+++ b/core/ratelimit/window_test.go
@@ -5,23 +5,28 @@
 	"time"
 )
 
-func TestWindowSlides(t *testing.T) {
-	start := time.Unix(1000, 0)
-	w := &Window{Span: time.Second}
-	for _, after := range []time.Duration{0, 400 * time.Millisecond, 900 * time.Millisecond} {
-		w.Add(start.Add(after))
+func TestTake(t *testing.T) {
+	const ms = time.Millisecond
+	tests := map[string]struct {
+		rate float64
+		// at holds the times of requests, and taken those that are let through.
+		at    []time.Duration
+		taken []bool
+	}{
+		"within a second": {3, []time.Duration{0, 400 * ms, 900 * ms, 950 * ms, 1000 * ms, 1100 * ms}, []bool{true, true, true, false, true, false}},
+		"fractions":       {2.9, []time.Duration{0, 1 * ms, 2 * ms}, []bool{true, true, false}},
+		"below one":       {0.5, []time.Duration{0, 1500 * ms, 2000 * ms, 3999 * ms, 4000 * ms}, []bool{true, false, true, false, true}},
+		"none":            {0, []time.Duration{0, 10 * time.Second}, []bool{false, false}},
 	}
-	for after, want := range map[time.Duration]int{
-		950 * time.Millisecond: 3,
-	} {
-		if got := w.Count(start.Add(after)); got != want {
-			t.Errorf("count after %v = %d, want %d", after, got, want)
-		}
-	}
-	if got := w.Count(start.Add(time.Second)); got != 2 {
-		t.Errorf("count after 1s = %d, want 2", got)
-	}
-	if got := w.Count(start.Add(1900 * time.Millisecond)); got != 0 {
-		t.Errorf("count after 1.9s = %d, want 0", got)
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			var w Window
+			for i, after := range tc.at {
+				if got := w.Take(tc.rate, start.Add(after)); got != tc.taken[i] {
+					t.Errorf("request after %v taken = %t, want %t", after, got, tc.taken[i])
+				}
+			}
+		})
 	}
 }
--- a/core/sharedload/granter.go
+++ b/core/sharedload/granter.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// rateSpan is the span in which the requests to a cold endpoint are bounded.
-	rateSpan = time.Second
+	// coldWait is when to come back to endpoints whose rate is used up.
+	coldWait = time.Second
 	// queuedPerSlot bounds the attempts that run or wait at an endpoint, relative to its slots.
 	queuedPerSlot = 1.5
 	// fullWait is when to come back to a pool whose endpoints are all full.
@@ -34,8 +34,8 @@
 	Views interface{ View() placement.View }
 	// Policy orders endpoints.
 	Policy *Policy
-	// RateShare returns the requests within rateSpan that this entry may send to an endpoint; false means any.
-	RateShare func(endpoint fleet.Endpoint, now time.Time) (int, bool)
+	// RateShare returns the requests a second that this entry may send to an endpoint; false means any.
+	RateShare func(endpoint fleet.Endpoint, now time.Time) (float64, bool)
 
 	// Tickets holds memory at helpers.
 	Tickets *Tickets
@@ -82,7 +82,7 @@
 		return reservation.Grant{}, nil, &reservation.Refusal{Reason: reservation.ReasonQueueFull, RetryAfter: fullWait}
 	}
 	if !g.withinRate(endpoint, now) {
-		return reservation.Grant{}, nil, &reservation.Refusal{Reason: reservation.ReasonCold, RetryAfter: rateSpan}
+		return reservation.Grant{}, nil, &reservation.Refusal{Reason: reservation.ReasonCold, RetryAfter: coldWait}
 	}
 	made, stored := g.grant(view, endpoint, request)
 	return made, stored, nil
@@ -90,7 +90,7 @@
 
 // withinRate counts one more request to an endpoint, unless its rate is used up; the caller holds the lock.
 func (g *Granter) withinRate(endpoint fleet.Endpoint, now time.Time) bool {
-	share, bounded := g.RateShare(endpoint, now)
+	rate, bounded := g.RateShare(endpoint, now)
 	if !bounded {
 		return true
 	}
@@ -99,14 +99,10 @@
 	}
 	window, found := g.windows[endpoint.ID]
 	if !found {
-		window = &ratelimit.Window{Span: rateSpan}
+		window = &ratelimit.Window{}
 		g.windows[endpoint.ID] = window
 	}
-	if window.Count(now) >= share {
-		return false
-	}
-	window.Add(now)
-	return true
+	return window.Take(rate, now)
 }
 
 // grant notes the work of an attempt; the caller holds the lock.
--- a/core/sharedload/world_test.go
+++ b/core/sharedload/world_test.go
@@ -66,7 +66,7 @@
 		Board:     f.board,
 		Views:     f,
 		Policy:    f.policy,
-		RateShare: func(fleet.Endpoint, time.Time) (int, bool) { return 0, false },
+		RateShare: func(fleet.Endpoint, time.Time) (float64, bool) { return 0, false },
 		Tickets:   &Tickets{Entry: "entry-1", Memory: f.memory},
 		Outliers:  outliers,
 	}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -245,8 +245,8 @@
 	return pool, found
 }
 
-// rateShare returns the requests a second that this entry may send to an endpoint.
-func (p *Process) rateShare(endpoint fleet.Endpoint, now time.Time) (int, bool) {
+// rateShare returns the requests a second that this entry may send to an endpoint, which may be less than one.
+func (p *Process) rateShare(endpoint fleet.Endpoint, now time.Time) (float64, bool) {
 	pool, _ := p.pool(endpoint.Pool)
 	if pool.ColdRate <= 0 {
 		return 0, false
@@ -255,7 +255,7 @@
 	if now.After(endpoint.ColdUntil) {
 		rate *= warmFactor
 	}
-	return max(1, int(rate)/p.entries()), true
+	return rate / float64(p.entries()), true
 }
 
 // entries returns the number of known entries, at least this one.
