--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -97,6 +97,7 @@
 		Prompt:    r.request.PromptTokens,
 		Output:    r.request.MaxTokens,
 		Objective: r.request.Objective,
+		Returned:  r.request.Returned,
 		Prefixes:  r.prefixes,
 		Excluded:  r.excluded,
 	}
--- a/core/sharedload/joint_test.go
+++ b/core/sharedload/joint_test.go
@@ -111,6 +111,33 @@
 	}
 }
 
+// TestLongPromptThatCameBackCountsMore replays a pool that is just too busy for a large prompt: its caller is sent off
+// once, and served when it comes back.
+func TestLongPromptThatCameBackCountsMore(t *testing.T) {
+	f := newFleet(16)
+	f.use(0, 16, Usage{Running: 6, Quick: 6, Memory: 40_000, Reading: 20 * time.Millisecond})
+	need := placement.Need{Pool: testPool.Name, Output: 1000, Objective: archiveObjective}
+	refused, taken := 0, 0
+	for need.Prompt = 150_000; need.Prompt < 600_000; need.Prompt += 10_000 {
+		need.Returned = false
+		first := len(f.policy.Candidates(f.View(), need)) > 0
+		need.Returned = true
+		second := len(f.policy.Candidates(f.View(), need)) > 0
+		if first && !second {
+			t.Errorf("%d tokens are refused when they come back", need.Prompt)
+		}
+		if !first {
+			refused++
+		}
+		if !first && second {
+			taken++
+		}
+	}
+	if refused == 0 || taken == 0 {
+		t.Errorf("%d lengths refused at first, %d of them taken later; want some of each", refused, taken)
+	}
+}
+
 func TestQuickRequestsAvoidReadingAndFullEngines(t *testing.T) {
 	f := newFleet(4)
 	f.use(0, 1, Usage{Running: 1, Reading: 500 * time.Millisecond, Memory: 150_000})
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -24,6 +24,8 @@
 	nearFullCost = 20 * time.Millisecond
 	// nearFull is the number of slots that such choices may take.
 	nearFull = 4
+	// returnedWeight is how much more a long prompt counts whose caller has come back: most come back only once.
+	returnedWeight = 1.5
 	// longCost is what each long attempt at an endpoint costs a quick newcomer, whose passes will take longer.
 	longCost = 25 * time.Millisecond
 )
@@ -73,6 +75,9 @@
 	if need.Objective > 0 {
 		gained *= 1 - lateLoss*lateChance(done, need.Objective)
 	}
+	if need.Returned {
+		gained *= returnedWeight
+	}
 	return lost <= gained
 }
 
