--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -15,6 +15,9 @@
 	"wisteriadyke/io/settings"
 )
 
+// logTimeFormat is the form of times in log lines, in which lines of several entries can be put in order.
+const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // newGatewayCommand builds the command that runs one entry on the Cierzo platform.
 func newGatewayCommand() *cobra.Command {
 	var path string
@@ -28,6 +31,7 @@
 				return err
 			}
 			setLogLevel(config)
+			zerolog.TimeFieldFormat = logTimeFormat
 			out := boundedlog.New(c.OutOrStdout())
 			process := &gateway.Process{Settings: config, Log: newLog(out), LinesDropped: out.Dropped}
 			err = runGateway(c.Context(), process, path)
--- /dev/null
+++ b/cmd/logs.go
@@ -0,0 +1,106 @@
+package cmd
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+)
+
+// maxLogLine bounds a line of a log file.
+const maxLogLine = 1 << 20
+
+// newLogsCommand builds the command that finds the lines of one request in saved logs.
+func newLogsCommand() *cobra.Command {
+	var subject string
+	command := &cobra.Command{
+		Use:   "logs --subject ID FILE...",
+		Short: "Print the log lines about one request, attempt or endpoint from saved logs, in order of time",
+		Long: `Reads saved log lines of any number of entries and prints those that name the subject, in order of time, each
+behind the name of its file. Text before a line's JSON value is kept; lines without one are passed over.`,
+		Example: "  wisteriadyke logs --subject a30787df08666154 entry-*.log",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, files []string) error {
+			return runLogs(c.OutOrStdout(), subject, files)
+		},
+	}
+	command.Flags().StringVar(&subject, "subject", "", "print the lines that name this request, attempt or `endpoint`")
+	_ = command.MarkFlagRequired("subject")
+	return command
+}
+
+// logLine is one line that names the subject.
+type logLine struct {
+	file string
+	text string
+	at   time.Time
+}
+
+// runLogs collects, sorts and prints the lines.
+func runLogs(out io.Writer, subject string, files []string) error {
+	var found []logLine
+	for _, file := range files {
+		lines, err := readLog(file, subject)
+		if err != nil {
+			return err
+		}
+		found = append(found, lines...)
+	}
+	slices.SortStableFunc(found, func(a, b logLine) int { return a.at.Compare(b.at) })
+	for _, line := range found {
+		if _, err := fmt.Fprintf(out, "%s: %s\n", line.file, line.text); err != nil {
+			return errors.Wrap(err, "logs")
+		}
+	}
+	return nil
+}
+
+// readLog returns the lines of a file that name the subject.
+func readLog(file, subject string) ([]logLine, error) {
+	input, err := os.Open(file)
+	if err != nil {
+		return nil, inputErrorf("logs: %v", err)
+	}
+	defer func() { _ = input.Close() }()
+	var found []logLine
+	scanner := bufio.NewScanner(input)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		text := scanner.Text()
+		if at, ok := names(text, subject); ok {
+			found = append(found, logLine{file: file, text: strings.TrimSpace(text), at: at})
+		}
+	}
+	return found, errors.Wrapf(scanner.Err(), "logs: %s", file)
+}
+
+// names tells whether a line is about the subject, and when it was written.
+func names(text, subject string) (time.Time, bool) {
+	begin := strings.IndexByte(text, '{')
+	if begin < 0 || !strings.Contains(text, subject) {
+		return time.Time{}, false
+	}
+	var fields map[string]any
+	if json.Unmarshal([]byte(text[begin:]), &fields) != nil {
+		return time.Time{}, false
+	}
+	written, _ := fields["time"].(string)
+	at, err := time.Parse(time.RFC3339, written)
+	if err != nil {
+		return time.Time{}, false
+	}
+	for _, value := range fields {
+		// The name of an attempt begins with that of its request.
+		if s, ok := value.(string); ok && (s == subject || strings.HasPrefix(s, subject+".")) {
+			return at, true
+		}
+	}
+	return time.Time{}, false
+}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -49,6 +49,6 @@
 	}
 	root.AddCommand(newVersionCommand(), newEntryCommand(), newGatewayCommand(), newPublishCommand())
 	root.AddCommand(newCheckCommand(), newZoneCommand())
-	root.AddCommand(newStatusCommand(), newTimelineCommand(), newStandinCommand())
+	root.AddCommand(newStatusCommand(), newTimelineCommand(), newLogsCommand(), newStandinCommand())
 	return root
 }
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -29,6 +29,12 @@
 		event.Predicted = time.Until(refusal.PredictedStart)
 	}
 	r.record(event)
+	r.Log.Info().
+		Str("request", string(r.request.ID)).
+		Str("endpoint", string(endpoint.ID)).
+		Str("reason", string(refusal.Reason)).
+		Dur("retry_after_ms", refusal.RetryAfter).
+		Msg("dispatch: reservation refused")
 }
 
 // recordEnd appends and logs the end of an attempt with what decided its place.
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -92,6 +92,7 @@
 // need is what the request asks of an endpoint.
 func (r *run) need() placement.Need {
 	return placement.Need{
+		Request:   r.request.ID,
 		Pool:      r.request.Pool,
 		Account:   r.request.Account,
 		Prompt:    r.request.PromptTokens,
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -28,6 +28,8 @@
 
 // Need is what a request asks of an endpoint.
 type Need struct {
+	// Request names the request, for messages only.
+	Request fleet.RequestID
 	// Pool names the endpoints that can serve it.
 	Pool fleet.PoolName
 	// Account is the client account.
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/placement"
 	"wisteriadyke/core/routing"
@@ -39,6 +41,9 @@
 	// Usable tells whether an endpoint may be given work now.
 	Usable func(endpoint fleet.Endpoint, now time.Time) bool
 
+	// Log takes messages about requests that are not placed.
+	Log zerolog.Logger
+
 	demand Demand
 }
 
@@ -78,7 +83,19 @@
 	if need.Returned {
 		gained *= returnedWeight
 	}
-	return lost <= gained
+	if lost <= gained {
+		return true
+	}
+	p.Log.Info().
+		Str("request", string(need.Request)).
+		Str("pool", string(pool.Name)).
+		Int64("prompt_tokens", int64(need.Prompt)).
+		Bool("returned", need.Returned).
+		Float64("lost", lost).
+		Float64("gained", gained).
+		Float64("busy", demand.busy).
+		Msg("sharedload: pool could not catch up with a long prompt")
+	return false
 }
 
 // states returns the usable endpoints of a pool in an order that all entries agree on.
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -141,6 +141,8 @@
 		KeyTTL:       p.Settings.RevokeTime - keyMargin,
 		Generator:    p.dispatcher(),
 		Ready:        p.ready,
+		Metrics:      p.metrics,
+		Log:          p.Log,
 	}
 }
 
@@ -201,7 +203,7 @@
 // dispatcher returns the dispatcher of all requests.
 func (p *Process) dispatcher() *dispatch.Dispatcher {
 	viewer := &report.Viewer{Board: p.board, Zone: p.Settings.Zone}
-	policy := &sharedload.Policy{Book: p.book, Pool: p.pool, Usable: p.outliers.Usable}
+	policy := &sharedload.Policy{Book: p.book, Pool: p.pool, Usable: p.outliers.Usable, Log: p.Log}
 	return &dispatch.Dispatcher{
 		Board: p.board,
 		Views: viewer,
