--- a/cmd/logs.go
+++ b/cmd/logs.go
@@ -97,10 +97,22 @@
 		return time.Time{}, false
 	}
 	for _, value := range fields {
-		// The name of an attempt begins with that of its request.
-		if s, ok := value.(string); ok && (s == subject || strings.HasPrefix(s, subject+".")) {
+		if isNamed(value, subject) {
 			return at, true
 		}
 	}
 	return time.Time{}, false
 }
+
+// isNamed tells whether a field names the subject, alone or in a list; the name of an attempt begins with that of its
+// request.
+func isNamed(value any, subject string) bool {
+	switch v := value.(type) {
+	case string:
+		return v == subject || strings.HasPrefix(v, subject+".")
+	case []any:
+		return slices.ContainsFunc(v, func(element any) bool { return isNamed(element, subject) })
+	default:
+		return false
+	}
+}
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -43,7 +43,7 @@
 		Str("request", string(r.request.ID)).
 		Str("attempt", string(a.id)).
 		Str("endpoint", string(a.endpoint.ID)).
-		Int("helpers", len(a.grant.Helpers)).
+		Strs("helpers", helperNames(a.grant.Helpers)).
 		Int64("prompt_tokens", int64(r.request.PromptTokens)).
 		Dur("predicted_ms", a.grant.Predicted).
 		Dur("first_token_ms", result.release.ReadTime).
@@ -63,6 +63,15 @@
 	})
 }
 
+// helperNames returns the names of the endpoints that read parts of the prompt.
+func helperNames(helpers []reservation.Helper) []string {
+	names := make([]string, 0, len(helpers))
+	for _, h := range helpers {
+		names = append(names, string(h.Endpoint))
+	}
+	return names
+}
+
 // finish counts, records and logs how the request ended.
 func (r *run) finish(err error) {
 	r.Log.Info().
