--- /dev/null
+++ b/e2e/gateway_test.go
@@ -0,0 +1,187 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"wisteriadyke/standin/cierzo"
+)
+
+// gatewayKey is the key of the account that the tests of the gateway use.
+const gatewayKey = "key-of-acme"
+
+// gatewayProcess is a running 'wisteriadyke gateway'.
+type gatewayProcess struct {
+	command *exec.Cmd
+	caller  netip.AddrPort
+	ready   netip.AddrPort
+	log     string
+}
+
+// startGateway starts an entry on the platform's stand-in and waits until the balancer would use it.
+func startGateway(t *testing.T, store *cierzo.Store, name string) *gatewayProcess {
+	t.Helper()
+	folder := t.TempDir()
+	g := &gatewayProcess{
+		caller: freeAddress(t),
+		ready:  freeAddress(t),
+		log:    filepath.Join(folder, name+".log"),
+	}
+	settings, err := json.Marshal(map[string]any{
+		"entry": name, "zone": "a", "caller_address": g.caller, "ready_address": g.ready, "peer_address": freeAddress(t),
+		"metrics_address": freeAddress(t), "store": store.Address(), "balancer_delay": "300ms",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(folder, name+".hujson")
+	if err := os.WriteFile(path, settings, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out, err := os.Create(g.log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.command = exec.CommandContext(context.Background(), binary, "gateway", "--settings", path)
+	g.command.Stdout = out
+	if err := g.command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = g.command.Process.Kill()
+		_, _ = g.command.Process.Wait()
+		_ = out.Close()
+	})
+	for deadline := time.Now().Add(startTime); time.Now().Before(deadline); time.Sleep(pollTime) {
+		if status, _ := g.get(t, g.ready, "/wisteriadyke/ready", ""); status == http.StatusOK {
+			return g
+		}
+	}
+	t.Fatalf("%s is not ready: %s", name, tail(g.log))
+	return nil
+}
+
+// get sends a request with an attempt's name and returns the status and the body.
+func (g *gatewayProcess) get(t *testing.T, address netip.AddrPort, path, attempt string) (int, string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, fmt.Sprintf("http://%s%s", address, path), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "app.example"
+	request.Close = true
+	request.Header.Set("X-Attempt-Id", attempt)
+	request.Header.Set("X-Credential", gatewayKey)
+	request.Header.Set("X-Token-Counts", "1000,100")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(body)
+}
+
+// lines returns what 'wisteriadyke logs' finds about a subject.
+func lines(t *testing.T, subject string, files ...string) string {
+	t.Helper()
+	arguments := append([]string{"logs", "--subject", subject}, files...)
+	out, err := exec.CommandContext(t.Context(), binary, arguments...).Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(out)
+}
+
+// TestGatewayExplainsFailures runs entries as separate processes, lets three requests fail in different ways, and finds
+// each cause from the log lines of its id alone.
+func TestGatewayExplainsFailures(t *testing.T) {
+	const events = 5
+	store := &cierzo.Store{}
+	store.Start()
+	defer store.Close()
+	cierzo.Configuration(store, 1, map[string][]string{"acme": {gatewayKey}}, cierzo.Routes()...)
+	slow := &cierzo.Worker{ID: "i-slow", Service: "engines", Zone: "a", Slots: 4, Events: events, Pause: 400 * time.Millisecond}
+	breaks := &cierzo.Worker{ID: "i-breaks", Service: "services", Zone: "a", Slots: 4,
+		Intercept: func(http.ResponseWriter, *http.Request, cierzo.Seen) bool { panic(http.ErrAbortHandler) }}
+	for _, k := range []*cierzo.Worker{slow, breaks} {
+		k.Start()
+		defer k.Close()
+		k.Register(store, "ready")
+	}
+	first := startGateway(t, store, "entry-1")
+	second := startGateway(t, store, "entry-2")
+	time.Sleep(time.Second)
+
+	if status, body := first.get(t, first.caller, "/s/x", "late-1"); status != http.StatusOK || body != cierzo.Stream(1, events) {
+		t.Errorf("slow stream: status %d, body %q", status, body)
+	}
+	if status, _ := second.get(t, second.caller, "/u/x", "broken-1"); status != http.StatusBadGateway {
+		t.Errorf("broken call: status %d", status)
+	}
+	slow.Register(store, "draining")
+	time.Sleep(time.Second)
+	if status, _ := first.get(t, first.caller, "/s/x", "refused-1"); status != http.StatusServiceUnavailable {
+		t.Errorf("stream without an engine: status %d", status)
+	}
+	tests := map[string][]string{
+		"late-1":    {`"endpoint":"i-slow"`, `"longest_pause_ms":4`, `"outcome":"done"`},
+		"broken-1":  {`"endpoint":"i-breaks"`, `"outcome":"broken"`, `EOF`, `no_answer`},
+		"refused-1": {`"attempts":0`, `not_run: no_endpoint`},
+		"i-slow":    {`"state":"leaving"`, `"state":"live"`},
+	}
+	// Lines are written in the background.
+	time.Sleep(200 * time.Millisecond)
+	for subject, wants := range tests {
+		got := lines(t, subject, first.log, second.log)
+		for _, want := range wants {
+			if !strings.Contains(got, want) {
+				t.Errorf("the lines about %s lack %s:\n%s", subject, want, got)
+			}
+		}
+	}
+}
+
+// TestGatewaySurvivesItsNeighbour kills one of two entries, stops the other gracefully in the middle of a stream and
+// starts both again.
+func TestGatewaySurvivesItsNeighbour(t *testing.T) {
+	const events = 8
+	store := &cierzo.Store{}
+	store.Start()
+	defer store.Close()
+	cierzo.Configuration(store, 1, map[string][]string{"acme": {gatewayKey}}, cierzo.Routes()...)
+	engine := &cierzo.Worker{ID: "i-1", Service: "engines", Zone: "a", Slots: 4, Events: events, Pause: 100 * time.Millisecond}
+	engine.Start()
+	defer engine.Close()
+	engine.Register(store, "ready")
+	killed := startGateway(t, store, "entry-1")
+	stopped := startGateway(t, store, "entry-2")
+	time.Sleep(time.Second)
+	if err := killed.command.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	timer := time.AfterFunc(200*time.Millisecond, func() { _ = stopped.command.Process.Signal(syscall.SIGTERM) })
+	defer timer.Stop()
+	status, body := stopped.get(t, stopped.caller, "/s/x", "stream-1")
+	if status != http.StatusOK || body != cierzo.Stream(1, events) {
+		t.Errorf("stream over the shutdown: status %d, body %q", status, body)
+	}
+	if err := stopped.command.Wait(); err != nil {
+		t.Errorf("the stopped entry ended with %v", err)
+	}
+	again := startGateway(t, store, "entry-1")
+	if status, body := again.get(t, again.caller, "/s/x", "stream-2"); status != http.StatusOK || body != cierzo.Stream(1, events) {
+		t.Errorf("stream after the restart: status %d, body %q", status, body)
+	}
+}
