--- a/standin/cierzo/worker.go
+++ b/standin/cierzo/worker.go
@@ -75,6 +75,12 @@
 	return addressOf(k.server)
 }
 
+// Crash stops listening and breaks all connections at once, from within a request as well.
+func (k *Worker) Crash() {
+	_ = k.server.Listener.Close()
+	k.server.CloseClientConnections()
+}
+
 // Register writes the worker's entry into the registry.
 func (k *Worker) Register(s *Store, state string) {
 	entry, _ := json.Marshal(map[string]any{
