Bound the entries that are told at once

Cause: each entry told all others at each change, so that messages grew with the square of their number. Change: at most 32 are told in 50 ms, those that were told longest ago first.

--- a/core/sharedload/teller.go
+++ b/core/sharedload/teller.go
@@ -1,9 +1,11 @@
 package sharedload
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +20,9 @@
 	tellPeriod = 50 * time.Millisecond
 	// tellAgain is how long unchanged figures are not told again; it is well within peerTTL.
 	tellAgain = 400 * time.Millisecond
+	// tellFanout bounds the entries that are told at once, so that the cost of an entry does not grow with their number
+	// beyond it; those that were told longest ago come first.
+	tellFanout = 32
 	// tellTimeout bounds one message.
 	tellTimeout = 250 * time.Millisecond
 	// silentPause is how long an entry that gave no answer is left alone.
@@ -41,11 +46,20 @@
 	// Transport reaches them.
 	Transport Transport
 
-	mu     sync.Mutex
-	paused map[fleet.EntryID]time.Time
-	busy   map[fleet.EntryID]bool
-	last   map[fleet.EndpointID]Usage
-	lastAt time.Time
+	mu      sync.Mutex
+	peers   map[fleet.EntryID]*listener
+	last    map[fleet.EndpointID]Usage
+	version uint64
+}
+
+// listener is what is known of the telling of one entry.
+type listener struct {
+	// version is that of the figures that it was told last, at a time.
+	version uint64
+	at      time.Time
+	// busy tells that it is being told, and pausedUntil when a silent one is tried again.
+	busy        bool
+	pausedUntil time.Time
 }
 
 // Run tells until ctx ends; it returns no error.
@@ -68,48 +82,74 @@
 	t.Book.Told(entry, usages, time.Now())
 }
 
-// tell sends the present figures to every other entry that is neither silent nor still busy with older ones.
+// tell sends the present figures to the entries that need them.
 func (t *Teller) tell(ctx context.Context, group *errgroup.Group, now time.Time) {
 	usages := t.Book.Own()
-	if maps.Equal(usages, t.last) && now.Sub(t.lastAt) < tellAgain {
-		return
-	}
-	t.last, t.lastAt = usages, now
-	for id, entry := range t.Board.Entries.View().Rows {
-		if id == t.Entry || !t.begin(id, now) {
-			continue
-		}
+	for _, entry := range t.begin(usages, now) {
 		group.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 			defer cancel()
 			// A lost message is made up for by the next one.
-			t.end(id, t.Transport.Tell(ctx, entry.Address, t.Entry, usages))
+			t.end(entry.ID, t.Transport.Tell(ctx, entry.Address, t.Entry, usages))
 			return nil
 		})
 	}
 }
 
-// begin notes that an entry is being told, unless it must not be.
-func (t *Teller) begin(id fleet.EntryID, now time.Time) bool {
+// begin returns the entries to tell now: those whose figures are old, the oldest first, unless they are silent or still
+// busy with a message.
+func (t *Teller) begin(usages map[fleet.EndpointID]Usage, now time.Time) []fleet.Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.busy[id] || now.Before(t.paused[id]) {
-		return false
+	if !maps.Equal(usages, t.last) {
+		t.last = usages
+		t.version++
+	}
+	var due []fleet.Entry
+	for id, entry := range t.Board.Entries.View().Rows {
+		if id != t.Entry && t.listener(id).due(t.version, now) {
+			due = append(due, entry)
+		}
 	}
-	if t.busy == nil {
-		t.busy = make(map[fleet.EntryID]bool)
-		t.paused = make(map[fleet.EntryID]time.Time)
+	slices.SortFunc(due, func(a, b fleet.Entry) int {
+		return cmp.Or(t.peers[a.ID].at.Compare(t.peers[b.ID].at), cmp.Compare(a.ID, b.ID))
+	})
+	due = due[:min(len(due), tellFanout)]
+	for _, entry := range due {
+		l := t.peers[entry.ID]
+		l.busy, l.version, l.at = true, t.version, now
+	}
+	return due
+}
+
+// listener returns what is known of an entry; the caller holds the lock.
+func (t *Teller) listener(id fleet.EntryID) *listener {
+	l, found := t.peers[id]
+	if !found {
+		if t.peers == nil {
+			t.peers = make(map[fleet.EntryID]*listener)
+		}
+		l = &listener{}
+		t.peers[id] = l
+	}
+	return l
+}
+
+// due tells whether an entry needs figures of a version.
+func (l *listener) due(version uint64, now time.Time) bool {
+	if l.busy || now.Before(l.pausedUntil) {
+		return false
 	}
-	t.busy[id] = true
-	return true
+	return l.version != version || now.Sub(l.at) >= tellAgain
 }
 
 // end notes that an entry was told, or that it is silent.
 func (t *Teller) end(id fleet.EntryID, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.busy, id)
+	l := t.listener(id)
+	l.busy = false
 	if err != nil {
-		t.paused[id] = time.Now().Add(silentPause)
+		l.pausedUntil = time.Now().Add(silentPause)
 	}
 }
