End within the grace time, and know by usages which zones can be reached

Cause: the setting grace_time had no effect, so that entries with long streams were killed; the look at an endpoint that broke took other zones for cut off once their entries' rows were five seconds old, and did not count deaths there. Change: open requests are broken off shortly before the grace time ends; a zone can be reached while one of its entries has told its usages lately. Both processes run their parts by core/lifecycle, moved from entry.

--- a/core/dispatch/diagnose.go
+++ b/core/dispatch/diagnose.go
@@ -46,6 +46,9 @@
 
 // reachable tells whether any entry of the zone was heard of lately; the own zone is.
 func (r *run) reachable(zone fleet.Zone) bool {
+	if r.Reachable != nil {
+		return r.Reachable(zone)
+	}
 	if zone == r.Zone {
 		return true
 	}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -66,6 +66,8 @@
 	Budget *retry.Budget
 	// BudgetRefused charges the budget also for attempts that an endpoint refused.
 	BudgetRefused bool
+	// Reachable tells whether a zone can be reached; nil asks the board when its entries were heard of.
+	Reachable func(zone fleet.Zone) bool
 	// Suspects knows the requests that may crash endpoints.
 	Suspects *retry.Suspects
 	// Timeline records events; nil records none.
--- a/core/sharedload/book.go
+++ b/core/sharedload/book.go
@@ -101,6 +101,14 @@
 	b.peers[entry] = told{usages: usages, at: now}
 }
 
+// Heard tells whether another entry has told its figures lately.
+func (b *Book) Heard(entry fleet.EntryID, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t, found := b.peers[entry]
+	return found && now.Sub(t.at) <= peerTTL
+}
+
 // Totals returns what all entries run on each endpoint.
 func (b *Book) Totals(now time.Time) map[fleet.EndpointID]Usage {
 	b.mu.Lock()
--- a/entry/process.go
+++ b/entry/process.go
@@ -14,6 +14,7 @@
 	"wisteriadyke/core/blackboard"
 	"wisteriadyke/core/dispatch"
 	"wisteriadyke/core/idempotency"
+	"wisteriadyke/core/lifecycle"
 	"wisteriadyke/core/observe"
 	"wisteriadyke/core/placement"
 	"wisteriadyke/core/report"
@@ -73,17 +74,7 @@
 // finished, and only then do the controllers end. It returns the first error of a part.
 func (p *Process) Run(ctx context.Context) error {
 	p.build()
-	support, stopSupport := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopSupport()
-	group, support := errgroup.WithContext(support)
-	for _, run := range p.controllers() {
-		group.Go(func() error { return run(support) })
-	}
-	group.Go(func() error {
-		defer stopSupport()
-		return p.serveCallers(ctx, support)
-	})
-	err := group.Wait()
+	err := lifecycle.Run(ctx, p.controllers(), p.serveCallers)
 	p.Log.Info().Msg("entry: stopped")
 	return err
 }
@@ -130,7 +121,7 @@
 }
 
 // controllers returns all parts that run beside the serving of callers.
-func (p *Process) controllers() []func(context.Context) error {
+func (p *Process) controllers() []lifecycle.Part {
 	poller := &platform.Poller{
 		Client: p.platform,
 		Board:  p.board,
@@ -140,7 +131,7 @@
 		Listed: &p.board.Listed,
 		Log:    p.Log,
 	}
-	runs := []func(context.Context) error{poller.Run, p.pool.Run, p.operator.Run, p.notes.Run, p.once.Run, p.sweeper.Run, p.reporter.Run, p.observer().Run, p.cachePoller().Run}
+	runs := []lifecycle.Part{poller.Run, p.pool.Run, p.operator.Run, p.notes.Run, p.once.Run, p.sweeper.Run, p.reporter.Run, p.observer().Run, p.cachePoller().Run}
 	return append(runs, p.peers.controllers()...)
 }
 
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -16,6 +16,7 @@
 	"wisteriadyke/core/dispatch"
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/freshness"
+	"wisteriadyke/core/lifecycle"
 	"wisteriadyke/core/outlier"
 	"wisteriadyke/core/report"
 	"wisteriadyke/core/retry"
@@ -43,6 +44,8 @@
 	// rosterLateGrace is how long an entry is kept that vanishes soon after an outage; with one look at the registry it
 	// stays below the drain time of endpoints.
 	rosterLateGrace = 800 * time.Millisecond
+	// lastMoments is what is left of the grace time when open requests are broken off, to write what is logged.
+	lastMoments = 300 * time.Millisecond
 	// memoryShare is the part of the memory from which the garbage collector works harder.
 	memoryShare = 0.7
 	// budgetShare is the part of the allowed retries that is used, since the windows of all entries differ.
@@ -89,17 +92,7 @@
 	p.limitRuntime()
 	p.build()
 	p.Log.Info().Str("entry", string(p.Settings.Entry)).Str("zone", string(p.Settings.Zone)).Msg("gateway: started")
-	support, stopSupport := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopSupport()
-	group, support := errgroup.WithContext(support)
-	for _, run := range p.controllers() {
-		group.Go(func() error { return run(support) })
-	}
-	group.Go(func() error {
-		defer stopSupport()
-		return p.serveCallers(ctx, support)
-	})
-	err := group.Wait()
+	err := lifecycle.Run(ctx, p.controllers(), p.serveCallers)
 	p.Log.Info().Err(err).Msg("gateway: stopped")
 	return err
 }
@@ -141,13 +134,14 @@
 		KeyTTL:       p.Settings.RevokeTime - keyMargin,
 		Generator:    p.dispatcher(),
 		Ready:        p.ready,
+		FinishTime:   p.Settings.GraceTime - p.Settings.BalancerDelay - lastMoments,
 		Metrics:      p.metrics,
 		Log:          p.Log,
 	}
 }
 
 // controllers returns all parts that run beside the serving of callers.
-func (p *Process) controllers() []func(context.Context) error {
+func (p *Process) controllers() []lifecycle.Part {
 	operations := &store.OperatorWatch{
 		Client:   p.store,
 		Current:  p.current,
@@ -176,7 +170,7 @@
 		Metrics:  p.metrics,
 	}
 	prober := &outlier.Prober{Board: p.board, Detector: p.outliers, Connect: p.workers.Connect}
-	return []func(context.Context) error{
+	return []lifecycle.Part{
 		prober.Run, operators.Run, operations.Run, registry.Run, entries.Run, teller.Run, peers.Run, p.tickets.Run,
 	}
 }
@@ -222,6 +216,7 @@
 		Placement:     policy,
 		Budget:        p.budget(),
 		BudgetRefused: true,
+		Reachable:     p.reachable,
 		Suspects:      p.suspects,
 		Timeline:      p.timeline,
 		Metrics:       p.metrics,
@@ -265,6 +260,20 @@
 	return max(1, len(p.board.Entries.View().Rows))
 }
 
+// reachable tells whether any entry of a zone was heard of lately; the own zone is.
+func (p *Process) reachable(zone fleet.Zone) bool {
+	if zone == p.Settings.Zone {
+		return true
+	}
+	now := time.Now()
+	for id, entry := range p.board.Entries.View().Rows {
+		if entry.Zone == zone && p.book.Heard(id, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // ready tells the balancer whether the entry takes new connections.
 func (p *Process) ready() bool {
 	return !p.leaving.Load() && p.current.Table() != nil
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -76,7 +76,7 @@
 	return w.entryWith(w.store.Address())
 }
 
-// entryWith starts an entry that reaches the store at an address.
+// entryWith starts an entry that reaches the store at an address. Entries are in zones a and b in turn.
 func (w *world) entryWith(store netip.AddrPort) *runningEntry {
 	w.t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
@@ -84,7 +84,7 @@
 	e := &runningEntry{
 		settings: settings.Gateway{
 			Entry:          fleet.EntryID(fmt.Sprintf("entry-%d", number)),
-			Zone:           "a",
+			Zone:           []fleet.Zone{"b", "a"}[number%2],
 			CallerAddress:  freeAddress(w.t),
 			ReadyAddress:   freeAddress(w.t),
 			PeerAddress:    freeAddress(w.t),
