Let an entry that has just started take its pool for busy

Change: demand begins with that of a half busy pool and fades within seconds. The replay fails without the change.

--- a/core/sharedload/demand.go
+++ b/core/sharedload/demand.go
@@ -18,6 +18,10 @@
 	longValue = 10
 	// fullDelay is the delay of the whole pool from which on nearly everything else is late.
 	fullDelay = time.Second
+	// startBusy and startPresent, for each endpoint, stand for the demand that an entry has not seen yet when it starts:
+	// that of a pool with half of its work in long prompts.
+	startBusy    = 0.5
+	startPresent = 4
 	// maxUtilization keeps the cost of work finite while all endpoints read.
 	maxUtilization = 0.9
 )
@@ -52,11 +56,11 @@
 	if d.pools == nil {
 		d.pools = make(map[fleet.PoolName]average)
 	}
-	known := d.pools[pool]
-	kept := math.Exp(-float64(now.Sub(known.at)) / float64(demandTime))
-	if known.at.IsZero() {
-		kept = 0
+	known, found := d.pools[pool]
+	if !found {
+		known = average{at: now, busy: startBusy, present: startPresent * float64(len(states))}
 	}
+	kept := math.Exp(-float64(now.Sub(known.at)) / float64(demandTime))
 	seen.busy = kept*known.busy + (1-kept)*seen.busy
 	seen.present = kept*known.present + (1-kept)*seen.present
 	d.pools[pool] = seen
--- a/core/sharedload/joint_test.go
+++ b/core/sharedload/joint_test.go
@@ -91,19 +91,26 @@
 	}
 }
 
+// TestHugePromptWaitsForACalmPool also replays the start of all entries at once: the first of them that a huge prompt
+// comes to has seen nothing of the others' work yet.
 func TestHugePromptWaitsForACalmPool(t *testing.T) {
 	tests := map[string]struct {
-		use  Usage
-		want bool
+		use     Usage
+		started bool
+		want    bool
 	}{
-		"calm": {use: Usage{Running: 1, Quick: 1, Memory: 7000}, want: true},
-		"busy": {use: Usage{Running: 9, Quick: 8, Memory: 150_000, Reading: 400 * time.Millisecond}, want: false},
+		"calm":         {use: Usage{Running: 1, Quick: 1, Memory: 7000}, want: true},
+		"busy":         {use: Usage{Running: 9, Quick: 8, Memory: 150_000, Reading: 400 * time.Millisecond}},
+		"just started": {use: Usage{}, started: true},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(16)
 			f.use(0, 16, tc.use)
-			need := placement.Need{Pool: testPool.Name, Prompt: 450_000, Output: 1000, Objective: archiveObjective}
+			if tc.started {
+				f.policy.demand = Demand{}
+			}
+			need := placement.Need{Pool: testPool.Name, Prompt: 600_000, Output: 1000, Objective: archiveObjective}
 			if got := len(f.policy.Candidates(f.View(), need)) > 0; got != tc.want {
 				t.Errorf("taken = %t, want %t", got, tc.want)
 			}
--- a/core/sharedload/world_test.go
+++ b/core/sharedload/world_test.go
@@ -70,6 +70,8 @@
 		Tickets:   &Tickets{Entry: "entry-1", Memory: f.memory},
 		Outliers:  outliers,
 	}
+	// The entry has run for an hour.
+	f.policy.demand.observe(testPool.Name, f.states(), time.Now().Add(-time.Hour))
 	return f
 }
 
