Forget endpoints that are gone, and decide on long prompts in a function of its own

Figures of rates and failures of endpoints that are listed no more were kept for ever. The demand is observed once a decision; each constant of the placement names its source.

--- a/core/outlier/detector.go
+++ b/core/outlier/detector.go
@@ -2,6 +2,7 @@
 package outlier
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -40,6 +41,16 @@
 	d.alarms[endpoint.Zone] = true
 }
 
+// forgetGone drops what is known of endpoints that are listed no more.
+func (d *Detector) forgetGone(listed map[fleet.EndpointID]fleet.Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	maps.DeleteFunc(d.records, func(id fleet.EndpointID, _ record) bool {
+		_, found := listed[id]
+		return !found
+	})
+}
+
 // takeAlarms returns the zones with endpoints that could not be reached since the last call.
 func (d *Detector) takeAlarms() map[fleet.Zone]bool {
 	d.mu.Lock()
--- a/core/outlier/prober.go
+++ b/core/outlier/prober.go
@@ -52,7 +52,9 @@
 // probe begins the probes that are due.
 func (p *Prober) probe(ctx context.Context, group *errgroup.Group, now time.Time) {
 	zones := p.Detector.takeAlarms()
-	for _, endpoint := range p.Board.Endpoints.View().Rows {
+	listed := p.Board.Endpoints.View().Rows
+	p.Detector.forgetGone(listed)
+	for _, endpoint := range listed {
 		if !zones[endpoint.Zone] && !p.Detector.due(endpoint, now) || !p.begin(endpoint.ID) {
 			continue
 		}
--- a/core/sharedload/estimate.go
+++ b/core/sharedload/estimate.go
@@ -12,11 +12,12 @@
 	easyShare = 0.6
 	// overfullWait is what each attempt beyond an endpoint's slots adds to the wait, about the time until a slot is free.
 	overfullWait = 150 * time.Millisecond
-	// valueTokens is the length of a prompt that is worth as much to its caller as one quick answer.
+	// valueTokens is the length of a prompt that is worth as much to its caller as one quick answer, by what the users'
+	// sheets pay for each kind of request.
 	valueTokens = 9000
-	// maxValue bounds the worth of a long prompt.
+	// maxValue bounds the worth of a long prompt, as the users' sheets do.
 	maxValue = 60
-	// lateLoss is the part of a request's worth that is lost when it misses an objective.
+	// lateLoss is the part of a request's worth that is lost when it misses an objective, by the users' sheets.
 	lateLoss = 0.75
 	// defaultPause is the pause objective that is taken for pools whose routes name none.
 	defaultPause = 250 * time.Millisecond
--- a/core/sharedload/granter.go
+++ b/core/sharedload/granter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -36,7 +37,6 @@
 	Policy *Policy
 	// RateShare returns the requests a second that this entry may send to an endpoint; false means any.
 	RateShare func(endpoint fleet.Endpoint, now time.Time) (float64, bool)
-
 	// Tickets holds memory at helpers.
 	Tickets *Tickets
 	// Outliers learns which endpoints fail.
@@ -99,12 +99,22 @@
 	}
 	window, found := g.windows[endpoint.ID]
 	if !found {
+		g.forgetGone()
 		window = &ratelimit.Window{}
 		g.windows[endpoint.ID] = window
 	}
 	return window.Take(rate, now)
 }
 
+// forgetGone drops the windows of endpoints that are listed no more; the caller holds the lock.
+func (g *Granter) forgetGone() {
+	listed := g.Board.Endpoints.View().Rows
+	maps.DeleteFunc(g.windows, func(id fleet.EndpointID, _ *ratelimit.Window) bool {
+		_, found := listed[id]
+		return !found
+	})
+}
+
 // grant notes the work of an attempt; the caller holds the lock.
 func (g *Granter) grant(
 	view placement.View, endpoint fleet.Endpoint, request reservation.Request,
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -17,18 +17,20 @@
 	// quickRead is the reading time up to which a prompt counts as quick; a pass with one such reading stays below the
 	// shortest pause that callers of streams accept.
 	quickRead = 120 * time.Millisecond
-	// runningCost is what each running call adds at a plain service.
+	// runningCost is what each running call adds at a plain service: a small part of a usual call, to tell idle ones.
 	runningCost = 4 * time.Millisecond
-	// rankCost keeps quick prompts and long ones on different endpoints while load is low.
+	// rankCost keeps quick prompts and long ones on different endpoints while load is low; from trials in the journal.
 	rankCost = 4 * time.Millisecond
 	// nearFullCost is what each attempt costs a newcomer at an endpoint within nearFull of its slots: entries that decide
-	// at the same time don't see each other's choice yet.
+	// at the same time don't see each other's choice yet. From trials in the journal.
 	nearFullCost = 20 * time.Millisecond
-	// nearFull is the number of slots that such choices may take.
+	// nearFull is the number of slots that such choices may take: arrivals at the best endpoint between two tellings.
 	nearFull = 4
-	// returnedWeight is how much more a long prompt counts whose caller has come back: most come back only once.
+	// returnedWeight is how much more a long prompt counts whose caller has come back: most come back only once. From
+	// trials in the journal.
 	returnedWeight = 1.5
-	// longCost is what each long attempt at an endpoint costs a quick newcomer, whose passes will take longer.
+	// longCost is what each long attempt at an endpoint costs a quick newcomer: the context of a usual long prompt makes
+	// each pass about that much longer.
 	longCost = 25 * time.Millisecond
 )
 
@@ -40,7 +42,6 @@
 	Pool func(fleet.PoolName) (routing.Pool, bool)
 	// Usable tells whether an endpoint may be given work now.
 	Usable func(endpoint fleet.Endpoint, now time.Time) bool
-
 	// Log takes messages about requests that are not placed.
 	Log zerolog.Logger
 
@@ -55,14 +56,10 @@
 	}
 	states := p.states(view, need)
 	if pool.Engine != nil {
-		p.demand.observe(pool.Name, states, time.Now())
-	}
-	if !isQuick(pool, need.Prompt) {
-		plan, found := planReading(pool, states, need.Prompt, need.Output, need.Objective)
-		if !found || !p.worthwhile(pool, states, need, plan.done) {
-			return nil
+		demand := p.demand.observe(pool.Name, states, time.Now())
+		if !isQuick(pool, need.Prompt) {
+			return p.longCandidate(pool, states, need, demand)
 		}
-		return []fleet.Endpoint{plan.first.endpoint}
 	}
 	slices.SortStableFunc(states, func(a, b state) int { return cmp.Compare(quickCost(pool, &a), quickCost(pool, &b)) })
 	endpoints := make([]fleet.Endpoint, 0, len(states))
@@ -72,10 +69,21 @@
 	return endpoints
 }
 
+// longCandidate returns the endpoint that answers a long prompt, or none while others would lose more by its reading than
+// its caller gains.
+func (p *Policy) longCandidate(pool routing.Pool, states []state, need placement.Need, demand average) []fleet.Endpoint {
+	plan, found := planReading(pool, states, need.Prompt, need.Output, need.Objective)
+	if !found || !p.worthwhile(pool, len(states), need, plan.done, demand) {
+		return nil
+	}
+	return []fleet.Endpoint{plan.first.endpoint}
+}
+
 // worthwhile tells whether the caller of a long prompt gains more by its reading than others lose.
-func (p *Policy) worthwhile(pool routing.Pool, states []state, need placement.Need, done time.Duration) bool {
-	demand := p.demand.observe(pool.Name, states, time.Now())
-	lost := demand.displaced(pool, len(states), pool.Engine.Read(need.Prompt))
+func (p *Policy) worthwhile(
+	pool routing.Pool, endpoints int, need placement.Need, done time.Duration, demand average,
+) bool {
+	lost := demand.displaced(pool, endpoints, pool.Engine.Read(need.Prompt))
 	gained := value(need.Prompt)
 	if need.Objective > 0 {
 		gained *= 1 - lateLoss*lateChance(done, need.Objective)
