--- a/core/sharedload/teller.go
+++ b/core/sharedload/teller.go
@@ -22,7 +22,7 @@
 	tellAgain = 400 * time.Millisecond
 	// tellFanout bounds the entries that are told at once, so that the cost of an entry does not grow with their number
 	// beyond it; those that were told longest ago come first.
-	tellFanout = 32
+	tellFanout = 16
 	// tellTimeout bounds one message.
 	tellTimeout = 250 * time.Millisecond
 	// silentPause is how long an entry that gave no answer is left alone.
