--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -176,6 +176,30 @@
 	}
 }
 
+// TestConnectionsByRepeatability sends the same method on routes of two kinds: what may run once gets a connection of its
+// own each time.
+func TestConnectionsByRepeatability(t *testing.T) {
+	const requests = 3
+	w := newWorld(t)
+	k := w.worker(&cierzo.Worker{ID: "i-1", Service: "services"})
+	e := w.entry()
+	for path, want := range map[string]int{"/u/x": requests, "/r/x": 1} {
+		before := len(k.Requests())
+		for range requests {
+			if got := w.send(e, call{method: http.MethodGet, uri: path}); got.status != http.StatusOK {
+				t.Fatalf("answer = %+v", got)
+			}
+		}
+		connections := make(map[string]bool)
+		for _, seen := range k.Requests()[before:] {
+			connections[seen.From] = true
+		}
+		if len(connections) != want {
+			t.Errorf("%s: %d connections for %d requests, want %d", path, len(connections), requests, want)
+		}
+	}
+}
+
 func TestWorkEndsWhenTheCallerLeaves(t *testing.T) {
 	w := newWorld(t)
 	k := w.worker(&cierzo.Worker{ID: "i-1", Events: 100, Work: 2 * time.Second, Pause: 50 * time.Millisecond})
--- a/standin/cierzo/worker.go
+++ b/standin/cierzo/worker.go
@@ -26,6 +26,8 @@
 	Header http.Header
 	// Body is the whole body.
 	Body string
+	// From is the address that the request came from.
+	From string
 	// Ran tells that the worker ran it.
 	Ran bool
 }
@@ -118,7 +120,7 @@
 		return
 	}
 	body, _ := io.ReadAll(r.Body)
-	seen := Seen{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header.Clone(), Body: string(body)}
+	seen := Seen{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header.Clone(), Body: string(body), From: r.RemoteAddr}
 	expected := r.Header.Get("X-Expect-Instance")
 	seen.Ran = expected == "" || expected == k.ID
 	k.mu.Lock()
