Count every answer by its worth when planning the reading of long prompts

Cause: the harm of a part counted quick answers only.

Change: attempts tell their worth by the pauses that they tolerate, in three bands; the plan weighs all of them.

--- a/core/dispatch/ports.go
+++ b/core/dispatch/ports.go
@@ -175,6 +175,8 @@
 	MaxTokens fleet.Tokens
 	// Objective is the time to the first token that the caller hopes for, or 0.
 	Objective time.Duration
+	// PauseObjective is the longest pause between two pieces of the answer that the caller hopes for, or 0.
+	PauseObjective time.Duration
 	// Returned tells that the caller was refused before and has waited since.
 	Returned bool
 	// StartBy is when the wait for the first token ends.
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -92,15 +92,16 @@
 // need is what the request asks of an endpoint.
 func (r *run) need() placement.Need {
 	return placement.Need{
-		Request:   r.request.ID,
-		Pool:      r.request.Pool,
-		Account:   r.request.Account,
-		Prompt:    r.request.PromptTokens,
-		Output:    r.request.MaxTokens,
-		Objective: r.request.Objective,
-		Returned:  r.request.Returned,
-		Prefixes:  r.prefixes,
-		Excluded:  r.excluded,
+		Request:        r.request.ID,
+		Pool:           r.request.Pool,
+		Account:        r.request.Account,
+		Prompt:         r.request.PromptTokens,
+		Output:         r.request.MaxTokens,
+		Objective:      r.request.Objective,
+		PauseObjective: r.request.PauseObjective,
+		Returned:       r.request.Returned,
+		Prefixes:       r.prefixes,
+		Excluded:       r.excluded,
 	}
 }
 
@@ -117,21 +118,22 @@
 func (r *run) reserve(ctx context.Context, endpoint fleet.Endpoint, exclusive bool) (reservation.Grant, error) {
 	asked := time.Now()
 	grant, err := r.Owners.Reserve(ctx, reservation.Request{
-		Endpoint:  endpoint.ID,
-		Request:   r.request.ID,
-		Attempt:   r.attemptID(r.attempts + 1),
-		Entry:     r.Entry,
-		Account:   r.request.Account,
-		Class:     r.request.Class,
-		Weight:    r.request.Weight,
-		Priority:  r.request.Priority,
-		Prompt:    r.request.PromptTokens,
-		Output:    r.request.MaxTokens,
-		Cached:    r.cached(endpoint),
-		Objective: r.request.Objective,
-		StartBy:   r.startBy(),
-		FinishBy:  r.request.FinishBy,
-		Exclusive: exclusive,
+		Endpoint:       endpoint.ID,
+		Request:        r.request.ID,
+		Attempt:        r.attemptID(r.attempts + 1),
+		Entry:          r.Entry,
+		Account:        r.request.Account,
+		Class:          r.request.Class,
+		Weight:         r.request.Weight,
+		Priority:       r.request.Priority,
+		Prompt:         r.request.PromptTokens,
+		Output:         r.request.MaxTokens,
+		Cached:         r.cached(endpoint),
+		Objective:      r.request.Objective,
+		PauseObjective: r.request.PauseObjective,
+		StartBy:        r.startBy(),
+		FinishBy:       r.request.FinishBy,
+		Exclusive:      exclusive,
 	})
 	if err == nil {
 		r.attempts++
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -40,6 +40,8 @@
 	Output fleet.Tokens
 	// Objective is the time to the first token that the caller hopes for, or 0.
 	Objective time.Duration
+	// PauseObjective is the longest pause within the answer that the caller hopes for, or 0.
+	PauseObjective time.Duration
 	// Returned tells that the caller was refused before and has waited since.
 	Returned bool
 	// Prefixes holds the digests of the prompt's beginnings, the shortest first.
--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -34,6 +34,8 @@
 	Cached fleet.Tokens
 	// Objective is the time to the first token that the caller hopes for, or 0.
 	Objective time.Duration
+	// PauseObjective is the longest pause within the answer that the caller hopes for, or 0.
+	PauseObjective time.Duration
 	// StartBy is when the wait for the first token ends.
 	StartBy time.Time
 	// FinishBy is when the whole answer is due.
--- a/core/sharedload/book.go
+++ b/core/sharedload/book.go
@@ -18,6 +18,8 @@
 	Running int
 	// Quick counts those of them that hardly tolerate pauses.
 	Quick int
+	// Stakes is the worth of the attempts by the pauses that they tolerate.
+	Stakes Stakes
 	// Reading is how long the outstanding reading takes there.
 	Reading time.Duration
 	// Memory is the context that the attempts will have taken when they end, in tokens.
@@ -29,6 +31,7 @@
 	return Usage{
 		Running: u.Running + other.Running,
 		Quick:   u.Quick + other.Quick,
+		Stakes:  u.Stakes.add(other.Stakes),
 		Reading: u.Reading + other.Reading,
 		Memory:  u.Memory + other.Memory,
 	}
@@ -39,6 +42,7 @@
 	return Usage{
 		Running: u.Running - other.Running,
 		Quick:   u.Quick - other.Quick,
+		Stakes:  u.Stakes.sub(other.Stakes),
 		Reading: u.Reading - other.Reading,
 		Memory:  u.Memory - other.Memory,
 	}
--- a/core/sharedload/estimate.go
+++ b/core/sharedload/estimate.go
@@ -48,12 +48,11 @@
 	return wait
 }
 
-// harm returns how many of the quick attempts at the endpoint are made late by more reading there; those that the
+// harm returns the worth of the attempts at the endpoint that are made late by more reading there; those that the
 // present reading makes late already don't count.
 func (s *state) harm(pool routing.Pool, more time.Duration) float64 {
 	pause := s.usage.Reading + s.pass(pool)
-	objective := pauseObjective(pool)
-	return float64(s.usage.Quick) * (lateChance(pause+more, objective) - lateChance(pause, objective))
+	return s.usage.Stakes.harm(pauseObjective(pool), pause, pause+more)
 }
 
 // free returns the memory that is not promised.
--- a/core/sharedload/granter.go
+++ b/core/sharedload/granter.go
@@ -131,6 +131,7 @@
 		if isQuick(pool, request.Prompt) {
 			usage.Quick = 1
 		}
+		usage.Stakes = stakeOf(pool, request.Prompt, request.PauseObjective)
 		entry.reading[endpoint.ID] = Usage{Reading: plan.part}
 		stored = plan.stored
 		for i, s := range plan.helpers {
--- a/core/sharedload/world_test.go
+++ b/core/sharedload/world_test.go
@@ -80,8 +80,9 @@
 	return placement.View{Endpoints: f.board.Endpoints.View().Rows, Zones: f.board.Zones.View().Rows, Local: "a"}
 }
 
-// use notes work of another entry at all engines with a number in a range.
+// use notes work of another entry at all engines with a number in a range; quick attempts are worth one each.
 func (f *testFleet) use(from, to int, usage Usage) {
+	usage.Stakes[0] += usage.Quick * stakeUnit
 	usages := make(map[fleet.EndpointID]Usage)
 	for i := from; i < to; i++ {
 		usages[testEndpoint(i).ID] = usage
--- a/io/peer/usages.go
+++ b/io/peer/usages.go
@@ -62,6 +62,7 @@
 			Quick:        int64(u.Quick),
 			ReadingUs:    u.Reading.Microseconds(),
 			MemoryTokens: int64(u.Memory),
+			Stakes:       toStakes(u.Stakes),
 		})
 	}
 	for _, note := range t.Deaths.Notes() {
@@ -97,6 +98,7 @@
 			Quick:   int(u.Quick),
 			Reading: microseconds(u.ReadingUs),
 			Memory:  fleet.Tokens(u.MemoryTokens),
+			Stakes:  fromStakes(u.Stakes),
 		}
 	}
 	h.usages.TakeUsages(fleet.EntryID(m.Entry), usages)
@@ -114,6 +116,25 @@
 	return reply, nil
 }
 
+// toStakes returns stakes for a message.
+func toStakes(stakes sharedload.Stakes) []int64 {
+	message := make([]int64, 0, len(stakes))
+	for _, worth := range stakes {
+		message = append(message, int64(worth))
+	}
+	return message
+}
+
+// fromStakes returns the stakes of a message; bands that it does not name are zero, and those that are not known here
+// count as the last one.
+func fromStakes(message []int64) sharedload.Stakes {
+	var stakes sharedload.Stakes
+	for i, worth := range message {
+		stakes[min(i, len(stakes)-1)] += int(worth)
+	}
+	return stakes
+}
+
 // toDeaths turns a note into its messages; a note that was cleared tells of no death.
 func toDeaths(note retry.Note, now time.Time) []*RequestDeath {
 	if note.Cleared {
