--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -67,6 +67,9 @@
 			continue
 		}
 		grant, err := r.reserve(ctx, endpoint, exclusive)
+		if err == nil && endpoint.ID == "" {
+			endpoint, err = r.chosen(ctx, grant)
+		}
 		if err != nil {
 			if err := r.refused(ctx, endpoint, err); err != nil {
 				return err
@@ -80,8 +83,11 @@
 	}
 }
 
-// next returns the best endpoint that is not excluded.
+// next returns the best endpoint that is not excluded; it has no name where the owner chooses.
 func (r *run) next() (fleet.Endpoint, bool) {
+	if r.Placement == nil {
+		return fleet.Endpoint{}, !r.waitable
+	}
 	candidates := r.Placement.Candidates(r.Views.View(), r.need())
 	if len(candidates) == 0 {
 		return fleet.Endpoint{}, false
@@ -89,6 +95,18 @@
 	return candidates[0], true
 }
 
+// chosen returns the endpoint that the owner has chosen; a grant of one that has gone since is given back.
+func (r *run) chosen(ctx context.Context, grant reservation.Grant) (fleet.Endpoint, error) {
+	endpoint, found := r.Board.Endpoints.Get(grant.Endpoint)
+	if found {
+		return endpoint, nil
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	_ = r.Owners.Release(ctx, reservation.Release{Endpoint: grant.Endpoint, Owner: grant.Owner, Reservation: grant.Reservation})
+	return fleet.Endpoint{}, &reservation.Refusal{Reason: reservation.ReasonUnreachable}
+}
+
 // need is what the request asks of an endpoint.
 func (r *run) need() placement.Need {
 	return placement.Need{
@@ -119,6 +137,9 @@
 	asked := time.Now()
 	grant, err := r.Owners.Reserve(ctx, reservation.Request{
 		Endpoint:       endpoint.ID,
+		Pool:           r.request.Pool,
+		Excluded:       r.excluded,
+		Returned:       r.request.Returned,
 		Request:        r.request.ID,
 		Attempt:        r.attemptID(r.attempts + 1),
 		Entry:          r.Entry,
@@ -173,11 +194,17 @@
 	if refusal.RetryAfter > 0 && (r.retryAfter == 0 || refusal.RetryAfter < r.retryAfter) {
 		r.retryAfter = refusal.RetryAfter
 	}
-	r.excluded[endpoint.ID] = true
+	if endpoint.ID != "" {
+		r.excluded[endpoint.ID] = true
+	}
 	if transientReason(refusal.Reason) {
 		r.waitable = true
 		return nil
 	}
+	if endpoint.ID == "" {
+		// The owner knows of no endpoint that would take it.
+		return r.giveUp(ctx, r.reason)
+	}
 	r.refusals++
 	if r.refusals >= maxRefusals {
 		return r.giveUp(ctx, r.reason)
--- /dev/null
+++ b/core/freshness/patience.go
@@ -0,0 +1,35 @@
+package freshness
+
+import "time"
+
+const (
+	// shortWait is how long a witness lets the store hold a question back; it bounds the age of what it testifies.
+	shortWait = 1200 * time.Millisecond
+	// longWait is how long the other entries do; a change ends the wait at once.
+	longWait = 10 * time.Second
+	// staleAge is the age of the evidence from which on an entry asks by itself: a witness that is well has told of a newer
+	// one by then, and two calls of the store still fit into the time for which a removed key may be accepted.
+	staleAge = 2 * time.Second
+)
+
+// Patience decides how long an entry lets the store hold back its question for a newer configuration. Calls of the store
+// are paid for by all entries, so that only witnesses ask often; the others learn from them that nothing has changed.
+type Patience struct {
+	// Evidence is that of this entry.
+	Evidence *Evidence
+	// Witness tells whether other entries rely on what this one testifies.
+	Witness func() bool
+}
+
+// Wait returns how long the store may hold the next question back.
+func (p *Patience) Wait() time.Duration {
+	if p.Witness() || p.Exhausted() {
+		return shortWait
+	}
+	return longWait
+}
+
+// Exhausted tells that no witness has been heard of for too long, so that this entry has to ask by itself at once.
+func (p *Patience) Exhausted() bool {
+	return !p.Evidence.Within(staleAge)
+}
--- /dev/null
+++ b/core/freshness/patience_test.go
@@ -0,0 +1,35 @@
+package freshness
+
+import (
+	"testing"
+	"time"
+)
+
+func TestPatience(t *testing.T) {
+	tests := map[string]struct {
+		witness   bool
+		age       time.Duration
+		want      time.Duration
+		exhausted bool
+	}{
+		"witness":                     {witness: true, age: time.Second, want: shortWait},
+		"witness without the store":   {witness: true, age: time.Minute, want: shortWait, exhausted: true},
+		"others while witnesses tell": {age: 1500 * time.Millisecond, want: longWait},
+		"others without witnesses":    {age: 2500 * time.Millisecond, want: shortWait, exhausted: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var now time.Duration
+			e := &Evidence{Clock: func() time.Duration { return now }}
+			e.Confirm(e.Now())
+			now = tc.age
+			p := &Patience{Evidence: e, Witness: func() bool { return tc.witness }}
+			if got := p.Wait(); got != tc.want {
+				t.Errorf("wait = %v, want %v", got, tc.want)
+			}
+			if got := p.Exhausted(); got != tc.exhausted {
+				t.Errorf("exhausted = %t, want %t", got, tc.exhausted)
+			}
+		})
+	}
+}
--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -10,8 +10,14 @@
 
 // Request asks the owner of an endpoint for the right to run one attempt there.
 type Request struct {
-	// Endpoint is the endpoint asked for.
+	// Endpoint is the endpoint asked for, or "" where the owner chooses one of the pool.
 	Endpoint fleet.EndpointID
+	// Pool names the endpoints to choose from.
+	Pool fleet.PoolName
+	// Excluded holds endpoints that must not be chosen; it is not passed on to other entries' owners.
+	Excluded map[fleet.EndpointID]bool
+	// Returned tells that the caller was refused before and has waited since.
+	Returned bool
 	// Request names the caller's request.
 	Request fleet.RequestID
 	// Attempt names this try of it.
--- a/core/sharedload/book.go
+++ b/core/sharedload/book.go
@@ -54,12 +54,19 @@
 	at     time.Time
 }
 
-// Book knows what this entry runs on each endpoint, exactly, and what others run, as they last told. Its zero value is
-// ready to use.
+// promise is the work of a choice that was made for an entry which has not told of it yet.
+type promise struct {
+	usages map[fleet.EndpointID]Usage
+	at     time.Time
+}
+
+// Book knows what this entry runs on each endpoint, exactly, and what others run: as they last told, and what was chosen
+// for them since. Its zero value is ready to use.
 type Book struct {
-	mu    sync.Mutex
-	own   map[fleet.EndpointID]Usage
-	peers map[fleet.EntryID]told
+	mu       sync.Mutex
+	own      map[fleet.EndpointID]Usage
+	peers    map[fleet.EntryID]told
+	promises map[fleet.EntryID]map[uint64]promise
 }
 
 // Add notes work of this entry.
@@ -95,14 +102,47 @@
 	return maps.Clone(b.own)
 }
 
-// Told takes what another entry runs.
-func (b *Book) Told(entry fleet.EntryID, usages map[fleet.EndpointID]Usage, now time.Time) {
+// Told takes what another entry runs, which contains all its choices up to the settled one.
+func (b *Book) Told(entry fleet.EntryID, usages map[fleet.EndpointID]Usage, settled uint64, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.peers == nil {
 		b.peers = make(map[fleet.EntryID]told)
 	}
 	b.peers[entry] = told{usages: usages, at: now}
+	maps.DeleteFunc(b.promises[entry], func(number uint64, _ promise) bool { return number <= settled })
+}
+
+// Promise notes the work of a choice for an entry that will tell of it.
+func (b *Book) Promise(entry fleet.EntryID, number uint64, usages map[fleet.EndpointID]Usage, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.promises == nil {
+		b.promises = make(map[fleet.EntryID]map[uint64]promise)
+	}
+	if b.promises[entry] == nil {
+		b.promises[entry] = make(map[uint64]promise)
+	}
+	b.promises[entry][number] = promise{usages: usages, at: now}
+}
+
+// Settle forgets a promise of an entry.
+func (b *Book) Settle(entry fleet.EntryID, number uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.promises[entry], number)
+}
+
+// Consulted tells whether any entry has told its figures lately, and so relies on what this one answers.
+func (b *Book) Consulted(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range b.peers {
+		if now.Sub(t.at) <= peerTTL {
+			return true
+		}
+	}
+	return false
 }
 
 // Heard tells whether another entry has told its figures lately.
@@ -128,5 +168,24 @@
 			totals[id] = totals[id].add(u)
 		}
 	}
+	b.addPromises(totals, now)
 	return totals
 }
+
+// addPromises adds what was chosen and not told of yet; the caller holds the lock.
+func (b *Book) addPromises(totals map[fleet.EndpointID]Usage, now time.Time) {
+	for entry, numbers := range b.promises {
+		for number, p := range numbers {
+			if now.Sub(p.at) > peerTTL {
+				delete(numbers, number)
+				continue
+			}
+			for id, u := range p.usages {
+				totals[id] = totals[id].add(u)
+			}
+		}
+		if len(numbers) == 0 {
+			delete(b.promises, entry)
+		}
+	}
+}
--- a/core/sharedload/joint_test.go
+++ b/core/sharedload/joint_test.go
@@ -111,8 +111,8 @@
 				f.policy.demand = Demand{}
 			}
 			need := placement.Need{Pool: testPool.Name, Prompt: 600_000, Output: 1000, Objective: archiveObjective}
-			if got := len(f.policy.Candidates(f.View(), need)) > 0; got != tc.want {
-				t.Errorf("taken = %t, want %t", got, tc.want)
+			if _, err := f.choose(need); (err == nil) != tc.want {
+				t.Errorf("error = %v, want it taken: %t", err, tc.want)
 			}
 		})
 	}
@@ -127,16 +127,16 @@
 	refused, taken := 0, 0
 	for need.Prompt = 150_000; need.Prompt < 600_000; need.Prompt += 10_000 {
 		need.Returned = false
-		first := len(f.policy.Candidates(f.View(), need)) > 0
+		_, first := f.choose(need)
 		need.Returned = true
-		second := len(f.policy.Candidates(f.View(), need)) > 0
-		if first && !second {
+		_, second := f.choose(need)
+		if first == nil && second != nil {
 			t.Errorf("%d tokens are refused when they come back", need.Prompt)
 		}
-		if !first {
+		if first != nil {
 			refused++
 		}
-		if !first && second {
+		if first != nil && second == nil {
 			taken++
 		}
 	}
@@ -150,8 +150,8 @@
 	f.use(0, 1, Usage{Running: 1, Reading: 500 * time.Millisecond, Memory: 150_000})
 	f.use(1, 2, Usage{Running: 15, Quick: 15, Memory: 90_000})
 	f.use(2, 3, Usage{Running: 16, Quick: 16, Memory: 100_000})
-	got := f.policy.Candidates(f.View(), placement.Need{Pool: testPool.Name, Prompt: 5000, Output: 1500})
-	if len(got) != 4 || got[0].ID != testEndpoint(3).ID {
-		t.Errorf("candidates = %v, want the idle engine first of 4", got)
+	got := f.policy.quickOrder(testPool, f.View(), placement.Need{Pool: testPool.Name, Prompt: 5000, Output: 1500})
+	if len(got) != 4 || got[0].endpoint.ID != testEndpoint(3).ID {
+		t.Errorf("order = %v, want the idle engine first of 4", got)
 	}
 }
--- a/core/sharedload/memory_test.go
+++ b/core/sharedload/memory_test.go
@@ -11,7 +11,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"wisteriadyke/core/fleet"
-	"wisteriadyke/core/placement"
 	"wisteriadyke/core/reservation"
 )
 
@@ -66,19 +65,12 @@
 }
 
 // hugeRequest does not fit into any engine.
-var hugeRequest = reservation.Request{Prompt: 450_000, Output: 1000, Objective: archiveObjective}
+var hugeRequest = reservation.Request{Pool: testPool.Name, Prompt: 450_000, Output: 1000, Objective: archiveObjective}
 
 // reserveHuge asks for the best place of the huge request.
 func reserveHuge(t *testing.T, f *testFleet) (reservation.Grant, error) {
 	t.Helper()
-	need := placement.Need{Pool: testPool.Name, Prompt: hugeRequest.Prompt, Output: hugeRequest.Output, Objective: archiveObjective}
-	candidates := f.policy.Candidates(f.View(), need)
-	if len(candidates) == 0 {
-		t.Fatal("no candidates")
-	}
-	request := hugeRequest
-	request.Endpoint = candidates[0].ID
-	return f.granter.Reserve(context.Background(), request)
+	return f.granter.Reserve(context.Background(), hugeRequest)
 }
 
 func TestMemoryAtHelpersIsHeldAndGivenBack(t *testing.T) {
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -48,35 +48,26 @@
 	demand Demand
 }
 
-// Candidates returns the endpoints of the pool that have room, the best first.
-func (p *Policy) Candidates(view placement.View, need placement.Need) []fleet.Endpoint {
-	pool, found := p.Pool(need.Pool)
-	if !found {
-		return nil
-	}
+// quickOrder returns the endpoints that a quick request or a call of a plain service may go to, the best first.
+func (p *Policy) quickOrder(pool routing.Pool, view placement.View, need placement.Need) []state {
 	states := p.states(view, need)
 	if pool.Engine != nil {
-		demand := p.demand.observe(pool.Name, states, time.Now())
-		if !isQuick(pool, need.Prompt) {
-			return p.longCandidate(pool, states, need, demand)
-		}
+		p.demand.observe(pool.Name, states, time.Now())
 	}
 	slices.SortStableFunc(states, func(a, b state) int { return cmp.Compare(quickCost(pool, &a), quickCost(pool, &b)) })
-	endpoints := make([]fleet.Endpoint, 0, len(states))
-	for _, s := range states {
-		endpoints = append(endpoints, s.endpoint)
-	}
-	return endpoints
+	return states
 }
 
-// longCandidate returns the endpoint that answers a long prompt, or none while others would lose more by its reading than
-// its caller gains.
-func (p *Policy) longCandidate(pool routing.Pool, states []state, need placement.Need, demand average) []fleet.Endpoint {
+// longPlan returns where a long prompt is read; it reports false if it fits nowhere, or while others would lose more by its
+// reading than its caller gains.
+func (p *Policy) longPlan(pool routing.Pool, view placement.View, need placement.Need) (reading, bool) {
+	states := p.states(view, need)
+	demand := p.demand.observe(pool.Name, states, time.Now())
 	plan, found := planReading(pool, states, need.Prompt, need.Output, need.Objective)
 	if !found || !p.worthwhile(pool, len(states), need, plan.done, demand) {
-		return nil
+		return reading{}, false
 	}
-	return []fleet.Endpoint{plan.first.endpoint}
+	return plan, true
 }
 
 // worthwhile tells whether the caller of a long prompt gains more by its reading than others lose.
--- a/core/sharedload/simulation_test.go
+++ b/core/sharedload/simulation_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"wisteriadyke/core/fleet"
-	"wisteriadyke/core/placement"
 	"wisteriadyke/core/reservation"
 )
 
@@ -70,13 +69,8 @@
 		output = 1600
 		answer = 2 * time.Second
 	)
-	need := placement.Need{Pool: testPool.Name, Prompt: prompt, Output: output, Objective: objective}
-	candidates := s.policy.Candidates(s.View(), need)
-	if len(candidates) == 0 {
-		return false
-	}
 	grant, err := s.granter.Reserve(context.Background(), reservation.Request{
-		Endpoint: candidates[0].ID, Prompt: prompt, Output: output, Objective: objective,
+		Pool: testPool.Name, Prompt: prompt, Output: output, Objective: objective,
 	})
 	if err != nil {
 		return false
--- a/core/sharedload/teller.go
+++ b/core/sharedload/teller.go
@@ -1,17 +1,12 @@
 package sharedload
 
 import (
-	"cmp"
 	"context"
 	"maps"
-	"net/netip"
-	"slices"
-	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
-	"wisteriadyke/core/blackboard"
 	"wisteriadyke/core/fleet"
 )
 
@@ -20,48 +15,38 @@
 	tellPeriod = 50 * time.Millisecond
 	// tellAgain is how long unchanged figures are not told again; it is well within peerTTL.
 	tellAgain = 400 * time.Millisecond
-	// tellFanout bounds the entries that are told at once, so that the cost of an entry does not grow with their number
-	// beyond it; those that were told longest ago come first.
-	tellFanout = 16
 	// tellTimeout bounds one message.
 	tellTimeout = 250 * time.Millisecond
 	// silentPause is how long an entry that gave no answer is left alone.
 	silentPause = time.Second
+	// tryPeriod is the time between two messages to an entry that answers and does not choose yet.
+	tryPeriod = 150 * time.Millisecond
+	// triesAtOnce bounds the entries that are tried at each look because nothing is known of them.
+	triesAtOnce = 3
 )
 
-// Transport carries usages to other entries.
-type Transport interface {
-	// Tell sends all that this entry runs.
-	Tell(ctx context.Context, to netip.AddrPort, entry fleet.EntryID, usages map[fleet.EndpointID]Usage) error
-}
-
-// Teller tells the other entries what this one runs, and takes what they tell. Its fields are set before Run.
-type Teller struct {
-	// Entry is this entry.
-	Entry fleet.EntryID
-	// Book holds what all run.
-	Book *Book
-	// Board holds the other entries.
-	Board *blackboard.Board
-	// Transport reaches them.
-	Transport Transport
-
-	mu      sync.Mutex
-	peers   map[fleet.EntryID]*listener
-	last    map[fleet.EndpointID]Usage
-	version uint64
-}
-
-// listener is what is known of the telling of one entry.
+// listener is what is known of another entry.
 type listener struct {
+	// chooses tells that it answers and chooses for others.
+	chooses bool
 	// version is that of the figures that it was told last, at a time.
 	version uint64
 	at      time.Time
-	// busy tells that it is being told, and pausedUntil when a silent one is tried again.
+	// busy tells that it is being told, and pausedUntil when it is tried again.
 	busy        bool
 	pausedUntil time.Time
 }
 
+// Teller tells the entries that choose what this one runs, and tries those that would choose if they answered. Its cost
+// does not grow with the number of entries. Its fields are set before Run.
+type Teller struct {
+	// Placers are the entries that choose.
+	Placers *Placers
+
+	last    map[fleet.EndpointID]Usage
+	version uint64
+}
+
 // Run tells until ctx ends; it returns no error.
 func (t *Teller) Run(ctx context.Context) error {
 	var group errgroup.Group
@@ -77,79 +62,121 @@
 	}
 }
 
-// TakeUsages takes all that one entry runs.
-func (t *Teller) TakeUsages(entry fleet.EntryID, usages map[fleet.EndpointID]Usage) {
-	t.Book.Told(entry, usages, time.Now())
-}
-
 // tell sends the present figures to the entries that need them.
 func (t *Teller) tell(ctx context.Context, group *errgroup.Group, now time.Time) {
-	usages := t.Book.Own()
-	for _, entry := range t.begin(usages, now) {
+	told := t.Placers.told()
+	if !maps.Equal(told.Usages, t.last) {
+		t.last = told.Usages
+		t.version++
+	}
+	for _, entry := range t.Placers.listeners(t.version, now) {
 		group.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 			defer cancel()
-			// A lost message is made up for by the next one.
-			t.end(entry.ID, t.Transport.Tell(ctx, entry.Address, t.Entry, usages))
+			reply, err := t.Placers.Transport.Tell(ctx, entry.Address, told)
+			t.Placers.answered(entry, reply, err)
 			return nil
 		})
 	}
 }
 
-// begin returns the entries to tell now: those whose figures are old, the oldest first, unless they are silent or still
-// busy with a message.
-func (t *Teller) begin(usages map[fleet.EndpointID]Usage, now time.Time) []fleet.Entry {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !maps.Equal(usages, t.last) {
-		t.last = usages
-		t.version++
-	}
+// listeners returns the entries to tell now and notes that they are being told: the leader when something has changed,
+// the next leader and the first of the zone from time to time, and some that rank before them and don't choose yet.
+func (p *Placers) listeners(version uint64, now time.Time) []fleet.Entry {
+	ranked := p.ranked()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	var due []fleet.Entry
-	for id, entry := range t.Board.Entries.View().Rows {
-		if id != t.Entry && t.listener(id).due(t.version, now) {
-			due = append(due, entry)
-		}
+	add := func(entry fleet.Entry) {
+		l := p.listener(entry.ID)
+		l.busy, l.version, l.at = true, version, now
+		due = append(due, entry)
 	}
-	slices.SortFunc(due, func(a, b fleet.Entry) int {
-		return cmp.Or(t.peers[a.ID].at.Compare(t.peers[b.ID].at), cmp.Compare(a.ID, b.ID))
-	})
-	due = due[:min(len(due), tellFanout)]
-	for _, entry := range due {
-		l := t.peers[entry.ID]
-		l.busy, l.version, l.at = true, t.version, now
+	// wanted counts the entries still looked for: the leader and the one that would follow it, and the first of the zone.
+	wanted, wantedHere, tries := 2, 1, triesAtOnce
+	for _, entry := range ranked {
+		here := p.inZone(entry)
+		if wanted == 0 && (wantedHere == 0 || !here) {
+			continue
+		}
+		l := p.listener(entry.ID)
+		switch {
+		case p.chooses(entry.ID):
+			if entry.ID != p.Self.ID && l.due(version, now, wanted == 2) {
+				add(entry)
+			}
+			wanted = max(0, wanted-1)
+			if here {
+				wantedHere = 0
+			}
+		case entry.ID != p.Self.ID && tries > 0 && l.due(version, now, true):
+			tries--
+			add(entry)
+		}
 	}
 	return due
 }
 
 // listener returns what is known of an entry; the caller holds the lock.
-func (t *Teller) listener(id fleet.EntryID) *listener {
-	l, found := t.peers[id]
+func (p *Placers) listener(id fleet.EntryID) *listener {
+	l, found := p.peers[id]
 	if !found {
-		if t.peers == nil {
-			t.peers = make(map[fleet.EntryID]*listener)
+		if p.peers == nil {
+			p.peers = make(map[fleet.EntryID]*listener)
 		}
 		l = &listener{}
-		t.peers[id] = l
+		p.peers[id] = l
 	}
 	return l
 }
 
-// due tells whether an entry needs figures of a version.
-func (l *listener) due(version uint64, now time.Time) bool {
+// due tells whether an entry needs figures of a version, at once if it chooses by them.
+func (l *listener) due(version uint64, now time.Time, atOnce bool) bool {
 	if l.busy || now.Before(l.pausedUntil) {
 		return false
 	}
-	return l.version != version || now.Sub(l.at) >= tellAgain
+	return atOnce && l.version != version || now.Sub(l.at) >= tellAgain
 }
 
-// end notes that an entry was told, or that it is silent.
-func (t *Teller) end(id fleet.EntryID, err error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	l := t.listener(id)
+// answered notes what an entry has answered to being told, or that it gave no answer.
+func (p *Placers) answered(entry fleet.Entry, reply Reply, err error) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.listener(entry.ID)
 	l.busy = false
 	if err != nil {
-		l.pausedUntil = time.Now().Add(silentPause)
+		p.silent(entry, l, now, err)
+		return
+	}
+	if l.chooses != reply.Chooses {
+		l.chooses = reply.Chooses
+		p.Log.Info().Str("peer", string(entry.ID)).Bool("chooses", reply.Chooses).Msg("placers: entry answers")
+	}
+	if !reply.Chooses {
+		l.pausedUntil = now.Add(tryPeriod)
+		return
+	}
+	if p.zones == nil {
+		p.zones = make(map[fleet.Zone]time.Time)
+	}
+	for _, zone := range reply.Zones {
+		p.zones[zone] = now
+	}
+}
+
+// failed notes that an entry gave no answer to a question.
+func (p *Placers) failed(entry fleet.Entry, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent(entry, p.listener(entry.ID), time.Now(), err)
+}
+
+// silent notes that an entry gave no answer; the caller holds the lock.
+func (p *Placers) silent(entry fleet.Entry, l *listener, now time.Time, err error) {
+	if l.chooses {
+		p.Log.Warn().Str("peer", string(entry.ID)).Err(err).Msg("placers: entry is silent")
 	}
+	l.chooses = false
+	l.pausedUntil = now.Add(silentPause)
 }
--- a/core/sharedload/teller_test.go
+++ b/core/sharedload/teller_test.go
@@ -14,70 +14,269 @@
 
 	"wisteriadyke/core/blackboard"
 	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/placement"
 )
 
-// fakeTransport counts what it carries to each address.
-type fakeTransport struct {
-	mu     sync.Mutex
-	told   map[netip.AddrPort]int
-	silent netip.AddrPort
+// errNoAnswer is what a message to a silent entry gets.
+var errNoAnswer = errors.New("no answer")
+
+// testNetwork carries messages between the placers of one test and counts them by address.
+type testNetwork struct {
+	mu      sync.Mutex
+	placers map[netip.AddrPort]*Placers
+	silent  map[netip.AddrPort]bool
+	told    map[netip.AddrPort]int
+	asked   map[netip.AddrPort]int
+}
+
+// reach counts a message and returns the entry that it reaches.
+func (n *testNetwork) reach(to netip.AddrPort, count map[netip.AddrPort]int) (*Placers, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count[to]++
+	if n.silent[to] {
+		return nil, errNoAnswer
+	}
+	return n.placers[to], nil
+}
+
+// setSilent makes an entry silent, or lets it answer again.
+func (n *testNetwork) setSilent(p *Placers, silent bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silent[p.Self.Address] = silent
 }
 
 // Tell takes one message.
-func (f *fakeTransport) Tell(_ context.Context, to netip.AddrPort, _ fleet.EntryID, _ map[fleet.EndpointID]Usage) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.told[to]++
-	if to == f.silent {
-		return errors.New("no answer")
+func (n *testNetwork) Tell(_ context.Context, to netip.AddrPort, told Told) (Reply, error) {
+	p, err := n.reach(to, n.told)
+	if err != nil {
+		return Reply{}, err
+	}
+	return p.Take(told), nil
+}
+
+// Choose takes one question.
+func (n *testNetwork) Choose(_ context.Context, to netip.AddrPort, question Question) (Choice, error) {
+	p, err := n.reach(to, n.asked)
+	if err != nil {
+		return Choice{}, err
 	}
-	return nil
+	return p.Answer(question)
 }
 
-// TestTellerReachesAllAtABoundedCost lets an entry with ever changing figures tell far more entries than it may at once.
-func TestTellerReachesAllAtABoundedCost(t *testing.T) {
+// newPlacers returns the placers of some entries in two zones, each with a view of the same idle engines.
+func newPlacers(network *testNetwork, entries, engines int) []*Placers {
+	network.placers = make(map[netip.AddrPort]*Placers)
+	network.silent = make(map[netip.AddrPort]bool)
+	network.told = make(map[netip.AddrPort]int)
+	network.asked = make(map[netip.AddrPort]int)
+	rows := make(map[fleet.EntryID]fleet.Entry)
+	for i := range entries {
+		id := fleet.EntryID(fmt.Sprintf("entry-%03d", i))
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)
+		rows[id] = fleet.Entry{ID: id, Address: address, Zone: []fleet.Zone{"a", "b"}[i%2], Processor: 0.2}
+	}
+	var all []*Placers
+	for _, row := range rows {
+		f := newFleet(engines)
+		f.board.Entries = blackboard.Table[fleet.EntryID, fleet.Entry]{}
+		f.board.Entries.Replace(rows)
+		p := f.granter.Placers
+		p.Self, p.Started, p.Transport = row, time.Now().Add(-time.Hour), network
+		network.placers[row.Address] = p
+		all = append(all, p)
+	}
+	return all
+}
+
+// run lets all tell until the test stops it.
+func run(t *testing.T, all []*Placers) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	for _, p := range all {
+		group.Go(func() error { return (&Teller{Placers: p}).Run(ctx) })
+	}
+	return func() {
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// leaders returns the entries that all take for their leader, with how many do.
+func leaders(all []*Placers) map[fleet.EntryID]int {
+	found := make(map[fleet.EntryID]int)
+	for _, p := range all {
+		if asked := p.consulted(); len(asked) > 0 {
+			found[asked[0].entry.ID]++
+		}
+	}
+	return found
+}
+
+// TestTellingAtABoundedCost lets many entries with ever changing figures run: they agree on a leader, which hears of all
+// that they run, and the messages of each do not grow with their number.
+func TestTellingAtABoundedCost(t *testing.T) {
 	const (
 		entries = 100
 		span    = 2 * time.Second
 	)
 	synctest.Test(t, func(t *testing.T) {
-		board := &blackboard.Board{}
-		for i := range entries {
-			id := fleet.EntryID(fmt.Sprintf("entry-%03d", i))
-			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)
-			board.Entries.Set(id, fleet.Entry{ID: id, Address: address})
-		}
-		self, _ := board.Entries.Get("entry-000")
-		silent, _ := board.Entries.Get("entry-050")
-		transport := &fakeTransport{told: make(map[netip.AddrPort]int), silent: silent.Address}
-		teller := &Teller{Entry: self.ID, Book: &Book{}, Board: board, Transport: transport}
-		ctx, stop := context.WithTimeout(t.Context(), span)
-		defer stop()
-		var group errgroup.Group
-		group.Go(func() error { return teller.Run(ctx) })
+		network := &testNetwork{}
+		all := newPlacers(network, entries, 4)
+		stop := run(t, all)
+		time.Sleep(time.Second)
+		network.mu.Lock()
+		clear(network.told)
+		network.mu.Unlock()
 		for i := range int(span / (10 * time.Millisecond)) {
-			teller.Book.Add(map[fleet.EndpointID]Usage{"i-1": {Running: 1, Memory: fleet.Tokens(i)}})
+			for _, p := range all {
+				p.Book.Add(map[fleet.EndpointID]Usage{"i-00": {Running: 1, Memory: fleet.Tokens(i)}})
+			}
 			time.Sleep(10 * time.Millisecond)
 		}
-		if err := group.Wait(); err != nil {
-			t.Fatal(err)
+		time.Sleep(2 * tellPeriod)
+		stop()
+		found := leaders(all)
+		if len(found) != 1 {
+			t.Fatalf("leaders = %v, want one", found)
 		}
 		total := 0
-		for address, count := range transport.told {
+		for _, count := range network.told {
 			total += count
-			// Figures older than peerTTL are not used.
-			if least := int(span / peerTTL); address != silent.Address && count < least {
-				t.Errorf("%s was told %d times in %v, want %d", address, count, span, least)
+		}
+		// The leader at each look; the next one and the first of the zone at most at each renewal.
+		if most := entries * (int(span/tellPeriod) + 2*int(span/tellAgain) + 4); total > most {
+			t.Errorf("%d messages in %v, want %d at most", total, span, most)
+		}
+		for _, p := range all {
+			if found[p.Self.ID] == 0 {
+				continue
+			}
+			if got, want := p.Book.Totals(time.Now())["i-00"].Running, entries*int(span/(10*time.Millisecond)); got != want {
+				t.Errorf("the leader knows of %d attempts, want %d", got, want)
 			}
 		}
-		if len(transport.told) != entries-1 || transport.told[self.Address] != 0 {
-			t.Errorf("%d entries were told, want all but itself", len(transport.told))
+	})
+}
+
+// TestChoicesAtTheSameTime replays a burst that reaches all entries within the time between two tellings: the leader sees
+// each choice before the next one, so that no engine gets more than the others.
+func TestChoicesAtTheSameTime(t *testing.T) {
+	const engines = 8
+	synctest.Test(t, func(t *testing.T) {
+		network := &testNetwork{}
+		all := newPlacers(network, 40, engines)
+		stop := run(t, all)
+		defer stop()
+		time.Sleep(time.Second)
+		chosen := make(map[fleet.EndpointID]int)
+		for i := range 12 * engines {
+			choice, _, err := all[i%len(all)].Choose(t.Context(), placement.Need{Pool: testPool.Name, Prompt: 5000, Output: 1500})
+			if err != nil {
+				t.Fatal(err)
+			}
+			chosen[choice.Endpoint]++
 		}
-		if most := tellFanout * int(span/tellPeriod+1); total > most {
-			t.Errorf("%d messages in %v, want %d at most", total, span, most)
+		for id, count := range chosen {
+			if count > testPool.Engine.Slots {
+				t.Errorf("%s got %d of %d requests, more than its slots", id, count, 12*engines)
+			}
+		}
+	})
+}
+
+// TestLeaderFallsSilent lets the leader fall silent while requests come, and answer again.
+func TestLeaderFallsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &testNetwork{}
+		all := newPlacers(network, 10, 4)
+		stop := run(t, all)
+		defer stop()
+		time.Sleep(time.Second)
+		before := leaders(all)
+		var leader *Placers
+		for _, p := range all {
+			if before[p.Self.ID] > 0 {
+				leader = p
+			}
+		}
+		choose := func(p *Placers) {
+			t.Helper()
+			_, settle, err := p.Choose(t.Context(), placement.Need{Pool: testPool.Name, Prompt: 5000, Output: 1500})
+			if err != nil {
+				t.Errorf("%s: %v", p.Self.ID, err)
+				return
+			}
+			settle()
+		}
+		network.setSilent(leader, true)
+		for _, p := range all {
+			choose(p)
+		}
+		time.Sleep(2 * time.Second)
+		for _, p := range all {
+			choose(p)
+			if asked := p.consulted(); p != leader && asked[0].entry.ID == leader.Self.ID {
+				t.Errorf("%s still asks the silent leader", p.Self.ID)
+			}
+		}
+		network.setSilent(leader, false)
+		time.Sleep(2 * time.Second)
+		if after := leaders(all); len(after) != 1 || after[leader.Self.ID] != len(all) {
+			t.Errorf("leaders = %v after the return of %s", after, leader.Self.ID)
+		}
+	})
+}
+
+// TestStartedEntryLearnsFirst lets the entry that ranks first start last: nobody asks it before it was told what runs.
+func TestStartedEntryLearnsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &testNetwork{}
+		all := newPlacers(network, 10, 4)
+		stop := run(t, all)
+		defer stop()
+		time.Sleep(time.Second)
+		var leader *Placers
+		found := leaders(all)
+		for _, p := range all {
+			if found[p.Self.ID] > 0 {
+				leader = p
+			}
+		}
+		leader.Started = time.Now()
+		time.Sleep(learningTime / 2)
+		if reply := leader.Take(Told{Entry: "entry-x"}); reply.Chooses {
+			t.Error("an entry that has just started chooses for others")
 		}
-		if count := transport.told[silent.Address]; count > int(span/silentPause)+1 {
-			t.Errorf("a silent entry was told %d times", count)
+		if _, alone := leaders([]*Placers{leader})[leader.Self.ID]; alone {
+			t.Error("an entry that has just started takes itself for the leader")
 		}
 	})
 }
+
+// TestPromises follows a choice from its question until the entry tells of it.
+func TestPromises(t *testing.T) {
+	now := time.Now()
+	var b Book
+	work := map[fleet.EndpointID]Usage{"i-1": {Running: 1}}
+	b.Promise("entry-1", 7, work, now)
+	if got := b.Totals(now)["i-1"].Running; got != 1 {
+		t.Fatalf("running = %d after the choice, want 1", got)
+	}
+	b.Told("entry-1", nil, 6, now)
+	if got := b.Totals(now)["i-1"].Running; got != 1 {
+		t.Errorf("running = %d after an older telling, want 1", got)
+	}
+	b.Told("entry-1", work, 7, now)
+	if got := b.Totals(now)["i-1"].Running; got != 1 {
+		t.Errorf("running = %d once it was told of, want 1", got)
+	}
+	b.Promise("entry-1", 8, work, now)
+	if got := b.Totals(now.Add(2 * peerTTL)); len(got) != 0 {
+		t.Errorf("usage %v is left of an entry that is silent", got)
+	}
+}
--- a/core/sharedload/world_test.go
+++ b/core/sharedload/world_test.go
@@ -44,6 +44,7 @@
 type testFleet struct {
 	board   *blackboard.Board
 	policy  *Policy
+	chooser *Chooser
 	granter *Granter
 	memory  *fakeMemory
 }
@@ -61,14 +62,20 @@
 		Pool:   func(name fleet.PoolName) (routing.Pool, bool) { return testPool, name == testPool.Name },
 		Usable: outliers.Usable,
 	}
+	f.chooser = &Chooser{
+		Board:  f.board,
+		Views:  f,
+		Policy: f.policy,
+		Rate:   func(fleet.Endpoint, Role, time.Time) (float64, bool) { return 0, false },
+	}
 	f.granter = &Granter{
-		Entry:     "entry-1",
-		Board:     f.board,
-		Views:     f,
-		Policy:    f.policy,
-		RateShare: func(fleet.Endpoint, time.Time) (float64, bool) { return 0, false },
-		Tickets:   &Tickets{Entry: "entry-1", Memory: f.memory},
-		Outliers:  outliers,
+		Entry:    "entry-1",
+		Board:    f.board,
+		Views:    f,
+		Policy:   f.policy,
+		Placers:  &Placers{Self: fleet.Entry{ID: "entry-1"}, Board: f.board, Book: f.policy.Book, Chooser: f.chooser},
+		Tickets:  &Tickets{Entry: "entry-1", Memory: f.memory},
+		Outliers: outliers,
 	}
 	// The entry has run for an hour.
 	f.policy.demand.observe(testPool.Name, f.states(), time.Now().Add(-time.Hour))
@@ -87,7 +94,12 @@
 	for i := from; i < to; i++ {
 		usages[testEndpoint(i).ID] = usage
 	}
-	f.policy.Book.Told(fleet.EntryID(fmt.Sprintf("entry-%d-%d", from, to)), usages, time.Now())
+	f.policy.Book.Told(fleet.EntryID(fmt.Sprintf("entry-%d-%d", from, to)), usages, 0, time.Now())
+}
+
+// choose returns the choice for a request, which is not noted.
+func (f *testFleet) choose(need placement.Need) (Choice, error) {
+	return f.chooser.Choose(need, RoleLeader, time.Now(), func(Choice) {})
 }
 
 // states returns the present states.
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -53,6 +53,10 @@
 	// warmFactor is how much more a warm endpoint may be sent than a cold one. It may turn cold at any moment, and entries
 	// don't all use their shares at once.
 	warmFactor = 2
+	// leaderShare and fallbackShare are the parts of an endpoint's rate that the leader's choices use, and those that each
+	// other role may use while entries can't reach it.
+	leaderShare   = 0.5
+	fallbackShare = 0.25
 	// gcPercent trades memory, of which there is plenty, for processor time.
 	gcPercent = 300
 	// probeTimeout bounds the connection that shows whether an endpoint lives.
@@ -83,6 +87,9 @@
 	outliers  *outlier.Detector
 	workers   *worker.Workers
 	tickets   *sharedload.Tickets
+	viewer    *report.Viewer
+	policy    *sharedload.Policy
+	placers   *sharedload.Placers
 	ingress   *ingress.Server
 	leaving   atomic.Bool
 }
@@ -124,6 +131,7 @@
 		Fresh:  worker.NewFresh(),
 		Dialer: &tcp.Dialer{Timeout: probeTimeout, Silence: probeTimeout},
 	}
+	p.buildPlacers()
 	p.tickets = &sharedload.Tickets{Entry: p.Settings.Entry, Memory: p.workers, Log: p.Log}
 	p.ingress = &ingress.Server{
 		Address:      p.Settings.CallerAddress,
@@ -147,6 +155,7 @@
 		Current:  p.current,
 		Board:    p.board,
 		Evidence: p.evidence,
+		Patience: &freshness.Patience{Evidence: p.evidence, Witness: p.consulted},
 		Log:      p.Log,
 	}
 	registry := &store.RegistryWatch{
@@ -155,14 +164,8 @@
 		Log:    p.Log,
 	}
 	entries := &store.EntriesWatch{Client: p.store, Self: p.self(), Board: p.board, Log: p.Log}
-	client := peer.NewClient()
-	teller := &sharedload.Teller{
-		Entry:     p.Settings.Entry,
-		Book:      p.book,
-		Board:     p.board,
-		Transport: &peer.UsageTransport{Client: client, Deaths: p.suspects, Testimonies: p.testimony},
-	}
-	peers := &peer.Server{Address: p.Settings.PeerAddress, Usages: teller, Deaths: p.suspects, Witness: p.testimony, Client: client}
+	teller := &sharedload.Teller{Placers: p.placers}
+	peers := &peer.Server{Address: p.Settings.PeerAddress, Placers: p.placers, Deaths: p.suspects, Witness: p.testimony}
 	operators := &operator.Server{
 		Address:  p.Settings.MetricsAddress,
 		Status:   p.status,
@@ -187,36 +190,53 @@
 // self returns this entry as others know it.
 func (p *Process) self() fleet.Entry {
 	return fleet.Entry{
-		ID:      p.Settings.Entry,
-		Zone:    p.Settings.Zone,
-		Address: p.Settings.PeerAddress,
-		State:   fleet.StateLive,
+		ID:        p.Settings.Entry,
+		Zone:      p.Settings.Zone,
+		Address:   p.Settings.PeerAddress,
+		State:     fleet.StateLive,
+		Processor: p.Settings.Processor,
+	}
+}
+
+// buildPlacers makes what chooses endpoints.
+func (p *Process) buildPlacers() {
+	p.viewer = &report.Viewer{Board: p.board, Zone: p.Settings.Zone}
+	p.policy = &sharedload.Policy{Book: p.book, Pool: p.pool, Usable: p.outliers.Usable, Log: p.Log}
+	p.placers = &sharedload.Placers{
+		Self:    p.self(),
+		Started: time.Now(),
+		Board:   p.board,
+		Book:    p.book,
+		Chooser: &sharedload.Chooser{Board: p.board, Views: p.viewer, Policy: p.policy, Rate: p.rate},
+		Transport: &peer.UsageTransport{
+			Client:      peer.NewClient(),
+			Deaths:      p.suspects,
+			Testimonies: p.testimony,
+		},
+		Log: p.Log,
 	}
 }
 
 // dispatcher returns the dispatcher of all requests.
 func (p *Process) dispatcher() *dispatch.Dispatcher {
-	viewer := &report.Viewer{Board: p.board, Zone: p.Settings.Zone}
-	policy := &sharedload.Policy{Book: p.book, Pool: p.pool, Usable: p.outliers.Usable, Log: p.Log}
 	return &dispatch.Dispatcher{
 		Board: p.board,
-		Views: viewer,
+		Views: p.viewer,
 		Entry: p.Settings.Entry,
 		Zone:  p.Settings.Zone,
 		Owners: &sharedload.Granter{
-			Entry:     p.Settings.Entry,
-			Board:     p.board,
-			Views:     viewer,
-			Policy:    policy,
-			RateShare: p.rateShare,
-			Tickets:   p.tickets,
-			Outliers:  p.outliers,
+			Entry:    p.Settings.Entry,
+			Board:    p.board,
+			Views:    p.viewer,
+			Policy:   p.policy,
+			Placers:  p.placers,
+			Tickets:  p.tickets,
+			Outliers: p.outliers,
 		},
 		Engines:       p.workers,
-		Placement:     policy,
 		Budget:        p.budget(),
 		BudgetRefused: true,
-		Reachable:     p.reachable,
+		Reachable:     p.placers.Reachable,
 		Suspects:      p.suspects,
 		Timeline:      p.timeline,
 		Metrics:       p.metrics,
@@ -242,8 +262,9 @@
 	return pool, found
 }
 
-// rateShare returns the requests a second that this entry may send to an endpoint, which may be less than one.
-func (p *Process) rateShare(endpoint fleet.Endpoint, now time.Time) (float64, bool) {
+// rate returns the requests a second that choices in a role may send to an endpoint, which may be less than one. The
+// leader has half of what the endpoint bears, since entries may not agree on it for a moment; the rest is shared.
+func (p *Process) rate(endpoint fleet.Endpoint, role sharedload.Role, now time.Time) (float64, bool) {
 	pool, _ := p.pool(endpoint.Pool)
 	if pool.ColdRate <= 0 {
 		return 0, false
@@ -252,7 +273,28 @@
 	if now.After(endpoint.ColdUntil) {
 		rate *= warmFactor
 	}
-	return rate / float64(p.entries()), true
+	switch role {
+	case sharedload.RoleLeader:
+		return rate * leaderShare, true
+	case sharedload.RoleZone:
+		return rate * fallbackShare / float64(p.zones()), true
+	default:
+		return rate * fallbackShare / float64(p.entries()), true
+	}
+}
+
+// zones returns the number of zones of known entries, at least one.
+func (p *Process) zones() int {
+	zones := make(map[fleet.Zone]bool)
+	for _, entry := range p.board.Entries.View().Rows {
+		zones[entry.Zone] = true
+	}
+	return max(1, len(zones))
+}
+
+// consulted tells whether other entries rely on this one.
+func (p *Process) consulted() bool {
+	return p.book.Consulted(time.Now())
 }
 
 // entries returns the number of known entries, at least this one.
@@ -260,20 +302,6 @@
 	return max(1, len(p.board.Entries.View().Rows))
 }
 
-// reachable tells whether any entry of a zone was heard of lately; the own zone is.
-func (p *Process) reachable(zone fleet.Zone) bool {
-	if zone == p.Settings.Zone {
-		return true
-	}
-	now := time.Now()
-	for id, entry := range p.board.Entries.View().Rows {
-		if entry.Zone == zone && p.book.Heard(id, now) {
-			return true
-		}
-	}
-	return false
-}
-
 // ready tells the balancer whether the entry takes new connections.
 func (p *Process) ready() bool {
 	return !p.leaving.Load() && p.current.Table() != nil
--- /dev/null
+++ b/io/peer/choices.go
@@ -0,0 +1,92 @@
+package peer
+
+import (
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/placement"
+	"wisteriadyke/core/reservation"
+	"wisteriadyke/core/sharedload"
+)
+
+// toChooseRequest turns a question into its message.
+func toChooseRequest(q sharedload.Question) *ChooseRequest {
+	m := &ChooseRequest{
+		Told:             toUsageSet(q.Told),
+		Number:           q.Number,
+		Role:             int64(q.Role),
+		Request:          string(q.Need.Request),
+		Pool:             string(q.Need.Pool),
+		PromptTokens:     int64(q.Need.Prompt),
+		OutputTokens:     int64(q.Need.Output),
+		ObjectiveUs:      q.Need.Objective.Microseconds(),
+		PauseObjectiveUs: q.Need.PauseObjective.Microseconds(),
+		Returned:         q.Need.Returned,
+	}
+	for id, excluded := range q.Need.Excluded {
+		if excluded {
+			m.Excluded = append(m.Excluded, string(id))
+		}
+	}
+	return m
+}
+
+// fromChooseRequest turns the message into a question.
+func fromChooseRequest(m *ChooseRequest) sharedload.Question {
+	excluded := make(map[fleet.EndpointID]bool, len(m.Excluded))
+	for _, id := range m.Excluded {
+		excluded[fleet.EndpointID(id)] = true
+	}
+	return sharedload.Question{
+		Told:   fromUsageSet(m.Told),
+		Number: m.Number,
+		Role:   sharedload.Role(m.Role),
+		Need: placement.Need{
+			Request:        fleet.RequestID(m.Request),
+			Pool:           fleet.PoolName(m.Pool),
+			Prompt:         fleet.Tokens(m.PromptTokens),
+			Output:         fleet.Tokens(m.OutputTokens),
+			Objective:      microseconds(m.ObjectiveUs),
+			PauseObjective: microseconds(m.PauseObjectiveUs),
+			Returned:       m.Returned,
+			Excluded:       excluded,
+		},
+	}
+}
+
+// toChooseReply turns a choice into its message.
+func toChooseReply(c sharedload.Choice) *ChooseReply {
+	m := &ChooseReply{
+		Endpoint:    string(c.Endpoint),
+		PartUs:      c.Part.Microseconds(),
+		PredictedUs: c.Predicted.Microseconds(),
+		Work:        toUsages(c.Work),
+	}
+	for i, h := range c.Helpers {
+		helper := &ChosenHelper{Endpoint: string(h.Endpoint)}
+		if c.Stored != nil {
+			helper.StoredTokens = int64(c.Stored[i])
+		}
+		m.Helpers = append(m.Helpers, helper)
+	}
+	return m
+}
+
+// fromChooseReply turns the message into a choice.
+func fromChooseReply(m *ChooseReply) sharedload.Choice {
+	c := sharedload.Choice{
+		Endpoint:  fleet.EndpointID(m.Endpoint),
+		Part:      microseconds(m.PartUs),
+		Predicted: microseconds(m.PredictedUs),
+		Work:      fromUsages(m.Work),
+	}
+	stored := make([]fleet.Tokens, 0, len(m.Helpers))
+	var lent fleet.Tokens
+	for _, h := range m.Helpers {
+		c.Helpers = append(c.Helpers, reservation.Helper{Endpoint: fleet.EndpointID(h.Endpoint)})
+		stored = append(stored, fleet.Tokens(h.StoredTokens))
+		lent += fleet.Tokens(h.StoredTokens)
+	}
+	if lent > 0 {
+		c.Stored = stored
+	}
+	return c
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -29,8 +29,8 @@
 	Claims Claims
 	// Reports takes what other owners tell; nil means that it is not taken.
 	Reports Reports
-	// Usages takes what other entries run; nil means that it is not taken.
-	Usages Usages
+	// Placers takes what other entries run and chooses for them; nil means that neither is done.
+	Placers Placers
 	// Deaths takes what they tell of requests that endpoints died of.
 	Deaths Deaths
 	// Witness tells those entries how fresh the configuration is; nil tells nothing.
@@ -65,8 +65,8 @@
 			return err
 		}
 	}
-	if s.Usages != nil {
-		if err := DRPCRegisterUsage(mux, &usageHandler{usages: s.Usages, deaths: s.Deaths, witness: s.Witness}); err != nil {
+	if s.Placers != nil {
+		if err := DRPCRegisterUsage(mux, &usageHandler{placers: s.Placers, deaths: s.Deaths, witness: s.Witness}); err != nil {
 			return err
 		}
 	}
--- a/io/peer/usages.go
+++ b/io/peer/usages.go
@@ -12,10 +12,12 @@
 	"wisteriadyke/core/sharedload"
 )
 
-// Usages takes what other entries run on endpoints.
-type Usages interface {
-	// TakeUsages takes all that one entry runs.
-	TakeUsages(entry fleet.EntryID, usages map[fleet.EndpointID]sharedload.Usage)
+// Placers takes what other entries run on endpoints, and chooses endpoints for them; *sharedload.Placers does.
+type Placers interface {
+	// Take takes all that one entry runs.
+	Take(told sharedload.Told) sharedload.Reply
+	// Answer returns the best endpoints for a request; an error is a *reservation.Refusal.
+	Answer(question sharedload.Question) (sharedload.Choice, error)
 }
 
 // Deaths knows the requests that endpoints died of; *retry.Suspects does.
@@ -40,72 +42,68 @@
 	Heard(asked time.Duration, version int64, age time.Duration)
 }
 
-// UsageTransport carries usages to other entries.
+// UsageTransport carries usages and questions for choices to other entries. It implements sharedload.Transport.
 type UsageTransport struct {
 	// Client reaches the other entries.
 	Client *Client
-	// Deaths holds what is told of requests that endpoints died of.
+	// Deaths holds what is told, and takes what is answered, of requests that endpoints died of.
 	Deaths Deaths
 	// Testimonies takes what they answer about the configuration; nil takes nothing.
 	Testimonies Testimonies
 }
 
 // Tell sends all that this entry runs.
-func (t *UsageTransport) Tell(
-	ctx context.Context, to netip.AddrPort, entry fleet.EntryID, usages map[fleet.EndpointID]sharedload.Usage,
-) error {
-	message := &UsageSet{Entry: string(entry)}
-	for id, u := range usages {
-		message.Usages = append(message.Usages, &EndpointUsage{
-			Endpoint:     string(id),
-			Running:      int64(u.Running),
-			Quick:        int64(u.Quick),
-			ReadingUs:    u.Reading.Microseconds(),
-			MemoryTokens: int64(u.Memory),
-			Stakes:       toStakes(u.Stakes),
-		})
-	}
-	for _, note := range t.Deaths.Notes() {
-		message.Deaths = append(message.Deaths, toDeaths(note, time.Now())...)
-	}
+func (t *UsageTransport) Tell(ctx context.Context, to netip.AddrPort, told sharedload.Told) (sharedload.Reply, error) {
+	message := toUsageSet(told)
+	message.Deaths = toAllDeaths(t.Deaths, time.Now())
 	var asked time.Duration
 	if t.Testimonies != nil {
 		asked = t.Testimonies.Asked()
 	}
 	reply, err := NewDRPCUsageClient(t.Client.gossipConn(ctx, to)).Take(ctx, message)
 	if err != nil {
-		return errors.Wrapf(err, "usages to %s", to)
+		return sharedload.Reply{}, errors.Wrapf(err, "usages to %s", to)
 	}
 	if t.Testimonies != nil && reply.EvidenceAgeUs != nil {
 		t.Testimonies.Heard(asked, reply.ConfigurationVersion, microseconds(*reply.EvidenceAgeUs))
 	}
-	return nil
+	takeDeaths(t.Deaths, reply.Deaths, "", time.Now())
+	answer := sharedload.Reply{Chooses: reply.Chooses}
+	for _, zone := range reply.Zones {
+		answer.Zones = append(answer.Zones, fleet.Zone(zone))
+	}
+	return answer, nil
+}
+
+// Choose asks for a choice; an error is a *reservation.Refusal if the entry has answered.
+func (t *UsageTransport) Choose(
+	ctx context.Context, to netip.AddrPort, question sharedload.Question,
+) (sharedload.Choice, error) {
+	reply, err := NewDRPCUsageClient(t.Client.gossipConn(ctx, to)).Choose(ctx, toChooseRequest(question))
+	if err != nil {
+		return sharedload.Choice{}, errors.Wrapf(err, "choice of %s", to)
+	}
+	if reply.Refusal != nil {
+		return sharedload.Choice{}, fromRefusal(reply.Refusal, time.Now())
+	}
+	return fromChooseReply(reply), nil
 }
 
-// usageHandler turns messages into usages.
+// usageHandler turns messages into usages and choices.
 type usageHandler struct {
-	usages  Usages
+	placers Placers
 	deaths  Deaths
 	witness Witness
 }
 
 // Take takes all that one entry runs.
 func (h *usageHandler) Take(_ context.Context, m *UsageSet) (*UsageReply, error) {
-	usages := make(map[fleet.EndpointID]sharedload.Usage, len(m.Usages))
-	for _, u := range m.Usages {
-		usages[fleet.EndpointID(u.Endpoint)] = sharedload.Usage{
-			Running: int(u.Running),
-			Quick:   int(u.Quick),
-			Reading: microseconds(u.ReadingUs),
-			Memory:  fleet.Tokens(u.MemoryTokens),
-			Stakes:  fromStakes(u.Stakes),
-		}
+	answer := h.placers.Take(fromUsageSet(m))
+	takeDeaths(h.deaths, m.Deaths, fleet.EntryID(m.Entry), time.Now())
+	reply := &UsageReply{Chooses: answer.Chooses, Deaths: toAllDeaths(h.deaths, time.Now())}
+	for _, zone := range answer.Zones {
+		reply.Zones = append(reply.Zones, string(zone))
 	}
-	h.usages.TakeUsages(fleet.EntryID(m.Entry), usages)
-	for _, d := range m.Deaths {
-		h.deaths.Take(fromDeath(fleet.EntryID(m.Entry), d, time.Now()))
-	}
-	reply := &UsageReply{}
 	if h.witness == nil {
 		return reply, nil
 	}
@@ -116,6 +114,57 @@
 	return reply, nil
 }
 
+// Choose returns the best endpoints for a request.
+func (h *usageHandler) Choose(_ context.Context, m *ChooseRequest) (*ChooseReply, error) {
+	choice, err := h.placers.Answer(fromChooseRequest(m))
+	if err != nil {
+		refusal, err := refusalMessage(err)
+		return &ChooseReply{Refusal: refusal}, err
+	}
+	return toChooseReply(choice), nil
+}
+
+// toUsageSet turns what an entry runs into its message.
+func toUsageSet(told sharedload.Told) *UsageSet {
+	return &UsageSet{Entry: string(told.Entry), Usages: toUsages(told.Usages), Settled: told.Settled}
+}
+
+// fromUsageSet turns the message into what an entry runs.
+func fromUsageSet(m *UsageSet) sharedload.Told {
+	return sharedload.Told{Entry: fleet.EntryID(m.GetEntry()), Usages: fromUsages(m.GetUsages()), Settled: m.GetSettled()}
+}
+
+// toUsages turns usages into messages.
+func toUsages(usages map[fleet.EndpointID]sharedload.Usage) []*EndpointUsage {
+	messages := make([]*EndpointUsage, 0, len(usages))
+	for id, u := range usages {
+		messages = append(messages, &EndpointUsage{
+			Endpoint:     string(id),
+			Running:      int64(u.Running),
+			Quick:        int64(u.Quick),
+			ReadingUs:    u.Reading.Microseconds(),
+			MemoryTokens: int64(u.Memory),
+			Stakes:       toStakes(u.Stakes),
+		})
+	}
+	return messages
+}
+
+// fromUsages turns messages into usages.
+func fromUsages(messages []*EndpointUsage) map[fleet.EndpointID]sharedload.Usage {
+	usages := make(map[fleet.EndpointID]sharedload.Usage, len(messages))
+	for _, u := range messages {
+		usages[fleet.EndpointID(u.Endpoint)] = sharedload.Usage{
+			Running: int(u.Running),
+			Quick:   int(u.Quick),
+			Reading: microseconds(u.ReadingUs),
+			Memory:  fleet.Tokens(u.MemoryTokens),
+			Stakes:  fromStakes(u.Stakes),
+		}
+	}
+	return usages
+}
+
 // toStakes returns stakes for a message.
 func toStakes(stakes sharedload.Stakes) []int64 {
 	message := make([]int64, 0, len(stakes))
@@ -135,6 +184,22 @@
 	return stakes
 }
 
+// toAllDeaths returns the messages of all that is known of deaths.
+func toAllDeaths(deaths Deaths, now time.Time) []*RequestDeath {
+	var messages []*RequestDeath
+	for _, note := range deaths.Notes() {
+		messages = append(messages, toDeaths(note, now)...)
+	}
+	return messages
+}
+
+// takeDeaths takes what an entry tells of deaths.
+func takeDeaths(deaths Deaths, messages []*RequestDeath, from fleet.EntryID, now time.Time) {
+	for _, m := range messages {
+		deaths.Take(fromDeath(from, m, now))
+	}
+}
+
 // toDeaths turns a note into its messages; a note that was cleared tells of no death.
 func toDeaths(note retry.Note, now time.Time) []*RequestDeath {
 	if note.Cleared {
--- a/io/settings/gateway.go
+++ b/io/settings/gateway.go
@@ -36,6 +36,8 @@
 	RetryBurst float64 `json:"retry_burst" check:"default=50,min=0,max=100000"`
 	// ColdFactor is how far beyond its cold rate an endpoint may be loaded within a second.
 	ColdFactor float64 `json:"cold_factor" check:"default=1,min=1,max=10"`
+	// Processor is the share of a processor core that the process has; entries with more choose endpoints for the others.
+	Processor float64 `json:"processor" check:"default=1,min=0.01,max=1024"`
 	// Memory is the memory of the process in MiB.
 	Memory int `json:"memory_mib" check:"default=256,min=32,max=1048576"`
 	// LogLevel is the least level of messages that are logged.
