Let witnesses ask the store every 0.8 s

Change: witnesses wait 0.8 s, and evidence is trusted for 2.4 s, which leaves time for a failed call.

--- a/core/freshness/patience.go
+++ b/core/freshness/patience.go
@@ -3,13 +3,14 @@
 import "time"
 
 const (
-	// shortWait is how long a witness lets the store hold a question back; it bounds the age of what it testifies.
-	shortWait = 1200 * time.Millisecond
+	// shortWait is how long a witness lets the store hold a question back. What it testifies is up to twice as old, since
+	// it counts from the question before.
+	shortWait = 800 * time.Millisecond
 	// longWait is how long the other entries do; a change ends the wait at once.
 	longWait = 10 * time.Second
 	// staleAge is the age of the evidence from which on an entry asks by itself: a witness that is well has told of a newer
-	// one by then, and two calls of the store still fit into the time for which a removed key may be accepted.
-	staleAge = 2 * time.Second
+	// one by then, and a failed call of the store still fits into the time for which a removed key may be accepted.
+	staleAge = 2400 * time.Millisecond
 )
 
 // Patience decides how long an entry lets the store hold back its question for a newer configuration. Calls of the store
