--- a/gateway/process.go
+++ b/gateway/process.go
@@ -189,10 +189,14 @@
 
 // self returns this entry as others know it.
 func (p *Process) self() fleet.Entry {
+	address := p.Settings.PeerAddress
+	if p.Settings.PublicPeerAddress.IsValid() {
+		address = p.Settings.PublicPeerAddress
+	}
 	return fleet.Entry{
 		ID:        p.Settings.Entry,
 		Zone:      p.Settings.Zone,
-		Address:   p.Settings.PeerAddress,
+		Address:   address,
 		State:     fleet.StateLive,
 		Processor: p.Settings.Processor,
 	}
--- a/io/settings/gateway.go
+++ b/io/settings/gateway.go
@@ -20,6 +20,8 @@
 	ReadyAddress netip.AddrPort `json:"ready_address" check:"required"`
 	// PeerAddress is where it answers other entries.
 	PeerAddress netip.AddrPort `json:"peer_address" check:"required"`
+	// PublicPeerAddress is where other entries reach PeerAddress, if that is another address.
+	PublicPeerAddress netip.AddrPort `json:"public_peer_address"`
 	// MetricsAddress is where it serves its metrics.
 	MetricsAddress netip.AddrPort `json:"metrics_address" check:"required"`
 	// Store is where the platform's store answers.
--- a/standin/cierzo/store.go
+++ b/standin/cierzo/store.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -143,6 +144,8 @@
 	case FaultReset:
 		panic(http.ErrAbortHandler)
 	case FaultSilent:
+		// net/http notices that the caller has gone only once the body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return
 	case FaultLost:
--- a/standin/cierzo/worker.go
+++ b/standin/cierzo/worker.go
@@ -48,20 +48,22 @@
 	Pause time.Duration
 	// Work is the time until the first event, or that of a call.
 	Work time.Duration
+	// Public is where it tells others to find it; zero stands for where it listens.
+	Public netip.AddrPort
 	// Intercept may answer a request in place of the worker; it reports whether it did.
 	Intercept func(w http.ResponseWriter, r *http.Request, seen Seen) bool
 
 	mu      sync.Mutex
 	seen    []Seen
 	gone    int
-	tickets map[string]int
+	tickets map[string]time.Time
 	server  *httptest.Server
 	born    int64
 }
 
 // Start serves at a free port of 127.0.0.1.
 func (k *Worker) Start() {
-	k.tickets = make(map[string]int)
+	k.tickets = make(map[string]time.Time)
 	k.born = time.Now().UnixMilli()
 	k.server = httptest.NewServer(http.HandlerFunc(k.serve))
 }
@@ -85,8 +87,12 @@
 
 // Register writes the worker's entry into the registry.
 func (k *Worker) Register(s *Store, state string) {
+	address := k.Public
+	if !address.IsValid() {
+		address = k.Address()
+	}
 	entry, _ := json.Marshal(map[string]any{
-		"service": k.Service, "address": k.Address().String(), "zone": k.Zone, "version": "v1",
+		"service": k.Service, "address": address.String(), "zone": k.Zone, "version": "v1",
 		"slots": k.Slots, "state": state, "coldLeftMs": 0, "sequence": 1, "born": k.born,
 	})
 	s.Put("servers", k.ID, base64.StdEncoding.EncodeToString(entry))
@@ -113,6 +119,19 @@
 	return len(k.tickets)
 }
 
+// Held returns the number of reservations whose lease has not ended.
+func (k *Worker) Held(now time.Time) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	count := 0
+	for _, until := range k.tickets {
+		if now.Before(until) {
+			count++
+		}
+	}
+	return count
+}
+
 // serve answers one request.
 func (k *Worker) serve(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/wisteriadyke/order" {
@@ -184,7 +203,7 @@
 	var body struct {
 		Operation string `json:"operation"`
 		ID        string `json:"id"`
-		Tokens    int    `json:"tokens"`
+		HoldMs    int    `json:"holdMs"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -194,7 +213,7 @@
 	defer k.mu.Unlock()
 	switch body.Operation {
 	case "reserve":
-		k.tickets[body.ID] = body.Tokens
+		k.tickets[body.ID] = time.Now().Add(time.Duration(body.HoldMs) * time.Millisecond)
 	case "release":
 		delete(k.tickets, body.ID)
 	default:
--- /dev/null
+++ b/standin/faultproxy/proxy_test.go
@@ -0,0 +1,98 @@
+package faultproxy
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// echoServer sends back what it gets.
+func echoServer(t *testing.T) netip.AddrPort {
+	t.Helper()
+	var config net.ListenConfig
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			if err != nil {
+				return err
+			}
+			group.Go(func() error {
+				defer func() { _ = conn.Close() }()
+				_, _ = io.Copy(conn, conn)
+				return nil
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		_ = group.Wait()
+	})
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// exchange sends a line and reports whether it came back in time.
+func exchange(conn net.Conn, wait time.Duration) bool {
+	_ = conn.SetDeadline(time.Now().Add(wait))
+	if _, err := conn.Write([]byte("x\n")); err != nil {
+		return false
+	}
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	return err == nil && line == "x\n"
+}
+
+func TestProxy(t *testing.T) {
+	const short = 200 * time.Millisecond
+	tests := map[string]struct {
+		mode Mode
+		// open tells whether lines come back while the mode lasts, after whether they do on the same connection later.
+		open, after bool
+	}{
+		"pass":          {mode: Pass, open: true, after: true},
+		"delay":         {mode: Delay, open: true, after: true},
+		"reset":         {mode: Reset},
+		"cut to server": {mode: CutToServer, after: true},
+		"cut to client": {mode: CutToClient, after: true},
+		"silence":       {mode: Silence, after: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := &Proxy{Target: echoServer(t)}
+			if err := p.Start(); err != nil {
+				t.Fatal(err)
+			}
+			defer p.Close()
+			var dialer net.Dialer
+			conn, err := dialer.DialContext(context.Background(), "tcp", p.Address().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			if !exchange(conn, time.Second) {
+				t.Fatal("nothing came back before the mode")
+			}
+			p.Set(tc.mode)
+			if got := exchange(conn, short); got != tc.open {
+				t.Errorf("a line came back: %t, want %t", got, tc.open)
+			}
+			p.Set(Pass)
+			if got := exchange(conn, time.Second); got != tc.after {
+				t.Errorf("a line came back after the mode: %t, want %t", got, tc.after)
+			}
+		})
+	}
+}
