--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -20,12 +20,13 @@
 	// runningCost is what each running call adds at a plain service: a small part of a usual call, to tell idle ones.
 	runningCost = 4 * time.Millisecond
 	// rankCost keeps quick prompts and long ones on different endpoints while load is low; from trials in the journal.
-	rankCost = 4 * time.Millisecond
-	// nearFullCost is what each attempt costs a newcomer at an endpoint within nearFull of its slots: entries that decide
-	// at the same time don't see each other's choice yet. From trials in the journal.
+	rankCost = 12 * time.Millisecond
+	// nearFullCost is what each attempt costs a newcomer at an endpoint within nearFull of its slots. From trials in the
+	// journal.
 	nearFullCost = 20 * time.Millisecond
-	// nearFull is the number of slots that such choices may take: arrivals at the best endpoint between two tellings.
-	nearFull = 4
+	// nearFull is the number of slots that are kept free: an answer that has ended is told up to a telling later, so that
+	// one of them may be free already.
+	nearFull = 1
 	// returnedWeight is how much more a long prompt counts whose caller has come back: most come back only once. From
 	// trials in the journal.
 	returnedWeight = 1.5
