--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -106,7 +106,11 @@
 	r.release.Outcome = failedOutcome(err)
 	r.cause = err
 	var attemptErr *AttemptError
-	if errors.As(err, &attemptErr) && attemptErr.Certainty == CertainFailed {
+	if !errors.As(err, &attemptErr) {
+		return
+	}
+	r.release.AtFault = attemptErr.AtFault
+	if attemptErr.Certainty == CertainFailed {
 		r.release.Outcome = reservation.OutcomeFailed
 		r.failed = attemptErr
 	}
--- a/core/dispatch/ports.go
+++ b/core/dispatch/ports.go
@@ -112,6 +112,8 @@
 	Certainty Certainty
 	// Code is the endpoint's code of a refusal, or "".
 	Code string
+	// AtFault is the helper because of which the endpoint refused, or "".
+	AtFault fleet.EndpointID
 	// Answer is what the endpoint answered with CertainFailed.
 	Answer []byte
 	// Payload is the whole failure of the endpoint where answers are opaque, or nil.
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -51,6 +51,7 @@
 		Dur("longest_pause_ms", result.longestPause).
 		Int64("generated", int64(result.release.Generated)).
 		Str("outcome", string(result.release.Outcome)).
+		Str("at_fault", string(result.release.AtFault)).
 		AnErr("cause", result.cause).
 		Msg("dispatch: attempt ended")
 	r.record(timeline.Event{
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -268,6 +268,9 @@
 // afterFailure decides whether a request goes on after a failed attempt.
 func (r *run) afterFailure(ctx context.Context, a *attempt, result result) error {
 	r.excluded[a.endpoint.ID] = true
+	if result.release.AtFault != "" {
+		r.excluded[result.release.AtFault] = true
+	}
 	switch {
 	case certainlyNotRun(result.release.Outcome):
 		return r.afterRefusal(ctx, result)
--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -113,6 +113,8 @@
 	Generation fleet.Generation
 	// Outcome tells how the attempt ended.
 	Outcome Outcome
+	// AtFault is the helper because of which the endpoint refused the attempt, or "".
+	AtFault fleet.EndpointID
 	// Incarnation is the life of the endpoint that answered, or 0.
 	Incarnation fleet.Incarnation
 	// Read is the number of prompt tokens that were read.
--- a/core/sharedload/book.go
+++ b/core/sharedload/book.go
@@ -12,6 +12,9 @@
 // peerTTL is how long the figures of another entry are used; five of its reports are lost by then.
 const peerTTL = time.Second
 
+// doubtTime is how long an endpoint is avoided that has failed another entry; entries leave it alone for as long at first.
+const doubtTime = 600 * time.Millisecond
+
 // Usage is what runs on one endpoint.
 type Usage struct {
 	// Running counts the attempts that run or wait there.
@@ -67,6 +70,7 @@
 	own      map[fleet.EndpointID]Usage
 	peers    map[fleet.EntryID]told
 	promises map[fleet.EntryID]map[uint64]promise
+	doubts   map[fleet.EndpointID]time.Time
 }
 
 // Add notes work of this entry.
@@ -133,6 +137,30 @@
 	delete(b.promises[entry], number)
 }
 
+// Doubt notes endpoints that another entry does not want to be chosen, since they have failed it.
+func (b *Book) Doubt(endpoints map[fleet.EndpointID]bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.doubts == nil {
+		b.doubts = make(map[fleet.EndpointID]time.Time)
+	}
+	for id := range endpoints {
+		b.doubts[id] = now
+	}
+}
+
+// Doubted tells whether any entry has lately been failed by an endpoint.
+func (b *Book) Doubted(id fleet.EndpointID, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at, found := b.doubts[id]
+	if found && now.Sub(at) > doubtTime {
+		delete(b.doubts, id)
+		return false
+	}
+	return found
+}
+
 // Consulted tells whether any entry has told its figures lately, and so relies on what this one answers.
 func (b *Book) Consulted(now time.Time) bool {
 	b.mu.Lock()
--- a/core/sharedload/estimate.go
+++ b/core/sharedload/estimate.go
@@ -28,6 +28,8 @@
 	endpoint fleet.Endpoint
 	usage    Usage
 	rank     int
+	// doubted tells that the endpoint has lately failed another entry.
+	doubted bool
 }
 
 // pass returns the time of one pass of the endpoint's engine without reading.
--- a/core/sharedload/granter.go
+++ b/core/sharedload/granter.go
@@ -180,11 +180,17 @@
 
 // observe learns from the end of an attempt whether its endpoint is fit for work.
 func (g *Granter) observe(release reservation.Release, now time.Time) {
+	if helper, found := g.Board.Endpoints.Get(release.AtFault); found {
+		g.Outliers.Failed(helper, now)
+		return
+	}
 	endpoint, found := g.Board.Endpoints.Get(release.Endpoint)
 	if !found {
 		return
 	}
 	switch release.Outcome {
+	case reservation.OutcomeRefused:
+		g.Outliers.Failed(endpoint, now)
 	case reservation.OutcomeNotRun:
 		g.Outliers.Unreachable(endpoint, now)
 	case reservation.OutcomeBroken:
--- a/core/sharedload/placers.go
+++ b/core/sharedload/placers.go
@@ -128,6 +128,7 @@
 func (p *Placers) Answer(q Question) (Choice, error) {
 	now := time.Now()
 	p.Book.Told(q.Told.Entry, q.Told.Usages, q.Told.Settled, now)
+	p.Book.Doubt(q.Need.Excluded, now)
 	return p.Chooser.Choose(q.Need, q.Role, now, func(c Choice) {
 		p.Book.Promise(q.Told.Entry, q.Number, c.usages(), now)
 	})
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -30,6 +30,12 @@
 	// returnedWeight is how much more a long prompt counts whose caller has come back: most come back only once. From
 	// trials in the journal.
 	returnedWeight = 1.5
+	// doubtCost is what it costs a quick request to go to an endpoint that has lately failed another entry: half of a usual
+	// objective, so that a pool with many such endpoints does not crowd the others.
+	doubtCost = 150 * time.Millisecond
+	// trustedShare is the share of endpoints that must be left once those in doubt are taken out; more failures at the same
+	// time than that are not those of single endpoints.
+	trustedShare = 0.6
 	// longCost is what each long attempt at an endpoint costs a quick newcomer: the context of a usual long prompt makes
 	// each pass about that much longer.
 	longCost = 25 * time.Millisecond
@@ -59,12 +65,23 @@
 	return states
 }
 
+// trusted returns the endpoints that have not lately failed another entry. Where many have, the fault is rather that of the
+// entries or of the way to them, and all are returned. Load pattern: endpoints go down and come back in turn while
+// archives are read by up to 17 endpoints, of which each fails the whole reading.
+func trusted(states []state) []state {
+	kept := slices.DeleteFunc(slices.Clone(states), func(s state) bool { return s.doubted })
+	if float64(len(kept)) < trustedShare*float64(len(states)) {
+		return states
+	}
+	return kept
+}
+
 // longPlan returns where a long prompt is read; it reports false if it fits nowhere, or while others would lose more by its
 // reading than its caller gains.
 func (p *Policy) longPlan(pool routing.Pool, view placement.View, need placement.Need) (reading, bool) {
 	states := p.states(view, need)
 	demand := p.demand.observe(pool.Name, states, time.Now())
-	plan, found := planReading(pool, states, need.Prompt, need.Output, need.Objective)
+	plan, found := planReading(pool, trusted(states), need.Prompt, need.Output, need.Objective)
 	if !found || !p.worthwhile(pool, len(states), need, plan.done, demand) {
 		return reading{}, false
 	}
@@ -110,7 +127,7 @@
 		if endpoint.Pool != need.Pool || need.Excluded[id] || !p.open(view, endpoint, now) {
 			continue
 		}
-		found = append(found, state{endpoint: endpoint, usage: totals[id]})
+		found = append(found, state{endpoint: endpoint, usage: totals[id], doubted: p.Book.Doubted(id, now)})
 	}
 	slices.SortFunc(found, func(a, b state) int {
 		return cmp.Or(cmp.Compare(rankOf(a.endpoint.ID), rankOf(b.endpoint.ID)), cmp.Compare(a.endpoint.ID, b.endpoint.ID))
@@ -146,7 +163,11 @@
 	if over := s.usage.Running - s.endpoint.Slots + nearFull; s.endpoint.Slots > 0 && over > 0 {
 		long += time.Duration(over) * nearFullCost
 	}
-	return s.wait(pool) + s.pass(pool) + long + time.Duration(s.rank)*rankCost
+	cost := s.wait(pool) + s.pass(pool) + long + time.Duration(s.rank)*rankCost
+	if s.doubted {
+		cost += doubtCost
+	}
+	return cost
 }
 
 // rankOf gives endpoints an order that all entries agree on.
--- a/core/sharedload/teller_test.go
+++ b/core/sharedload/teller_test.go
@@ -280,3 +280,58 @@
 		t.Errorf("usage %v is left of an entry that is silent", got)
 	}
 }
+
+// TestEndpointsInDoubt replays endpoints that go down in turn: what has failed one entry is not chosen for the others, and
+// not as a helper, unless so many have failed that the fault must lie elsewhere.
+func TestEndpointsInDoubt(t *testing.T) {
+	const engines = 10
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(engines)
+		p := f.granter.Placers
+		doubted := testEndpoint(0).ID
+		ask := func(entry fleet.EntryID, prompt fleet.Tokens, excluded ...fleet.EndpointID) Choice {
+			t.Helper()
+			need := placement.Need{
+				Pool: testPool.Name, Prompt: prompt, Output: 1000, Objective: archiveObjective, Excluded: map[fleet.EndpointID]bool{},
+			}
+			for _, id := range excluded {
+				need.Excluded[id] = true
+			}
+			choice, err := p.Answer(Question{Told: Told{Entry: entry, Settled: 9}, Number: 1, Need: need})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return choice
+		}
+		uses := func(c Choice, id fleet.EndpointID) bool {
+			if c.Endpoint == id {
+				return true
+			}
+			for _, h := range c.Helpers {
+				if h.Endpoint == id {
+					return true
+				}
+			}
+			return false
+		}
+		if !uses(ask("entry-2", 154_000), doubted) {
+			t.Fatal("an idle pool does not read with all engines")
+		}
+		ask("entry-3", 5000, doubted)
+		if uses(ask("entry-4", 154_000), doubted) {
+			t.Error("an endpoint that has just failed another entry is a helper")
+		}
+		time.Sleep(2 * doubtTime)
+		if !uses(ask("entry-5", 154_000), doubted) {
+			t.Error("an endpoint is avoided for too long")
+		}
+		var many []fleet.EndpointID
+		for i := range engines - 1 {
+			many = append(many, testEndpoint(i).ID)
+		}
+		ask("entry-6", 5000, many...)
+		if c := ask("entry-7", 154_000); len(c.Helpers) < engines/2 {
+			t.Errorf("%d helpers after an entry was failed by nearly all engines", len(c.Helpers))
+		}
+	})
+}
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -256,3 +257,46 @@
 		t.Errorf("answer = %+v", got)
 	}
 }
+
+// TestHelperAtFaultIsLeftOut lets each endpoint in turn fail every reading that it helps with: the next attempt does without
+// it, and so does the next request.
+func TestHelperAtFaultIsLeftOut(t *testing.T) {
+	for _, name := range []string{"i-1", "i-2", "i-3", "i-4"} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			var bad *cierzo.Worker
+			refuse := func(rw http.ResponseWriter, r *http.Request, _ cierzo.Seen) bool {
+				at := bad.Address().String()
+				if r.Header.Get("X-Expect-Instance") != bad.ID && !strings.Contains(r.Header.Get("X-Helpers"), at) {
+					return false
+				}
+				rw.Header().Set("X-Not-Executed", "1")
+				rw.Header().Set("At-Server", at)
+				rw.WriteHeader(http.StatusServiceUnavailable)
+				return true
+			}
+			var workers []*cierzo.Worker
+			for _, id := range []string{"i-1", "i-2", "i-3", "i-4"} {
+				k := w.worker(&cierzo.Worker{ID: id, Events: 2, Intercept: refuse})
+				workers = append(workers, k)
+				if id == name {
+					bad = k
+				}
+			}
+			e := w.entry()
+			for range 2 {
+				got := w.send(e, call{method: http.MethodPost, uri: "/s/x", header: []string{"X-Token-Counts: 60000,500"}, body: "p"})
+				if got.status != http.StatusOK || got.body != cierzo.Stream(1, 2) {
+					t.Errorf("answer = %+v", got)
+				}
+			}
+			total := 0
+			for _, k := range workers {
+				total += len(k.Requests())
+			}
+			if total > 3 {
+				t.Errorf("%d attempts for two requests; the second one has to leave the endpoint out at once", total)
+			}
+		})
+	}
+}
