--- a/core/freshness/patience.go
+++ b/core/freshness/patience.go
@@ -8,6 +8,10 @@
 	shortWait = 800 * time.Millisecond
 	// longWait is how long the other entries do; a change ends the wait at once.
 	longWait = 10 * time.Second
+	// shortRetry and longRetry are the mean pauses between calls while the store gives no answer, of those that have to ask
+	// by themselves and of those to which others tell that nothing has changed.
+	shortRetry = 400 * time.Millisecond
+	longRetry  = 1200 * time.Millisecond
 	// staleAge is the age of the evidence from which on an entry asks by itself: a witness that is well has told of a newer
 	// one by then, and a failed call of the store still fits into the time for which a removed key may be accepted.
 	staleAge = 2400 * time.Millisecond
@@ -30,6 +34,14 @@
 	return longWait
 }
 
+// Retry returns the mean pause between calls while the store gives no answer.
+func (p *Patience) Retry() time.Duration {
+	if p.Witness() || p.Exhausted() {
+		return shortRetry
+	}
+	return longRetry
+}
+
 // Exhausted tells that no witness has been heard of for too long, so that this entry has to ask by itself at once.
 func (p *Patience) Exhausted() bool {
 	return !p.Evidence.Within(staleAge)
--- a/core/freshness/patience_test.go
+++ b/core/freshness/patience_test.go
@@ -27,6 +27,9 @@
 			if got := p.Wait(); got != tc.want {
 				t.Errorf("wait = %v, want %v", got, tc.want)
 			}
+			if got, short := p.Retry(), tc.want == shortWait; (got == shortRetry) != short {
+				t.Errorf("retry = %v while the wait is %v", got, tc.want)
+			}
 			if got := p.Exhausted(); got != tc.exhausted {
 				t.Errorf("exhausted = %t, want %t", got, tc.exhausted)
 			}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -111,11 +111,21 @@
 	}
 }
 
-// Settling tells whether entries that have vanished are still kept.
-func (r *Roster) Settling() bool {
+// Settling returns the time until the first of the entries that have vanished is to be dropped; it reports false if none
+// is kept.
+func (r *Roster) Settling(now time.Time) (time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.vanished) > 0
+	if len(r.vanished) == 0 {
+		return 0, false
+	}
+	first := r.Grace
+	for _, until := range r.vanished {
+		if !until.IsZero() {
+			first = min(first, until.Sub(now))
+		}
+	}
+	return max(0, first), true
 }
 
 // settled tells whether an entry that vanishes means that its endpoint has left; the caller holds the lock.
