--- a/core/sharedload/estimate.go
+++ b/core/sharedload/estimate.go
@@ -27,7 +27,9 @@
 type state struct {
 	endpoint fleet.Endpoint
 	usage    Usage
+	// rank numbers the endpoints of a pool in a fixed order, and rankCost is what that costs a quick request.
 	rank     int
+	rankCost time.Duration
 	// doubted tells that the endpoint has lately failed another entry.
 	doubted bool
 }
--- a/core/sharedload/joint_test.go
+++ b/core/sharedload/joint_test.go
@@ -155,3 +155,25 @@
 		t.Errorf("order = %v, want the idle engine first of 4", got)
 	}
 }
+
+// TestQuickRequestsSpreadOverALargePool replays a stream of quick requests at the size of the grown deployments: they use
+// the front of the pool, and none of them waits for a slot while engines are idle.
+func TestQuickRequestsSpreadOverALargePool(t *testing.T) {
+	const engines = 78
+	s := newSimulation(engines)
+	for range 300 {
+		s.advance(10 * time.Millisecond)
+		for range 3 {
+			if !s.arrive(5000, 300*time.Millisecond) {
+				t.Fatal("a request is predicted late while engines are idle")
+			}
+		}
+	}
+	most := 0
+	for _, u := range s.policy.Book.Totals(time.Now()) {
+		most = max(most, u.Running)
+	}
+	if slots := testPool.Engine.Slots; most > slots {
+		t.Errorf("an engine has %d requests for %d slots while others are idle", most, slots)
+	}
+}
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -19,8 +19,10 @@
 	quickRead = 120 * time.Millisecond
 	// runningCost is what each running call adds at a plain service: a small part of a usual call, to tell idle ones.
 	runningCost = 4 * time.Millisecond
-	// rankCost keeps quick prompts and long ones on different endpoints while load is low; from trials in the journal.
+	// rankCost keeps quick prompts and long ones on different endpoints: it is what each rank costs a quick request. rankSpan
+	// bounds what the last endpoint of a large pool costs. Both are from trials in the journal.
 	rankCost = 12 * time.Millisecond
+	rankSpan = 200 * time.Millisecond
 	// nearFullCost is what each attempt costs a newcomer at an endpoint within nearFull of its slots. From trials in the
 	// journal.
 	nearFullCost = 20 * time.Millisecond
@@ -134,6 +136,7 @@
 	})
 	for i := range found {
 		found[i].rank = i
+		found[i].rankCost = time.Duration(i) * min(rankCost, rankSpan/time.Duration(len(found)))
 	}
 	return found
 }
@@ -163,7 +166,7 @@
 	if over := s.usage.Running - s.endpoint.Slots + nearFull; s.endpoint.Slots > 0 && over > 0 {
 		long += time.Duration(over) * nearFullCost
 	}
-	cost := s.wait(pool) + s.pass(pool) + long + time.Duration(s.rank)*rankCost
+	cost := s.wait(pool) + s.pass(pool) + long + s.rankCost
 	if s.doubted {
 		cost += doubtCost
 	}
