Read the settings again when their file changes, and log who chose the endpoints

Cause: the platform may change the settings without a signal, which went unnoticed; and an attempt's line did not tell which entry had chosen its endpoints, so that a choice by an entry that knew little could not be told from one by the leader.

Change: the file is looked at every two seconds; 'attempt ended' names the entry that chose.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
@@ -18,6 +19,9 @@
 // logTimeFormat is the form of times in log lines, in which lines of several entries can be put in order.
 const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
 
+// settingsPeriod is the time between two looks at the settings file, which may also change without a signal.
+const settingsPeriod = 2 * time.Second
+
 // newGatewayCommand builds the command that runs one entry on the Cierzo platform.
 func newGatewayCommand() *cobra.Command {
 	var path string
@@ -46,7 +50,7 @@
 	return command
 }
 
-// runGateway runs an entry until it is told to stop, and reads its settings again at each SIGHUP.
+// runGateway runs an entry until it is told to stop, and reads its settings again at each SIGHUP and when they change.
 func runGateway(ctx context.Context, process *gateway.Process, path string) error {
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -55,14 +59,8 @@
 	defer signal.Stop(hangups)
 	var group errgroup.Group
 	group.Go(func() error {
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-hangups:
-				reload(process.Log, path)
-			}
-		}
+		watchSettings(ctx, process.Log, path, hangups)
+		return nil
 	})
 	group.Go(func() error {
 		defer stop()
@@ -71,6 +69,42 @@
 	return group.Wait()
 }
 
+// watchSettings reads the settings again at each signal and when the file has changed, until ctx ends.
+func watchSettings(ctx context.Context, log zerolog.Logger, path string, hangups <-chan os.Signal) {
+	ticker := time.NewTicker(settingsPeriod)
+	defer ticker.Stop()
+	known := stateOf(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			known = stateOf(path)
+			reload(log, path)
+		case <-ticker.C:
+			if now := stateOf(path); now != known && now != (fileState{}) {
+				known = now
+				reload(log, path)
+			}
+		}
+	}
+}
+
+// fileState tells apart two contents of a file.
+type fileState struct {
+	size    int64
+	changed time.Time
+}
+
+// stateOf returns the state of a file, or none if it can't be read at the moment, as while it is replaced.
+func stateOf(path string) fileState {
+	info, err := os.Stat(path)
+	if err != nil {
+		return fileState{}
+	}
+	return fileState{size: info.Size(), changed: info.ModTime()}
+}
+
 // reload puts the settings in force that may change while an entry runs: the level of messages.
 func reload(log zerolog.Logger, path string) {
 	config, err := settings.ReadGateway(path)
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -43,6 +43,7 @@
 		Str("request", string(r.request.ID)).
 		Str("attempt", string(a.id)).
 		Str("endpoint", string(a.endpoint.ID)).
+		Str("chosen_by", string(a.grant.Owner)).
 		Strs("helpers", helperNames(a.grant.Helpers)).
 		Int64("prompt_tokens", int64(r.request.PromptTokens)).
 		Dur("predicted_ms", a.grant.Predicted).
--- a/core/sharedload/choice.go
+++ b/core/sharedload/choice.go
@@ -22,6 +22,8 @@
 
 // Choice is where a request goes.
 type Choice struct {
+	// Chooser is the entry that chose; it is not part of messages.
+	Chooser fleet.EntryID
 	// Endpoint answers the request.
 	Endpoint fleet.EndpointID
 	// Helpers read parts of its prompt.
--- a/core/sharedload/granter.go
+++ b/core/sharedload/granter.go
@@ -137,7 +137,7 @@
 	return reservation.Grant{
 		Endpoint:    choice.Endpoint,
 		Reservation: id,
-		Owner:       g.Entry,
+		Owner:       choice.Chooser,
 		Predicted:   choice.Predicted,
 		Helpers:     choice.Helpers,
 	}
--- a/core/sharedload/placers.go
+++ b/core/sharedload/placers.go
@@ -103,6 +103,7 @@
 		var refusal *reservation.Refusal
 		switch {
 		case err == nil:
+			choice.Chooser = c.entry.ID
 			return choice, settle, nil
 		case errors.As(err, &refusal):
 			settle()
@@ -121,6 +122,7 @@
 		settle()
 		return Choice{}, nil, err
 	}
+	choice.Chooser = p.Self.ID
 	return choice, settle, nil
 }
 
