--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -20,6 +20,9 @@
 	queuedPerSlot = 1.5
 	// fullWait is when to come back to a pool whose endpoints are all full.
 	fullWait = 1500 * time.Millisecond
+	// behindWait is when a long prompt is to come back to a pool that could not catch up with it: some lengths of the longest
+	// readings that it has to catch up with.
+	behindWait = 4 * time.Second
 	// longTries bounds the plans that are made for a long prompt until one has an endpoint that takes it.
 	longTries = 3
 )
@@ -85,7 +88,7 @@
 
 // chooseLong returns the best endpoints of a long prompt; the caller holds the lock.
 func (c *Chooser) chooseLong(pool routing.Pool, need placement.Need, role Role, now time.Time) (Choice, error) {
-	refusal := &reservation.Refusal{Reason: reservation.ReasonQueueFull, RetryAfter: fullWait}
+	refusal := &reservation.Refusal{Reason: reservation.ReasonQueueFull, RetryAfter: behindWait}
 	need.Excluded = maps.Clone(need.Excluded)
 	for range longTries {
 		plan, found := c.Policy.longPlan(pool, c.Views.View(), need)
--- a/core/sharedload/joint_test.go
+++ b/core/sharedload/joint_test.go
@@ -1,11 +1,13 @@
 package sharedload
 
 import (
+	"errors"
 	"testing"
 	"time"
 
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/placement"
+	"wisteriadyke/core/reservation"
 )
 
 // archiveObjective is the time to the first token that callers of long prompts hope for.
@@ -111,8 +113,13 @@
 				f.policy.demand = Demand{}
 			}
 			need := placement.Need{Pool: testPool.Name, Prompt: 600_000, Output: 1000, Objective: archiveObjective}
-			if _, err := f.choose(need); (err == nil) != tc.want {
-				t.Errorf("error = %v, want it taken: %t", err, tc.want)
+			_, err := f.choose(need)
+			if (err == nil) != tc.want {
+				t.Fatalf("error = %v, want it taken: %t", err, tc.want)
+			}
+			var refusal *reservation.Refusal
+			if errors.As(err, &refusal) && refusal.RetryAfter < archiveObjective {
+				t.Errorf("told to come back after %v, while the pool still catches up", refusal.RetryAfter)
 			}
 		})
 	}
