Let the soak notice when it does not run itself

Change: a beat every 50 ms notes when the soak stood still for half a second; late answers of that time are excused, and the log says so.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,6 +22,10 @@
 	recoverTime = 10 * time.Second
 	// lookPeriod is the time between two looks of the oracle while the soak runs.
 	lookPeriod = time.Second
+	// beatPeriod is the time between two looks at whether the soak itself runs, and stallTime how late one is at least if it
+	// does not: an eighth of what callers wait.
+	beatPeriod = 50 * time.Millisecond
+	stallTime  = 500 * time.Millisecond
 	// defaultEntries is the number of entries of a run.
 	defaultEntries = 5
 )
@@ -107,6 +111,11 @@
 		c := newCaller(w, i)
 		group.Go(func() error { return c.run(calling) })
 	}
+	beating, endBeats := context.WithCancel(context.Background())
+	group.Go(func() error {
+		w.beat(beating)
+		return nil
+	})
 	looking, endLooks := context.WithCancel(context.Background())
 	broken := make(chan []string, 1)
 	group.Go(func() error {
@@ -118,6 +127,7 @@
 	stop()
 	time.Sleep(leakTime)
 	endLooks()
+	endBeats()
 	_ = group.Wait()
 	w.leaks()
 	found := append(<-broken, w.unexpected...)
@@ -134,6 +144,22 @@
 	}
 }
 
+// beat notes the stretches in which the soak itself did not run, until ctx ends.
+func (w *world) beat(ctx context.Context) {
+	last := time.Now()
+	for ctx.Err() == nil {
+		time.Sleep(beatPeriod)
+		now := time.Now()
+		if now.Sub(last) > beatPeriod+stallTime {
+			w.changes.Lock()
+			w.stalls = append(w.stalls, &span{from: last, to: now.Add(aftermath)})
+			w.changes.Unlock()
+			w.t.Logf("the soak itself stood still for %v", now.Sub(last))
+		}
+		last = now
+	}
+}
+
 // look lets the oracle look again and again; it returns the first broken promises, or those at the end.
 func (w *world) look(ctx context.Context) []string {
 	for ctx.Err() == nil {
