--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"wisteriadyke/standin/loopback"
+	"wisteriadyke/standin/program"
 )
 
 const (
@@ -32,23 +33,14 @@
 var binary string
 
 func TestMain(m *testing.M) {
-	os.Exit(run(m))
-}
-
-// run builds the program and runs the tests.
-func run(m *testing.M) int {
-	folder, err := os.MkdirTemp("", "e2e")
+	code, err := program.With(func(path string) int {
+		binary = path
+		return m.Run()
+	})
 	if err != nil {
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	binary = filepath.Join(folder, "wisteriadyke")
-	build := exec.CommandContext(context.Background(), "go", "build", "-o", binary, "wisteriadyke")
-	build.Stderr = os.Stderr
-	if build.Run() != nil {
-		return 1
+		fmt.Fprintln(os.Stderr, err)
 	}
-	return m.Run()
+	os.Exit(code)
 }
 
 // process is one started process of the program.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,9 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"wisteriadyke/standin/program"
 )
 
 const (
@@ -34,23 +36,14 @@
 var binary string
 
 func TestMain(m *testing.M) {
-	os.Exit(run(m))
-}
-
-// run builds the program and runs the tests.
-func run(m *testing.M) int {
-	folder, err := os.MkdirTemp("", "soak")
+	code, err := program.With(func(path string) int {
+		binary = path
+		return m.Run()
+	})
 	if err != nil {
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	binary = filepath.Join(folder, "wisteriadyke")
-	build := exec.CommandContext(context.Background(), "go", "build", "-o", binary, "wisteriadyke")
-	build.Stderr = os.Stderr
-	if build.Run() != nil {
-		return 1
+		fmt.Fprintln(os.Stderr, err)
 	}
-	return m.Run()
+	os.Exit(code)
 }
 
 // TestSoak runs the seeds that have failed before and one more, or those that the environment names.
--- /dev/null
+++ b/standin/program/program.go
@@ -0,0 +1,27 @@
+// Package program builds the program under test for tests that run it as separate processes.
+package program
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+)
+
+// With builds the program, passes its path to run and returns what that returns; the program is removed then.
+func With(run func(binary string) int) (int, error) {
+	folder, err := os.MkdirTemp("", "wisteriadyke")
+	if err != nil {
+		return 1, errors.Wrap(err, "program under test")
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	binary := filepath.Join(folder, "wisteriadyke")
+	build := exec.CommandContext(context.Background(), "go", "build", "-o", binary, "wisteriadyke")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		return 1, errors.Wrap(err, "program under test")
+	}
+	return run(binary), nil
+}
