--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -172,6 +172,10 @@
 	ReasonResynchronizing Reason = "resynchronizing"
 	// ReasonNoMemory means that engines did not lend the memory that a large prompt needs.
 	ReasonNoMemory Reason = "no_memory"
+	// ReasonNoEndpoint means that no endpoint of the pool is in service.
+	ReasonNoEndpoint Reason = "no_endpoint"
+	// ReasonBehind means that the pool could not catch up with a long prompt without making many others late.
+	ReasonBehind Reason = "pool_behind"
 	// ReasonCold means that the endpoint is in a cold start and bears no more now.
 	ReasonCold Reason = "cold"
 )
--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -55,7 +55,7 @@
 func (c *Chooser) Choose(need placement.Need, role Role, now time.Time, note func(Choice)) (Choice, error) {
 	pool, found := c.Policy.Pool(need.Pool)
 	if !found {
-		return Choice{}, &reservation.Refusal{Reason: reservation.ReasonLeaving, RetryAfter: fullWait}
+		return Choice{}, &reservation.Refusal{Reason: reservation.ReasonNoEndpoint, RetryAfter: fullWait}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -73,7 +73,7 @@
 	}
 	states := c.Policy.quickOrder(pool, c.Views.View(), need)
 	if len(states) == 0 {
-		return Choice{}, &reservation.Refusal{Reason: reservation.ReasonLeaving, RetryAfter: fullWait}
+		return Choice{}, &reservation.Refusal{Reason: reservation.ReasonNoEndpoint, RetryAfter: fullWait}
 	}
 	refusal := &reservation.Refusal{Reason: reservation.ReasonQueueFull, RetryAfter: fullWait}
 	for i := range states {
@@ -88,7 +88,10 @@
 
 // chooseLong returns the best endpoints of a long prompt; the caller holds the lock.
 func (c *Chooser) chooseLong(pool routing.Pool, need placement.Need, role Role, now time.Time) (Choice, error) {
-	refusal := &reservation.Refusal{Reason: reservation.ReasonQueueFull, RetryAfter: behindWait}
+	if len(c.Policy.states(c.Views.View(), need)) == 0 {
+		return Choice{}, &reservation.Refusal{Reason: reservation.ReasonNoEndpoint, RetryAfter: fullWait}
+	}
+	refusal := &reservation.Refusal{Reason: reservation.ReasonBehind, RetryAfter: behindWait}
 	need.Excluded = maps.Clone(need.Excluded)
 	for range longTries {
 		plan, found := c.Policy.longPlan(pool, c.Views.View(), need)
--- a/core/sharedload/joint_test.go
+++ b/core/sharedload/joint_test.go
@@ -118,8 +118,8 @@
 				t.Fatalf("error = %v, want it taken: %t", err, tc.want)
 			}
 			var refusal *reservation.Refusal
-			if errors.As(err, &refusal) && refusal.RetryAfter < archiveObjective {
-				t.Errorf("told to come back after %v, while the pool still catches up", refusal.RetryAfter)
+			if errors.As(err, &refusal) && (refusal.RetryAfter < archiveObjective || refusal.Reason != reservation.ReasonBehind) {
+				t.Errorf("refused for %s, to come back after %v, while the pool still catches up", refusal.Reason, refusal.RetryAfter)
 			}
 		})
 	}
