--- a/core/sharedload/placers.go
+++ b/core/sharedload/placers.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"hash/fnv"
 	"net/netip"
 	"slices"
 	"sync"
@@ -275,16 +274,9 @@
 	slices.SortFunc(entries, func(a, b fleet.Entry) int {
 		return cmp.Or(
 			cmp.Compare(b.Processor, a.Processor),
-			cmp.Compare(entryRank(a.ID), entryRank(b.ID)),
+			cmp.Compare(rankOf(a.ID), rankOf(b.ID)),
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
 	return entries
 }
-
-// entryRank orders entries that have the same share of a processor.
-func entryRank(id fleet.EntryID) uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(id))
-	return h.Sum32()
-}
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -173,8 +173,8 @@
 	return cost
 }
 
-// rankOf gives endpoints an order that all entries agree on.
-func rankOf(id fleet.EndpointID) uint32 {
+// rankOf gives endpoints or entries an order that all entries agree on.
+func rankOf[ID ~string](id ID) uint32 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id))
 	return h.Sum32()
