Honor what endpoints say of themselves; bound answers without end

An endpoint that leaves says so in every answer (Server-Leaving), one that turns a request away may ask for a pause (503 with Retry-After), and bytes that are no answer may come without end. The gateway ignored the first two, read bodies of 4 MiB for any number of attempts at once, and cut store answers at 64 MiB silently.

Change: - core/discovery keeps departures by incarnation: one that leaves stays leaving whatever the registry lists, until a later one is listed. An announcement goes with usage reports to the entry that chooses. - core/outlier holds an endpoint for the pause that it asked for, with a small random time on top.

--- a/core/discovery/endpoint_list.go
+++ b/core/discovery/endpoint_list.go
@@ -2,7 +2,6 @@
 package discovery
 
 import (
-	"maps"
 	"sync"
 	"time"
 
@@ -12,15 +11,25 @@
 	"wisteriadyke/core/fleet"
 )
 
+// doubtedEndpoint is an endpoint that a restored registry lists although it was removed before.
+type doubtedEndpoint struct {
+	endpoint fleet.Endpoint
+	// listedFrom is the time from which the endpoint counts as listed.
+	listedFrom time.Time
+}
+
 // EndpointList applies the endpoints of the registry to the cluster state. Endpoints that disappear from the registry
-// during its outage, or shortly after, are retained until they have had time to register again. The fields must be set
-// before the first call of a method.
+// during its outage, or shortly after, are retained until they have had time to register again. An endpoint that is
+// known to leave remains so until the registry lists a later incarnation, whatever it lists before. The fields must be
+// set before the first call of a method.
 type EndpointList struct {
 	// State holds the Endpoints table, which the list writes.
 	State *clusterstate.State
 	// ReconnectGrace is how long after the end of an outage an endpoint is retained that disappeared during the outage. It
 	// is the time within which the registry guarantees that endpoints are registered again.
 	ReconnectGrace time.Duration
+	// LapseTime is the time after which the registry removes an endpoint that is silent.
+	LapseTime time.Duration
 	// RemovalGrace is how long an endpoint is retained that disappears within ReconnectGrace after an outage: it may not
 	// have registered again yet, or may be leaving.
 	RemovalGrace time.Duration
@@ -33,7 +42,11 @@
 	outageEndedAt time.Time
 	// retained holds when the endpoints that have disappeared expire. The zero time means that MarkReachable sets the
 	// expiry when the outage ends.
-	retained map[fleet.EndpointID]time.Time
+	retained   map[fleet.EndpointID]time.Time
+	departures departures
+	// doubted holds the endpoints that a restored registry lists although they were removed before, with the time from
+	// which they count as listed.
+	doubted map[fleet.EndpointID]doubtedEndpoint
 }
 
 // Replace replaces the rows of the table by a complete list of the registry. It removes endpoints that are not in the
@@ -41,30 +54,64 @@
 func (l *EndpointList) Replace(listed map[fleet.EndpointID]fleet.Endpoint, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	endpoints := maps.Clone(listed)
+	l.replace(listed, now, now.Add(l.RemovalGrace))
+}
+
+// Restore replaces the rows of the table by a complete list of a registry that came back from a copy some seconds old.
+// Endpoints that the copy lacks are retained for ReconnectGrace, so that they can register again. Endpoints that were
+// removed before but are in the copy are left out for LapseTime: by then, the registry has removed them again unless
+// they live.
+func (l *EndpointList) Restore(listed map[fleet.EndpointID]fleet.Endpoint, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unreachable = false
+	l.outageEndedAt = now
+	l.doubted = make(map[fleet.EndpointID]doubtedEndpoint)
+	believed := make(map[fleet.EndpointID]fleet.Endpoint, len(listed))
+	for id, endpoint := range listed {
+		if l.departures.removed(endpoint) {
+			l.doubted[id] = doubtedEndpoint{endpoint: endpoint, listedFrom: now.Add(l.LapseTime)}
+			l.Log.Info().Str("endpoint", string(id)).Uint64("incarnation", uint64(endpoint.Incarnation)).
+				Msg("discovery: restored registry lists a removed endpoint; leaving it out")
+			continue
+		}
+		believed[id] = endpoint
+	}
+	l.replace(believed, now, now.Add(l.ReconnectGrace))
+}
+
+// replace replaces the rows of the table by listed. It retains endpoints that are not in the list until retainUntil if
+// the registry is not stable; the caller holds the lock.
+func (l *EndpointList) replace(listed map[fleet.EndpointID]fleet.Endpoint, now, retainUntil time.Time) {
+	endpoints := make(map[fleet.EndpointID]fleet.Endpoint, len(listed))
+	for id, endpoint := range listed {
+		endpoints[id] = l.departures.apply(endpoint, now)
+	}
 	for id, endpoint := range l.State.Endpoints.Snapshot().Rows {
 		if _, found := listed[id]; found {
 			delete(l.retained, id)
 			continue
 		}
 		if l.registryStable(now) {
-			l.logRemoved(endpoint)
+			l.recordRemoval(endpoint, now)
 			continue
 		}
-		l.retain(id, now)
+		l.retain(id, retainUntil)
 		endpoints[id] = endpoint
 	}
-	for id, endpoint := range listed {
+	for id, endpoint := range endpoints {
 		l.logListed(id, endpoint)
 	}
 	l.State.Endpoints.Replace(endpoints)
 }
 
 // Put adds or replaces one endpoint that the registry has listed.
-func (l *EndpointList) Put(endpoint fleet.Endpoint) {
+func (l *EndpointList) Put(endpoint fleet.Endpoint, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	endpoint = l.departures.apply(endpoint, now)
 	l.logListed(endpoint.ID, endpoint)
+	delete(l.doubted, endpoint.ID)
 	delete(l.retained, endpoint.ID)
 	l.State.Endpoints.Set(endpoint.ID, endpoint)
 }
@@ -74,18 +121,46 @@
 func (l *EndpointList) Remove(id fleet.EndpointID, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	delete(l.doubted, id)
 	endpoint, found := l.State.Endpoints.Get(id)
 	if !found {
 		return
 	}
 	if !l.registryStable(now) {
-		l.retain(id, now)
+		l.retain(id, now.Add(l.RemovalGrace))
 		return
 	}
-	l.logRemoved(endpoint)
+	l.recordRemoval(endpoint, now)
 	l.State.Endpoints.Delete(id)
 }
 
+// MarkLeaving records that an incarnation of an endpoint has announced in a response that it leaves: to this entry if
+// own is set, else to another one.
+//
+// Load pattern: a rack of endpoints is emptied while the store is away, so that only their responses tell. Nothing more
+// is placed on them from the first such response on, well before their drain time is over.
+func (l *EndpointList) MarkLeaving(id fleet.EndpointID, incarnation fleet.Incarnation, own bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.departures.announce(id, incarnation, own, now) {
+		return
+	}
+	l.Log.Info().Str("endpoint", string(id)).Uint64("incarnation", uint64(incarnation)).Bool("own_response", own).
+		Msg("discovery: endpoint announced that it leaves")
+	endpoint, listed := l.State.Endpoints.Get(id)
+	if listed && endpoint.State != fleet.StateLeaving && endpoint.Incarnation <= incarnation {
+		endpoint.State = fleet.StateLeaving
+		l.State.Endpoints.Set(id, endpoint)
+	}
+}
+
+// Announced returns the incarnations of the endpoints that recently announced to this entry that they leave.
+func (l *EndpointList) Announced(now time.Time) map[fleet.EndpointID]fleet.Incarnation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.departures.announced(now)
+}
+
 // MarkUnreachable records that the registry cannot be reached, so that endpoints that disappear are retained.
 func (l *EndpointList) MarkUnreachable() {
 	l.mu.Lock()
@@ -111,22 +186,43 @@
 			continue
 		}
 		if endpoint, found := l.State.Endpoints.Get(id); found {
-			l.logRemoved(endpoint)
+			l.recordRemoval(endpoint, now)
 			l.State.Endpoints.Delete(id)
 		}
 		delete(l.retained, id)
 	}
+	l.listDoubted(now)
+	l.departures.dropOld(now)
 }
 
-// NextExpiry returns the time until the first retained endpoint expires, ReconnectGrace at most; it reports false if
-// none is retained.
+// listDoubted lists the doubted endpoints that the registry still lists after LapseTime; the caller holds the lock.
+func (l *EndpointList) listDoubted(now time.Time) {
+	for id, d := range l.doubted {
+		if now.Before(d.listedFrom) {
+			continue
+		}
+		delete(l.doubted, id)
+		endpoint := l.departures.apply(d.endpoint, now)
+		l.logListed(id, endpoint)
+		l.State.Endpoints.Set(id, endpoint)
+	}
+}
+
+// NextExpiry returns the time until the first retained endpoint expires, ReconnectGrace at most, or until the first
+// doubted one is listed; it reports false if there is neither.
 func (l *EndpointList) NextExpiry(now time.Time) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.retained) == 0 {
+	if len(l.retained) == 0 && len(l.doubted) == 0 {
 		return 0, false
 	}
-	earliest := l.ReconnectGrace
+	earliest := max(l.ReconnectGrace, l.LapseTime)
+	if len(l.retained) > 0 {
+		earliest = l.ReconnectGrace
+	}
+	for _, d := range l.doubted {
+		earliest = min(earliest, d.listedFrom.Sub(now))
+	}
 	for _, expiresAt := range l.retained {
 		if !expiresAt.IsZero() {
 			earliest = min(earliest, expiresAt.Sub(now))
@@ -141,8 +237,9 @@
 	return !l.unreachable && (l.outageEndedAt.IsZero() || now.Sub(l.outageEndedAt) >= l.ReconnectGrace)
 }
 
-// retain sets the expiry of an endpoint that has disappeared, unless it is set already; the caller holds the lock.
-func (l *EndpointList) retain(id fleet.EndpointID, now time.Time) {
+// retain sets the expiry of an endpoint that has disappeared, unless it is set already; during an outage MarkReachable
+// sets it when the outage ends. The caller holds the lock.
+func (l *EndpointList) retain(id fleet.EndpointID, until time.Time) {
 	if _, found := l.retained[id]; found {
 		return
 	}
@@ -150,11 +247,9 @@
 		l.retained = make(map[fleet.EndpointID]time.Time)
 	}
 	if l.unreachable {
-		// The zero time means that MarkReachable sets the expiry when the outage ends.
-		l.retained[id] = time.Time{}
-		return
+		until = time.Time{}
 	}
-	l.retained[id] = now.Add(l.RemovalGrace)
+	l.retained[id] = until
 }
 
 // logListed logs an endpoint that is new or has another incarnation or state; the caller holds the lock.
@@ -172,7 +267,8 @@
 		Msg("discovery: endpoint listed")
 }
 
-// logRemoved logs the removal of an endpoint from the table; retained endpoints are logged once they expire.
-func (l *EndpointList) logRemoved(endpoint fleet.Endpoint) {
+// recordRemoval remembers and logs that an endpoint was removed from the table; the caller holds the lock.
+func (l *EndpointList) recordRemoval(endpoint fleet.Endpoint, now time.Time) {
+	l.departures.remove(endpoint, now)
 	l.Log.Info().Str("endpoint", string(endpoint.ID)).Msg("discovery: endpoint removed")
 }
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -27,6 +27,8 @@
 	// maxRefusals is the number of refusals after which a request is aborted. It counts refused reservations whose
 	// reason is not transient, and attempts that an endpoint refused or never received.
 	maxRefusals = 4
+	// maxPauseSpread bounds the random time that is added to the end of a pause, so that callers do not return together.
+	maxPauseSpread = 400 * time.Millisecond
 	// releaseTimeout limits calls that release a reservation or broadcast a suspect record.
 	releaseTimeout = 2 * time.Second
 	// cancelTimeout limits calls that cancel an attempt at its engine.
@@ -60,6 +62,9 @@
 	// retryAfter is the shortest positive RetryAfter of all refusals; refusalReason is the reason of the latest one.
 	retryAfter    time.Duration
 	refusalReason string
+	// pausedUntil is the end of the first pause if all endpoints of the pool asked for one; the zero time means that they
+	// did not.
+	pausedUntil time.Time
 }
 
 // serve tries endpoints until the answer is complete or the request has failed.
@@ -217,6 +222,14 @@
 		r.transientRefusal = true
 		return nil
 	}
+	if refusal.Reason == reservation.ReasonPaused {
+		if r.position > r.request.ResumeAfter {
+			// The caller has a part of the answer and can't be refused; the pause may end in time.
+			r.transientRefusal = true
+			return nil
+		}
+		r.pausedUntil = time.Now().Add(refusal.RetryAfter)
+	}
 	if endpoint.ID == "" {
 		// Reservations chooses among all endpoints of the pool, so none of them accepts the request.
 		return r.finalFailure(ctx, r.refusalReason)
@@ -370,6 +383,10 @@
 	if reason == ReasonNoEndpoint && r.refusalReason != "" {
 		reason = r.refusalReason
 	}
+	if !r.pausedUntil.IsZero() {
+		// An earlier retry would be refused again.
+		return r.newFailure(reason, max(0, time.Until(r.pausedUntil))+rand.N(maxPauseSpread))
+	}
 	return r.newFailure(reason, jitter(max(r.retryAfter, defaultRetryAfter)))
 }
 
--- a/core/outlier/detector.go
+++ b/core/outlier/detector.go
@@ -1,8 +1,10 @@
-// Package outlier keeps requests away from endpoints that failed, with a back-off that grows with each failure.
+// Package outlier keeps requests away from endpoints that failed, with a back-off that grows with each failure, and from
+// those that asked for a pause.
 package outlier
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -14,6 +16,11 @@
 	initialBackoff = 600 * time.Millisecond
 	// maxBackoff bounds the back-off; a crashed endpoint restarts within a few seconds.
 	maxBackoff = 3 * time.Second
+	// maxPauseSpread bounds the random time that is added to the pause of an endpoint, so that the entries do not return
+	// to it together.
+	maxPauseSpread = 500 * time.Millisecond
+	// pauseSpreadShare is the share of a pause that is added at most.
+	pauseSpreadShare = 0.25
 )
 
 // record holds the failures of one incarnation of an endpoint since its last success; until is the end of the
@@ -24,13 +31,50 @@
 	until       time.Time
 }
 
-// Detector records the endpoints that recently failed. Its zero value is ready to use; it is safe for concurrent use.
+// pause is the time until which an incarnation of an endpoint asked to receive no requests from this entry.
+type pause struct {
+	incarnation fleet.Incarnation
+	until       time.Time
+}
+
+// Detector records the endpoints that recently failed or asked for a pause. Its zero value is ready to use; it is safe
+// for concurrent use.
 type Detector struct {
 	mu               sync.Mutex
 	records          map[fleet.EndpointID]record
+	pauses           map[fleet.EndpointID]pause
 	unreachableZones map[fleet.Zone]bool
 }
 
+// RecordPause records that an endpoint asked this entry to send no requests for a time. Unlike a back-off, a pause does
+// not end with a success, since answers to earlier requests may still arrive. It returns the end of the pause, which is
+// later than asked by a small random time.
+//
+// Load pattern: a burst fills the queue of an endpoint, which turns requests away with a time to return. All entries
+// stay away at once for that time, and return one after the other.
+func (d *Detector) RecordPause(endpoint fleet.EndpointID, incarnation fleet.Incarnation, asked time.Duration, now time.Time) time.Time {
+	spread := min(time.Duration(float64(asked)*pauseSpreadShare), maxPauseSpread)
+	until := now.Add(asked + rand.N(spread+1))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if known := d.pauses[endpoint]; known.incarnation > incarnation || known.incarnation == incarnation && known.until.After(until) {
+		return known.until
+	}
+	if d.pauses == nil {
+		d.pauses = make(map[fleet.EndpointID]pause)
+	}
+	d.pauses[endpoint] = pause{incarnation: incarnation, until: until}
+	return until
+}
+
+// PausedUntil returns the end of the pause of an endpoint; it reports false if the current incarnation is in none.
+func (d *Detector) PausedUntil(endpoint fleet.Endpoint, now time.Time) (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p, found := d.pauses[endpoint.ID]
+	return p.until, found && p.incarnation >= endpoint.Incarnation && now.Before(p.until)
+}
+
 // RecordUnreachable records that no connection to an endpoint could be opened. This counts as a failure, and the Prober
 // then probes all endpoints of the zone, since the whole zone may be unreachable.
 func (d *Detector) RecordUnreachable(endpoint fleet.Endpoint, now time.Time) {
@@ -43,14 +87,15 @@
 	d.unreachableZones[endpoint.Zone] = true
 }
 
-// dropUnlisted drops the records of endpoints that are no longer listed.
-func (d *Detector) dropUnlisted(listed map[fleet.EndpointID]fleet.Endpoint) {
+// dropUnlisted drops the records of endpoints that are no longer listed, and the pauses that are over.
+func (d *Detector) dropUnlisted(listed map[fleet.EndpointID]fleet.Endpoint, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	maps.DeleteFunc(d.records, func(id fleet.EndpointID, _ record) bool {
 		_, found := listed[id]
 		return !found
 	})
+	maps.DeleteFunc(d.pauses, func(_ fleet.EndpointID, p pause) bool { return !now.Before(p.until) })
 }
 
 // takeUnreachableZones returns and clears the zones of endpoints that were unreachable since the last call.
@@ -111,8 +156,12 @@
 	delete(d.records, endpoint.ID)
 }
 
-// Usable reports whether requests may be sent to an endpoint: whether its current incarnation is in no back-off.
+// Usable reports whether requests may be sent to an endpoint: whether its current incarnation is in no back-off and no
+// pause.
 func (d *Detector) Usable(endpoint fleet.Endpoint, now time.Time) bool {
+	if _, paused := d.PausedUntil(endpoint, now); paused {
+		return false
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r, found := d.records[endpoint.ID]
--- a/core/outlier/prober.go
+++ b/core/outlier/prober.go
@@ -54,7 +54,7 @@
 func (p *Prober) startProbes(ctx context.Context, group *errgroup.Group, now time.Time) {
 	zones := p.Detector.takeUnreachableZones()
 	listed := p.State.Endpoints.Snapshot().Rows
-	p.Detector.dropUnlisted(listed)
+	p.Detector.dropUnlisted(listed, now)
 	for _, endpoint := range listed {
 		if !zones[endpoint.Zone] && !p.Detector.probeDue(endpoint, now) || !p.startProbe(endpoint.ID) {
 			continue
--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -82,6 +82,8 @@
 	Endpoint fleet.EndpointID
 	// Address is where the helper listens.
 	Address netip.AddrPort
+	// Incarnation is the registered incarnation of the helper, or 0.
+	Incarnation fleet.Incarnation
 	// Ticket identifies the memory lease at the helper, or is "" if there is none.
 	Ticket string
 }
@@ -186,6 +188,9 @@
 	// ReasonPoolBehind means that the pool has no room for a long prompt, or could not catch up with it without making
 	// many other requests late.
 	ReasonPoolBehind Reason = "pool_behind"
+	// ReasonPaused means that all endpoints of the pool that are in service are unusable and that some of them asked this
+	// entry to send no requests for a time.
+	ReasonPaused Reason = "paused"
 	// ReasonCold means that the endpoint is in a cold start and has reached its limit; without endpoint owners, that an
 	// endpoint, which may be warm, has reached its rate limit.
 	ReasonCold Reason = "cold"
--- a/core/sharedload/chooser_set.go
+++ b/core/sharedload/chooser_set.go
@@ -34,6 +34,16 @@
 	// Settled is the largest number up to which all choices of the entry are settled: Usages includes them unless they
 	// failed, were discarded or have been released since.
 	Settled uint64
+	// Leaving holds the incarnations of the endpoints that recently announced to the entry that they leave.
+	Leaving map[fleet.EndpointID]fleet.Incarnation
+}
+
+// LeavingEndpoints holds which endpoints announced that they leave; *discovery.EndpointList implements it.
+type LeavingEndpoints interface {
+	// Announced returns the incarnations that recently announced to this entry that they leave.
+	Announced(now time.Time) map[fleet.EndpointID]fleet.Incarnation
+	// MarkLeaving records that an incarnation announced that it leaves, to this entry if own is set.
+	MarkLeaving(id fleet.EndpointID, incarnation fleet.Incarnation, own bool, now time.Time)
 }
 
 // ChooseRequest requests a choice from another entry.
@@ -81,6 +91,8 @@
 	Chooser *Chooser
 	// Transport reaches the other entries.
 	Transport Transport
+	// Leaving holds which endpoints announced that they leave; nil leaves it out of the reports.
+	Leaving LeavingEndpoints
 	// Log receives messages about entries that start or stop choosing or don't answer.
 	Log zerolog.Logger
 
@@ -133,7 +145,7 @@
 // choice; an error is a *reservation.Refusal.
 func (p *ChooserSet) HandleChoose(request ChooseRequest) (Choice, error) {
 	now := time.Now()
-	p.Usages.UpdatePeer(request.Report.Entry, request.Report.Usages, request.Report.Settled, now)
+	p.recordReport(request.Report, now)
 	p.Usages.RecordExclusions(request.Need.Excluded, now)
 	return p.Chooser.Choose(request.Need, request.Role, now, func(c Choice) {
 		p.Usages.AddPending(request.Report.Entry, request.Number, c.initialUsages(), now)
@@ -143,10 +155,21 @@
 // HandleUsage stores the usage report of another entry and returns the reply.
 func (p *ChooserSet) HandleUsage(report UsageReport) UsageReply {
 	now := time.Now()
-	p.Usages.UpdatePeer(report.Entry, report.Usages, report.Settled, now)
+	p.recordReport(report, now)
 	return UsageReply{Chooses: now.Sub(p.Started) >= startupDelay, Zones: p.reportingZones(now)}
 }
 
+// recordReport stores the usage of another entry and marks the endpoints that announced to it that they leave.
+func (p *ChooserSet) recordReport(report UsageReport, now time.Time) {
+	p.Usages.UpdatePeer(report.Entry, report.Usages, report.Settled, now)
+	if p.Leaving == nil {
+		return
+	}
+	for id, incarnation := range report.Leaving {
+		p.Leaving.MarkLeaving(id, incarnation, false, now)
+	}
+}
+
 // Reachable reports whether a zone is reachable: it is this entry's own zone, one of the zone's entries sent this entry
 // a usage report within peerTTL, or a reply of a chooser within peerTTL listed the zone.
 func (p *ChooserSet) Reachable(zone fleet.Zone) bool {
@@ -187,8 +210,12 @@
 // usageReport returns the usage report of this entry. It reads Settled before Usages, so that Usages covers all choices
 // up to Settled.
 func (p *ChooserSet) usageReport() UsageReport {
-	settled := p.lastSettled()
-	return UsageReport{Entry: p.Self.ID, Usages: p.Usages.Own(), Settled: settled}
+	report := UsageReport{Entry: p.Self.ID, Settled: p.lastSettled()}
+	report.Usages = p.Usages.Own()
+	if p.Leaving != nil {
+		report.Leaving = p.Leaving.Announced(time.Now())
+	}
+	return report
 }
 
 // startChoice returns the number of a new choice, which is outstanding until it is settled.
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -156,7 +156,12 @@
 
 // acceptsRequests reports whether an endpoint is live and usable and its zone is not drained.
 func (p *Policy) acceptsRequests(view placement.View, endpoint fleet.Endpoint, now time.Time) bool {
-	return endpoint.State == fleet.StateLive && !view.Zones[endpoint.Zone].Drained && p.Usable(endpoint, now)
+	return inService(view, endpoint) && p.Usable(endpoint, now)
+}
+
+// inService reports whether an endpoint is live and its zone is not drained.
+func inService(view placement.View, endpoint fleet.Endpoint) bool {
+	return endpoint.State == fleet.StateLive && !view.Zones[endpoint.Zone].Drained
 }
 
 // isQuick reports whether a prompt can be prefilled within maxQuickPrefill; calls to plain services are always quick.
--- a/core/sharedload/reporter.go
+++ b/core/sharedload/reporter.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-
-	"wisteriadyke/core/fleet"
 )
 
 const (
@@ -25,9 +23,10 @@
 	// Choosers finds the choosers.
 	Choosers *ChooserSet
 
-	// lastUsages is the usage at the latest check; version counts the checks that found it changed.
-	lastUsages map[fleet.EndpointID]Usage
-	version    uint64
+	// last is the report at the latest check; version counts the checks that found its usage or its leaving endpoints
+	// changed.
+	last    UsageReport
+	version uint64
 }
 
 // Run sends usage reports until ctx ends; it returns no error.
@@ -48,10 +47,10 @@
 // send sends the current usage to the entries that are due for a report; changed usage gets a new version.
 func (t *UsageReporter) send(ctx context.Context, group *errgroup.Group, now time.Time) {
 	report := t.Choosers.usageReport()
-	if !maps.Equal(report.Usages, t.lastUsages) {
-		t.lastUsages = report.Usages
+	if !maps.Equal(report.Usages, t.last.Usages) || !maps.Equal(report.Leaving, t.last.Leaving) {
 		t.version++
 	}
+	t.last = report
 	for _, entry := range t.Choosers.reportTargets(t.version, now) {
 		group.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/core/sharedload/reserver.go
+++ b/core/sharedload/reserver.go
@@ -63,6 +63,9 @@
 		WaitedAfterRefusal: request.WaitedAfterRefusal,
 		Excluded:           g.excluded(request, time.Now()),
 	}
+	if refusal := g.refusePaused(request.Pool, time.Now()); refusal != nil {
+		return reservation.Grant{}, refusal
+	}
 	for range maxChoices {
 		choice, settle, err := g.Choosers.Choose(ctx, need)
 		if err != nil {
@@ -80,6 +83,34 @@
 	return reservation.Grant{}, &reservation.Refusal{Reason: reservation.ReasonLeaving, RetryAfter: fullRetryAfter}
 }
 
+// refusePaused returns a refusal with the time until the first endpoint of a pool is usable if all endpoints in service
+// are unusable and one of them asked for a pause, else nil.
+//
+// Load pattern: a burst fills all queues of a pool, and all its endpoints ask for a pause. A request that waited for
+// one of them would hold its caller back until the deadline.
+func (g *Reserver) refusePaused(pool fleet.PoolName, now time.Time) *reservation.Refusal {
+	view := g.Views.View()
+	var earliest time.Time
+	paused := false
+	for _, endpoint := range view.Endpoints {
+		if endpoint.Pool != pool || !inService(view, endpoint) {
+			continue
+		}
+		if g.Policy.Usable(endpoint, now) {
+			return nil
+		}
+		until, found := g.Outliers.PausedUntil(endpoint, now)
+		paused = paused || found
+		if found && (earliest.IsZero() || until.Before(earliest)) {
+			earliest = until
+		}
+	}
+	if !paused {
+		return nil
+	}
+	return &reservation.Refusal{Reason: reservation.ReasonPaused, RetryAfter: earliest.Sub(now)}
+}
+
 // leaseHelperMemory acquires the memory leases at the helpers of a grant; if that fails, it releases the grant.
 func (g *Reserver) leaseHelperMemory(
 	ctx context.Context, granted reservation.Grant, choice Choice,
@@ -122,7 +153,8 @@
 	}
 	lookup(choice.Endpoint)
 	for i := range choice.Helpers {
-		choice.Helpers[i].Address = lookup(choice.Helpers[i].Endpoint).Address
+		helper := lookup(choice.Helpers[i].Endpoint)
+		choice.Helpers[i].Address, choice.Helpers[i].Incarnation = helper.Address, helper.Incarnation
 	}
 	return unusable
 }
--- /dev/null
+++ b/gateway/notices.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"wisteriadyke/core/discovery"
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/outlier"
+)
+
+// Counters of what endpoints say of themselves in their responses.
+const (
+	metricLeavingResponses = "endpoints.leaving_responses"
+	metricPauseRequests    = "endpoints.pause_requests"
+)
+
+// endpointNotices applies what endpoints say of themselves in their responses. It implements endpointclient.Notices.
+type endpointNotices struct {
+	endpoints *discovery.EndpointList
+	outliers  *outlier.Detector
+	metrics   metrics.Registry
+	log       zerolog.Logger
+}
+
+// AnnounceLeaving marks an incarnation of an endpoint as leaving.
+func (n *endpointNotices) AnnounceLeaving(id fleet.EndpointID, incarnation fleet.Incarnation) {
+	metrics.GetOrRegisterCounter(metricLeavingResponses, n.metrics).Inc(1)
+	n.endpoints.MarkLeaving(id, incarnation, true, time.Now())
+}
+
+// RequestPause keeps requests away from an endpoint for the time that it asked for.
+func (n *endpointNotices) RequestPause(id fleet.EndpointID, incarnation fleet.Incarnation, pause time.Duration) {
+	metrics.GetOrRegisterCounter(metricPauseRequests, n.metrics).Inc(1)
+	now := time.Now()
+	until := n.outliers.RecordPause(id, incarnation, pause, now)
+	n.log.Info().Str("endpoint", string(id)).Uint64("incarnation", uint64(incarnation)).Dur("asked_ms", pause).
+		Dur("held_ms", until.Sub(now)).Msg("outlier: endpoint asked for a pause")
+}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -12,6 +12,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"wisteriadyke/core/clusterstate"
 	"wisteriadyke/core/discovery"
@@ -45,6 +46,10 @@
 	// removalGrace is how long an endpoint that disappears soon after an outage is retained; together with one poll of the
 	// registry it stays below the drain time of endpoints.
 	removalGrace = 800 * time.Millisecond
+	// lapseTime is the time after which the registry removes an endpoint that is silent: three of its reports and a margin.
+	lapseTime = 5 * time.Second
+	// bodyMemoryShare is the share of the setting Memory for the bodies of answers that are not streams.
+	bodyMemoryShare = 0.1
 	// shutdownMargin is the part of the grace time that is left after requests in flight have been aborted, to flush
 	// logs.
 	shutdownMargin = 300 * time.Millisecond
@@ -91,6 +96,7 @@
 	store          *store.Client
 	usages         *sharedload.UsageTable
 	outliers       *outlier.Detector
+	endpoints      *discovery.EndpointList
 	endpointClient *endpointclient.Client
 	leases         *sharedload.MemoryLeases
 	views          *report.ViewCache
@@ -133,10 +139,19 @@
 	p.store = &store.Client{Address: p.Settings.Store, HTTP: store.NewHTTPClient()}
 	p.usages = &sharedload.UsageTable{}
 	p.outliers = &outlier.Detector{}
+	p.endpoints = &discovery.EndpointList{
+		State:          p.state,
+		ReconnectGrace: reconnectGrace,
+		RemovalGrace:   removalGrace,
+		LapseTime:      lapseTime,
+		Log:            p.Log,
+	}
 	p.endpointClient = &endpointclient.Client{
 		PooledHTTP:   endpointclient.NewPooledHTTPClient(),
 		UnpooledHTTP: endpointclient.NewUnpooledHTTPClient(),
 		Dialer:       &tcp.Dialer{Timeout: probeTimeout, AckTimeout: probeTimeout},
+		Notices:      &endpointNotices{endpoints: p.endpoints, outliers: p.outliers, metrics: p.metrics, log: p.Log},
+		BodyMemory:   semaphore.NewWeighted(int64(float64(p.Settings.Memory) * bodyMemoryShare * (1 << 20))),
 	}
 	p.buildChoosers()
 	p.leases = &sharedload.MemoryLeases{Entry: p.Settings.Entry, Memory: p.endpointClient, Log: p.Log}
@@ -166,11 +181,9 @@
 		Log:         p.Log,
 	}
 	registryWatcher := &store.RegistryWatcher{
-		Client: p.store,
-		Endpoints: &discovery.EndpointList{
-			State: p.state, ReconnectGrace: reconnectGrace, RemovalGrace: removalGrace, Log: p.Log,
-		},
-		Log: p.Log,
+		Client:    p.store,
+		Endpoints: p.endpoints,
+		Log:       p.Log,
 	}
 	entryDirectory := &store.EntryDirectory{Client: p.store, Self: p.self(), State: p.state, Log: p.Log}
 	usageReporter := &sharedload.UsageReporter{Choosers: p.choosers}
@@ -229,7 +242,8 @@
 			SuspectRecords: p.suspects,
 			Freshness:      p.peerExchange,
 		},
-		Log: p.Log,
+		Leaving: p.endpoints,
+		Log:     p.Log,
 	}
 }
 
--- a/io/jsonhttp/client.go
+++ b/io/jsonhttp/client.go
@@ -65,7 +65,7 @@
 	Status int
 	// Header holds the response headers.
 	Header http.Header
-	// Body is the response body, truncated to maxBodyBytes.
+	// Body is the response body.
 	Body []byte
 }
 
@@ -110,9 +110,16 @@
 
 // Do sends a request once and reads the response.
 //
-// It returns an *Error if it gets no complete response; an error status is not an error. The request has no GetBody, so
-// that net/http can't replay a request whose body may have been written.
+// It returns an *Error if it gets no complete response of at most maxBodyBytes; an error status is not an error. The
+// request has no GetBody, so that net/http can't replay a request whose body may have been written.
 func Do(ctx context.Context, client *http.Client, method, target string, body []byte) (Response, error) {
+	return DoWithLimit(ctx, client, method, target, body, maxBodyBytes)
+}
+
+// DoWithLimit is like Do, but the response body may have at most maxBytes.
+func DoWithLimit(
+	ctx context.Context, client *http.Client, method, target string, body []byte, maxBytes int64,
+) (Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, target, nil)
@@ -129,7 +136,10 @@
 		return Response{}, &Error{Certainty: certaintyOf(connected.Load()), Cause: err}
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
+	if err == nil && int64(len(content)) > maxBytes {
+		err = errors.Errorf("body exceeds %d bytes", maxBytes)
+	}
 	if err != nil {
 		return Response{}, &Error{Certainty: Unanswered, Cause: errors.Wrap(err, "read the answer")}
 	}
--- a/io/peer/usages.go
+++ b/io/peer/usages.go
@@ -133,12 +133,25 @@
 
 // toUsageSet converts a usage report to its message, without the suspect records (Deaths), which ReportUsage adds.
 func toUsageSet(report sharedload.UsageReport) *UsageSet {
-	return &UsageSet{Entry: string(report.Entry), Usages: toUsages(report.Usages), Settled: report.Settled}
+	m := &UsageSet{Entry: string(report.Entry), Usages: toUsages(report.Usages), Settled: report.Settled}
+	for id, incarnation := range report.Leaving {
+		m.Leaving = append(m.Leaving, &LeavingEndpoint{Endpoint: string(id), Incarnation: uint64(incarnation)})
+	}
+	return m
 }
 
 // fromUsageSet converts a message to a usage report.
 func fromUsageSet(m *UsageSet) sharedload.UsageReport {
-	return sharedload.UsageReport{Entry: fleet.EntryID(m.GetEntry()), Usages: fromUsages(m.GetUsages()), Settled: m.GetSettled()}
+	report := sharedload.UsageReport{
+		Entry:   fleet.EntryID(m.GetEntry()),
+		Usages:  fromUsages(m.GetUsages()),
+		Settled: m.GetSettled(),
+		Leaving: make(map[fleet.EndpointID]fleet.Incarnation, len(m.GetLeaving())),
+	}
+	for _, l := range m.GetLeaving() {
+		report.Leaving[fleet.EndpointID(l.Endpoint)] = fleet.Incarnation(l.Incarnation)
+	}
+	return report
 }
 
 // toUsages converts usages to messages.
--- a/standin/cierzo/endpoint.go
+++ b/standin/cierzo/endpoint.go
@@ -55,6 +55,7 @@
 	Intercept func(w http.ResponseWriter, r *http.Request, seen ReceivedRequest) bool
 
 	mu          sync.Mutex
+	leaving     bool
 	received    []ReceivedRequest
 	disconnects int
 	// reservations holds the end of the lease of each memory reservation by its ID.
@@ -101,6 +102,22 @@
 	s.Put("servers", k.ID, base64.StdEncoding.EncodeToString(record))
 }
 
+// Leave makes the endpoint say in all its answers that it leaves, and go on serving.
+func (k *Endpoint) Leave() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leaving = true
+}
+
+// Restart begins a new incarnation under the same ID and address: the endpoint no longer leaves, and Register states a
+// later start.
+func (k *Endpoint) Restart() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leaving = false
+	k.startedAtMs++
+}
+
 // Requests returns the requests received so far, except orders.
 func (k *Endpoint) Requests() []ReceivedRequest {
 	k.mu.Lock()
@@ -138,6 +155,11 @@
 
 // serve records and answers a request. It executes orders without recording them.
 func (k *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	k.mu.Lock()
+	if k.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	k.mu.Unlock()
 	if r.URL.Path == "/wisteriadyke/order" {
 		k.handleOrder(w, r)
 		return
