Read the store once for each zone; survive a store restored from a copy

The store may come back from a copy some seconds old: versions go back and are given out again, Store-Era rises. Watches kept the larger version, so changes were lost without a sign, a removed key came back at an entry that started then, drained zones and leaving endpoints were used again, and an entry's own row was lost for good. And each entry read three tables by itself: calls of the store were the largest price on the large and the grown deployments.

Change: - core/mirror: copies of tables by (era, version), which never go back; Sources decides whether an entry reads from the store or through one of the first two entries of its zone; Server answers them and refuses once the store has not answered for 1.4 s. io/peer carries it (rows.proto). - core/freshness.Evidence: which answers confirm the configuration after a restore and at the start; a newer configuration of a peer counts. - core/discovery.Restore, held drains, entries that write their row again; a configuration that the copy lacks is kept and passed on to entries that start.

--- a/core/freshness/poll_policy.go
+++ b/core/freshness/poll_policy.go
@@ -5,7 +5,7 @@
 const (
 	// shortWait is the longest wait of a poll by an entry with dependents, or with a stale confirmation. The age that
 	// such an entry reports is up to twice this wait, since it counts from the start of the previous poll.
-	shortWait = 800 * time.Millisecond
+	shortWait = 500 * time.Millisecond
 	// longWait is the longest wait of a poll by any other entry; a change ends the wait at once.
 	longWait = 10 * time.Second
 	// shortRetryDelay and longRetryDelay are the mean delays between polls while the store does not answer: the short one
--- /dev/null
+++ b/core/mirror/sources.go
@@ -0,0 +1,264 @@
+package mirror
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"wisteriadyke/core/clusterstate"
+	"wisteriadyke/core/fleet"
+)
+
+const (
+	// maxRelays is the number of entries of a zone through which the others may read. With one more, an entry whose zone
+	// is in trouble might not reach the store itself in time.
+	maxRelays = 2
+	// demandTTL is how long an entry goes on reading from the store after another entry has read through it. It exceeds
+	// the time between two polls of another entry.
+	demandTTL = 2500 * time.Millisecond
+	// initialRelayBackoff is how long an entry that failed is left alone; it doubles with each further failure up to
+	// maxRelayBackoff, since the rows of entries that are gone remain.
+	initialRelayBackoff = time.Second
+	maxRelayBackoff     = 30 * time.Second
+	// awayBackoff is how long an entry is left alone that doesn't reach the store.
+	awayBackoff = 400 * time.Millisecond
+	// awayMemory is how long the word of an entry counts that it doesn't reach the store.
+	awayMemory = 1500 * time.Millisecond
+	// awayWitnesses is the number of entries whose word is taken that the store is away.
+	awayWitnesses = 2
+)
+
+// relayState is what is known of an entry as a relay.
+type relayState struct {
+	failures     int
+	backoffUntil time.Time
+	// awayAt is when the entry last said that it doesn't reach the store.
+	awayAt time.Time
+	// probing reports whether a poll of an entry that failed before is in flight.
+	probing bool
+}
+
+// Sources decides through which entry this one reads the tables of the store. The first entries of each zone read from
+// the store, the others through the first of these that answers; an entry that others read through reads from the store
+// as well. Two entries of a zone that read from the store at the same time cost calls, but are not incorrect. The fields
+// must be set before use.
+//
+// Load pattern: hundreds of entries watch the same rows. Each change would wake as many calls of the store; instead it
+// wakes one for each zone. If the entry that reads for a zone dies, the others move to the next one, not to the store.
+type Sources struct {
+	// Self is this entry.
+	Self fleet.Entry
+	// State holds the entries of all zones.
+	State *clusterstate.State
+	// Log receives messages about changes of the source.
+	Log zerolog.Logger
+
+	ranking clusterstate.Ranking
+	mu      sync.Mutex
+	relays  map[fleet.EntryID]*relayState
+	// readers is the number of polls of other entries in progress; the last one ended at askedAt.
+	readers int
+	askedAt time.Time
+	// current is the relay that was chosen last, or "" for the store.
+	current fleet.EntryID
+	// demands is signaled when other entries begin to read through this one.
+	demands chan struct{}
+}
+
+// Demands returns a channel that receives a value when other entries begin to read through this one.
+func (s *Sources) Demands() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.demandChannel()
+}
+
+// demandChannel returns the channel of Demands; the caller holds the lock.
+func (s *Sources) demandChannel() chan struct{} {
+	if s.demands == nil {
+		s.demands = make(chan struct{}, 1)
+	}
+	return s.demands
+}
+
+// Choose returns the entry through which to read now; it reports false for the store itself.
+func (s *Sources) Choose(now time.Time) (fleet.Entry, bool) {
+	candidates := s.candidates()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.demanded(now) {
+		s.setCurrent("")
+		return fleet.Entry{}, false
+	}
+	for _, entry := range candidates {
+		state, known := s.relays[entry.ID]
+		switch {
+		case !known || state.failures == 0:
+		case now.Before(state.backoffUntil) || state.probing:
+			continue
+		default:
+			state.probing = true
+		}
+		s.setCurrent(entry.ID)
+		return entry, true
+	}
+	s.setCurrent("")
+	return fleet.Entry{}, false
+}
+
+// Preferred reports whether an entry, or the store if id is "", is still the one to read from. Unlike Choose it changes
+// nothing.
+func (s *Sources) Preferred(id fleet.EntryID, now time.Time) bool {
+	candidates := s.candidates()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.demanded(now) {
+		return id == ""
+	}
+	for _, entry := range candidates {
+		state, known := s.relays[entry.ID]
+		if entry.ID == id {
+			return true
+		}
+		if !known || state.failures == 0 || !now.Before(state.backoffUntil) && !state.probing {
+			return false
+		}
+	}
+	return id == ""
+}
+
+// Others returns entries from which this one can take what a restored store lacks: the best of its zone first, then the
+// best of the others.
+func (s *Sources) Others(now time.Time) []fleet.Entry {
+	ranked := s.ranking.Entries(&s.State.Entries)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var others []fleet.Entry
+	for _, sameZone := range []bool{true, false} {
+		for _, entry := range ranked {
+			state, known := s.relays[entry.ID]
+			if (entry.Zone == s.Self.Zone) != sameZone || entry.ID == s.Self.ID || known && now.Before(state.backoffUntil) {
+				continue
+			}
+			if others = append(others, entry); len(others) == maxRelays {
+				return others
+			}
+		}
+	}
+	return others
+}
+
+// RecordSuccess records that an entry answered.
+func (s *Sources) RecordSuccess(id fleet.EntryID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.relays, id)
+}
+
+// RecordFailure records that an entry did not answer, or that it answered that it doesn't reach the store.
+func (s *Sources) RecordFailure(id fleet.EntryID, storeAway bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.relay(id)
+	state.probing = false
+	state.failures++
+	if storeAway {
+		state.awayAt = now
+		state.failures = 1
+		state.backoffUntil = now.Add(awayBackoff)
+		return
+	}
+	state.backoffUntil = now.Add(min(initialRelayBackoff<<min(state.failures-1, 8), maxRelayBackoff))
+}
+
+// Abandon records that a poll of an entry was broken off by this one.
+func (s *Sources) Abandon(id fleet.EntryID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state, known := s.relays[id]; known {
+		state.probing = false
+	}
+}
+
+// StoreAway reports whether other entries recently said that they don't reach the store, so that asking it is of little
+// use.
+func (s *Sources) StoreAway(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	witnesses := 0
+	for _, state := range s.relays {
+		if !state.awayAt.IsZero() && now.Sub(state.awayAt) <= awayMemory {
+			witnesses++
+		}
+	}
+	return witnesses >= awayWitnesses
+}
+
+// BeginReading records that another entry reads through this one, until the returned function is called.
+func (s *Sources) BeginReading() (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.demanded(time.Now()) {
+		select {
+		case s.demandChannel() <- struct{}{}:
+		default:
+		}
+	}
+	s.readers++
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.readers--
+		s.askedAt = time.Now()
+	}
+}
+
+// Status returns the entry through which this one reads, or "" for the store, and the number of entries that are reading
+// through this one.
+func (s *Sources) Status() (relay fleet.EntryID, readers int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current, s.readers
+}
+
+// candidates returns the first entries of the zone that rank before this one, at most maxRelays.
+func (s *Sources) candidates() []fleet.Entry {
+	var candidates []fleet.Entry
+	for _, entry := range s.ranking.Entries(&s.State.Entries) {
+		if entry.ID == s.Self.ID || len(candidates) == maxRelays {
+			break
+		}
+		if entry.Zone == s.Self.Zone {
+			candidates = append(candidates, entry)
+		}
+	}
+	return candidates
+}
+
+// demanded reports whether other entries read through this one; the caller holds the lock.
+func (s *Sources) demanded(now time.Time) bool {
+	return s.readers > 0 || !s.askedAt.IsZero() && now.Sub(s.askedAt) <= demandTTL
+}
+
+// relay returns the state of an entry and creates it if necessary; the caller holds the lock.
+func (s *Sources) relay(id fleet.EntryID) *relayState {
+	state, known := s.relays[id]
+	if !known {
+		if s.relays == nil {
+			s.relays = make(map[fleet.EntryID]*relayState)
+		}
+		state = &relayState{}
+		s.relays[id] = state
+	}
+	return state
+}
+
+// setCurrent records and logs the source that was chosen; the caller holds the lock.
+func (s *Sources) setCurrent(id fleet.EntryID) {
+	if s.current == id {
+		return
+	}
+	s.Log.Info().Str("peer", string(id)).Str("before", string(s.current)).Int("readers", s.readers).
+		Msg("mirror: reading tables from another source")
+	s.current = id
+}
--- a/core/sharedload/chooser_set.go
+++ b/core/sharedload/chooser_set.go
@@ -1,7 +1,6 @@
 package sharedload
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"net/netip"
@@ -96,8 +95,9 @@
 	// Log receives messages about entries that start or stop choosing or don't answer.
 	Log zerolog.Logger
 
-	mu    sync.Mutex
-	peers map[fleet.EntryID]*peerState
+	ranking clusterstate.Ranking
+	mu      sync.Mutex
+	peers   map[fleet.EntryID]*peerState
 	// lastNumber is the number of the latest choice for this entry; outstanding holds the numbers that are not settled.
 	lastNumber  uint64
 	outstanding map[uint64]bool
@@ -308,19 +308,7 @@
 	return found && l.chooses
 }
 
-// rankedEntries returns all entries in the order of preference as choosers, which all entries agree on: by descending
-// CPU cores, then by rankOf.
+// rankedEntries returns all entries in the order of preference as choosers, which all entries agree on.
 func (p *ChooserSet) rankedEntries() []fleet.Entry {
-	var entries []fleet.Entry
-	for _, entry := range p.State.Entries.Snapshot().Rows {
-		entries = append(entries, entry)
-	}
-	slices.SortFunc(entries, func(a, b fleet.Entry) int {
-		return cmp.Or(
-			cmp.Compare(b.CPUCores, a.CPUCores),
-			cmp.Compare(rankOf(a.ID), rankOf(b.ID)),
-			cmp.Compare(a.ID, b.ID),
-		)
-	})
-	return entries
+	return p.ranking.Entries(&p.State.Entries)
 }
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 	"time"
 
@@ -145,7 +144,7 @@
 		})
 	}
 	slices.SortFunc(found, func(a, b endpointState) int {
-		return cmp.Or(cmp.Compare(rankOf(a.endpoint.ID), rankOf(b.endpoint.ID)), cmp.Compare(a.endpoint.ID, b.endpoint.ID))
+		return cmp.Or(cmp.Compare(fleet.Rank(a.endpoint.ID), fleet.Rank(b.endpoint.ID)), cmp.Compare(a.endpoint.ID, b.endpoint.ID))
 	})
 	for i := range found {
 		found[i].rank = i
@@ -195,10 +194,3 @@
 	}
 	return cost
 }
-
-// rankOf returns a hash of the ID of an endpoint or entry, by which all entries sort them in the same order.
-func rankOf[ID ~string](id ID) uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(id))
-	return h.Sum32()
-}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -20,6 +20,7 @@
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/freshness"
 	"wisteriadyke/core/lifecycle"
+	"wisteriadyke/core/mirror"
 	"wisteriadyke/core/outlier"
 	"wisteriadyke/core/report"
 	"wisteriadyke/core/retry"
@@ -93,7 +94,10 @@
 	timeline       *timeline.Recorder
 	suspects       *retry.Suspects
 	metrics        metrics.Registry
-	store          *store.Client
+	evidence       *freshness.Evidence
+	peers          *peer.Client
+	sources        *mirror.Sources
+	feed           *store.Feed
 	usages         *sharedload.UsageTable
 	outliers       *outlier.Detector
 	endpoints      *discovery.EndpointList
@@ -136,7 +140,21 @@
 		p.metrics.GetOrRegister(metricLinesDropped, metrics.NewFunctionalGauge(p.DroppedLogLines))
 	}
 	p.suspects = &retry.Suspects{Entry: p.Settings.Entry, DeathLimit: retry.NoTrialDeathLimit}
-	p.store = &store.Client{Address: p.Settings.Store, HTTP: store.NewHTTPClient()}
+	p.evidence = &freshness.Evidence{
+		Tracker: p.freshness,
+		Peers:   p.peerExchange,
+		Alone:   func() bool { return p.entryCount() <= 1 },
+		Log:     p.Log,
+	}
+	p.peers = peer.NewClient()
+	p.sources = &mirror.Sources{Self: p.self(), State: p.state, Log: p.Log}
+	p.feed = &store.Feed{
+		Client:  &store.Client{Address: p.Settings.Store, HTTP: store.NewHTTPClient()},
+		Sources: p.sources,
+		Relays:  &peer.RowsTransport{Client: p.peers, Clock: boottime.Now},
+		Clock:   boottime.Now,
+		Log:     p.Log,
+	}
 	p.usages = &sharedload.UsageTable{}
 	p.outliers = &outlier.Detector{}
 	p.endpoints = &discovery.EndpointList{
@@ -173,22 +191,32 @@
 // components returns the Run methods of all components except the server for callers.
 func (p *Process) components() []lifecycle.Component {
 	operatorWatcher := &store.OperatorWatcher{
-		Client:      p.store,
+		Feed:        p.feed,
 		ActiveTable: p.activeTable,
 		State:       p.state,
-		Freshness:   p.freshness,
+		Evidence:    p.evidence,
 		PollPolicy:  &freshness.PollPolicy{Tracker: p.freshness, HasDependents: p.hasDependents},
 		Log:         p.Log,
 	}
 	registryWatcher := &store.RegistryWatcher{
-		Client:    p.store,
+		Feed:      p.feed,
 		Endpoints: p.endpoints,
 		Log:       p.Log,
 	}
-	entryDirectory := &store.EntryDirectory{Client: p.store, Self: p.self(), State: p.state, Log: p.Log}
+	entryDirectory := &store.EntryDirectory{
+		Feed: p.feed, Self: p.self(), FirstStart: p.Settings.FirstStart, State: p.state, Log: p.Log,
+	}
 	usageReporter := &sharedload.UsageReporter{Choosers: p.choosers}
 	peerServer := &peer.Server{
 		Address: p.Settings.PeerAddress, Choosers: p.choosers, SuspectRecords: p.suspects, Freshness: p.peerExchange,
+		Rows: &mirror.Server{
+			Tables:    p.feed.Tables(),
+			Heartbeat: p.feed.Heartbeat(),
+			Sources:   p.sources,
+			StoreAway: p.feed.StoreAway,
+			Clock:     boottime.Now,
+		},
+		Clock: boottime.Now,
 	}
 	operatorServer := &operator.Server{
 		Address:  p.Settings.OperatorAddress,
@@ -198,7 +226,7 @@
 	}
 	prober := &outlier.Prober{State: p.state, Detector: p.outliers, Connect: p.endpointClient.Connect}
 	return []lifecycle.Component{
-		prober.Run, operatorServer.Run, operatorWatcher.Run, registryWatcher.Run, entryDirectory.Run, usageReporter.Run,
+		prober.Run, operatorServer.Run, p.feed.Run, operatorWatcher.Run, registryWatcher.Run, entryDirectory.Run, usageReporter.Run,
 		peerServer.Run, p.leases.Run,
 	}
 }
@@ -238,7 +266,7 @@
 		Usages:  p.usages,
 		Chooser: &sharedload.Chooser{State: p.state, Views: p.views, Policy: p.policy, Rate: p.maxRate},
 		Transport: &peer.UsageTransport{
-			Client:         peer.NewClient(),
+			Client:         p.peers,
 			SuspectRecords: p.suspects,
 			Freshness:      p.peerExchange,
 		},
@@ -325,9 +353,10 @@
 }
 
 // hasDependents reports whether other entries rely on this one for the freshness of their configuration. Entries that
-// send their usage to this one do.
+// send their usage to this one or read through it do.
 func (p *Process) hasDependents() bool {
-	return p.usages.HasReporters(time.Now())
+	_, readers := p.sources.Status()
+	return readers > 0 || p.usages.HasReporters(time.Now())
 }
 
 // entryCount returns the number of known entries, at least one.
@@ -335,10 +364,11 @@
 	return max(1, len(p.state.Entries.Snapshot().Rows))
 }
 
-// isReady reports whether the entry answers readiness probes with success: it has a configuration and is not shutting
-// down.
+// isReady reports whether the entry answers readiness probes with success: it has a configuration that was confirmed to
+// be the newest at some time, and is not shutting down.
 func (p *Process) isReady() bool {
-	return !p.shuttingDown.Load() && p.activeTable.Table() != nil
+	_, confirmed := p.freshness.Age()
+	return !p.shuttingDown.Load() && p.activeTable.Table() != nil && confirmed
 }
 
 // serveCallers serves until ctx ends. It then reports that the entry is not ready, goes on serving for BalancerDelay,
--- /dev/null
+++ b/gateway/relay_test.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/standin/cierzo"
+)
+
+// zoneEntries is the number of entries of the zone in the tests below.
+const zoneEntries = 6
+
+// startZone starts zoneEntries entries in zone a and waits until all but the first in rank read through that one. It
+// returns them in the order of their rank.
+func (w *cluster) startZone() []*runningEntry {
+	w.t.Helper()
+	for range zoneEntries {
+		address, found := w.storeAddresses[len(w.entries)+1]
+		if !found {
+			address = w.store.Address()
+		}
+		w.awaitEntry(w.launchEntry(address, "a"))
+	}
+	ranked := slices.Clone(w.entries)
+	slices.SortFunc(ranked, func(a, b *runningEntry) int {
+		return int(int64(fleet.Rank(a.settings.Entry)) - int64(fleet.Rank(b.settings.Entry)))
+	})
+	w.waitFor("the entries read through the first one", func() bool {
+		for _, e := range ranked[1:] {
+			if relay, _ := e.process.sources.Status(); relay != ranked[0].settings.Entry {
+				return false
+			}
+		}
+		_, readers := ranked[0].process.sources.Status()
+		return readers >= zoneEntries-1
+	})
+	return ranked
+}
+
+// configure writes a configuration version and returns the time until all given entries have it.
+func (w *cluster) configure(version int, entries []*runningEntry) time.Duration {
+	w.t.Helper()
+	cierzo.Configuration(w.store, version, map[string][]string{"acme": {testKey}}, cierzo.Routes()...)
+	start := time.Now()
+	w.waitFor("all entries have the new configuration", func() bool {
+		return !slices.ContainsFunc(entries, func(e *runningEntry) bool { return e.process.configurationVersion() < int64(version) })
+	})
+	return time.Since(start)
+}
+
+// TestOneEntryReadsForItsZone lets the entries of a zone watch the store while it changes. The calls of the store must not
+// grow with the number of entries.
+func TestOneEntryReadsForItsZone(t *testing.T) {
+	w := newCluster(t)
+	w.startEndpoint(&cierzo.Endpoint{ID: "i-1", Service: "services"})
+	ranked := w.startZone()
+	const watched = 3 * time.Second
+	before, start := w.store.Calls(), time.Now()
+	for version := 2; time.Since(start) < watched; version++ {
+		if took := w.configure(version, ranked); took > 500*time.Millisecond {
+			t.Errorf("version %d took %v to reach all entries", version, took)
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	// One entry polls the configuration twice a second and at each of the ten changes, and the two other tables.
+	if calls := w.store.Calls() - before; calls > 40 {
+		t.Errorf("%d calls of the store in %v, want at most 40", calls, watched)
+	}
+	for _, e := range ranked {
+		if got := w.send(e, call{method: http.MethodGet, uri: "/r/x"}); got.status != http.StatusOK {
+			t.Errorf("%s: answer = %+v", e.settings.Entry, got)
+		}
+	}
+}
+
+// TestNextEntryReadsForItsZone takes away the entry that reads for its zone. The others must learn of a change within
+// two seconds, the shortest time that the platform allows, and the calls of the store must not grow with their number.
+func TestNextEntryReadsForItsZone(t *testing.T) {
+	tests := map[string]func(w *cluster, first *runningEntry, faults *atomic.Int64){
+		"stops": func(_ *cluster, first *runningEntry, _ *atomic.Int64) { first.stop() },
+		"is refused by the store": func(_ *cluster, _ *runningEntry, faults *atomic.Int64) {
+			faults.Store(int64(cierzo.FaultUnavailable))
+		},
+		"gets no answer of the store": func(_ *cluster, _ *runningEntry, faults *atomic.Int64) {
+			faults.Store(int64(cierzo.FaultHang))
+		},
+	}
+	for name, takeAway := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newCluster(t)
+			w.startEndpoint(&cierzo.Endpoint{ID: "i-1", Service: "services"})
+			// The first in rank of the names that launchEntry gives.
+			firstNumber := 1
+			for number := 2; number <= zoneEntries; number++ {
+				if fleet.Rank(entryName(number)) < fleet.Rank(entryName(firstNumber)) {
+					firstNumber = number
+				}
+			}
+			var fault atomic.Int64
+			faulty, closeFaulty := w.store.ServeAt(func(*http.Request) cierzo.Fault { return cierzo.Fault(fault.Load()) })
+			defer closeFaulty()
+			w.storeAddresses = map[int]netip.AddrPort{firstNumber: faulty}
+			ranked := w.startZone()
+			if ranked[0].settings.Entry != entryName(firstNumber) {
+				t.Fatalf("first entry = %s, want %s", ranked[0].settings.Entry, entryName(firstNumber))
+			}
+			before := w.store.Calls()
+			takeAway(w, ranked[0], &fault)
+			time.Sleep(50 * time.Millisecond)
+			if took := w.configure(2, ranked[1:]); took > 2*time.Second {
+				t.Errorf("the change took %v to reach all entries, want at most 2s", took)
+			}
+			// The entry that lost the store goes on asking it, and the next one reads all tables.
+			if calls := w.store.Calls() - before; calls > 3*zoneEntries {
+				t.Errorf("%d calls of the store, want at most %d", calls, 3*zoneEntries)
+			}
+			for _, e := range ranked[1:] {
+				if got := w.send(e, call{method: http.MethodGet, uri: "/r/x"}); got.status != http.StatusOK {
+					t.Errorf("%s: answer = %+v", e.settings.Entry, got)
+				}
+			}
+		})
+	}
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -35,6 +35,10 @@
 	SuspectRecords SuspectRecords
 	// Freshness supplies the freshness of this entry's configuration for the replies to usage reports; nil leaves it out.
 	Freshness FreshnessSource
+	// Rows answers polls of the store's tables; nil disables the service.
+	Rows RowsReceiver
+	// Clock returns the time on the clock of the tables; it is required with Rows.
+	Clock func() time.Duration
 	// Client forwards probes for other entries; it is required with ProbeReceiver.
 	Client *Client
 }
@@ -70,6 +74,11 @@
 			return err
 		}
 	}
+	if s.Rows != nil {
+		if err := DRPCRegisterRows(mux, &rowsHandler{receiver: s.Rows, clock: s.Clock}); err != nil {
+			return err
+		}
+	}
 	if s.ProbeReceiver != nil {
 		if err := DRPCRegisterMember(mux, &memberHandler{receiver: s.ProbeReceiver, client: s.Client}); err != nil {
 			return err
--- a/io/peer/usages.go
+++ b/io/peer/usages.go
@@ -41,6 +41,8 @@
 	// Now returns the current time of the freshness tracker. It is read before an entry is called and then passed to
 	// Apply.
 	Now() time.Duration
+	// Hear records the configuration version of another entry, or 0 if it has none.
+	Hear(version int64)
 	// Apply applies the freshness in the reply of an entry that was called at calledAt: its configuration version, and the
 	// time since that was confirmed to be the newest.
 	Apply(calledAt time.Duration, version int64, age time.Duration)
@@ -69,8 +71,11 @@
 	if err != nil {
 		return sharedload.UsageReply{}, errors.Wrapf(err, "report usage to %s", to)
 	}
-	if t.Freshness != nil && reply.EvidenceAgeUs != nil {
-		t.Freshness.Apply(calledAt, reply.ConfigurationVersion, microseconds(*reply.EvidenceAgeUs))
+	if t.Freshness != nil {
+		t.Freshness.Hear(reply.ConfigurationVersion)
+		if reply.EvidenceAgeUs != nil {
+			t.Freshness.Apply(calledAt, reply.ConfigurationVersion, microseconds(*reply.EvidenceAgeUs))
+		}
 	}
 	mergeRecords(t.SuspectRecords, reply.Deaths, "", time.Now())
 	answer := sharedload.UsageReply{Chooses: reply.Chooses}
@@ -114,9 +119,11 @@
 	if h.freshness == nil {
 		return reply, nil
 	}
-	if version, age, known := h.freshness.Report(); known {
+	version, age, known := h.freshness.Report()
+	reply.ConfigurationVersion = version
+	if known {
 		us := age.Microseconds()
-		reply.ConfigurationVersion, reply.EvidenceAgeUs = version, &us
+		reply.EvidenceAgeUs = &us
 	}
 	return reply, nil
 }
--- a/io/settings/gateway.go
+++ b/io/settings/gateway.go
@@ -26,6 +26,8 @@
 	OperatorAddress netip.AddrPort `json:"metrics_address" check:"required"`
 	// Store is the address of the platform's store.
 	Store netip.AddrPort `json:"store" check:"required"`
+	// FirstStart specifies that the whole deployment starts for the first time, so that no entry is registered yet.
+	FirstStart bool `json:"first_start"`
 	// RevokeTime is how long an API key may still be accepted after its removal was acknowledged.
 	RevokeTime time.Duration `json:"revoke_time" check:"default=5s,min=1s,max=1h"`
 	// GraceTime is the time between the signal to stop and the end of the process.
--- a/standin/cierzo/store.go
+++ b/standin/cierzo/store.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -50,8 +51,11 @@
 type Store struct {
 	// Fault returns the fault for a request. Nil means no faults.
 	Fault func(r *http.Request) Fault
+	// LatePolls is how long after Restore the polls that were held are answered, as of before.
+	LatePolls time.Duration
 
 	mu      sync.Mutex
+	era     int64
 	version int64
 	// rows holds the rows by table and key.
 	rows map[[2]string]row
@@ -70,6 +74,53 @@
 	s.server = httptest.NewServer(http.HandlerFunc(s.serve))
 }
 
+// Copy is the content of a store at one moment.
+type Copy struct {
+	version int64
+	rows    map[[2]string]row
+	log     []row
+}
+
+// Copy returns the present content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{version: s.version, rows: maps.Clone(s.rows), log: slices.Clone(s.log)}
+}
+
+// Restore replaces the content by that of a copy and begins a new era: what was written since the copy is lost, and its
+// versions are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.version, s.rows, s.log = c.version, maps.Clone(c.rows), slices.Clone(c.log)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Row returns the value of a row, and whether it exists.
+func (s *Store) Row(table, key string) (value string, found bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, found := s.rows[[2]string{table, key}]
+	return r.Value, found
+}
+
+// Keys returns the keys of a table in ascending order.
+func (s *Store) Keys(table string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for id := range s.rows {
+		if id[0] == table {
+			keys = append(keys, id[1])
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // ServeAt also serves the rows on another free port, with its own faults. It returns the address and a function that
 // stops serving there.
 func (s *Store) ServeAt(fault func(r *http.Request) Fault) (netip.AddrPort, func()) {
@@ -137,6 +188,7 @@
 func (s *Store) serveWithFaults(w http.ResponseWriter, r *http.Request, decide func(r *http.Request) Fault) {
 	s.mu.Lock()
 	s.calls++
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 	s.mu.Unlock()
 	fault := FaultNone
 	if decide != nil {
@@ -206,8 +258,24 @@
 	wait, _ := strconv.Atoi(query.Get("waitMs"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	s.mu.Lock()
+	era, lastVersion := s.era, s.version
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
+		if s.era != era {
+			s.mu.Unlock()
+			time.Sleep(s.LatePolls)
+			w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
+			writeJSON(w, map[string]any{"rows": []row{}, "ver": lastVersion})
+			return
+		}
+		if after > s.version {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		lastVersion = s.version
 		rows := []row{}
 		for _, change := range s.log {
 			if change.Table == query.Get("table") && change.Version > after {
