--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -15,6 +16,18 @@
 // zoneEntries is the number of entries of the zone in the tests below.
 const zoneEntries = 6
 
+// rankedNumbers returns the numbers of the entries that startZone starts, in the order of their rank.
+func rankedNumbers() []int {
+	numbers := make([]int, zoneEntries)
+	for i := range numbers {
+		numbers[i] = i + 1
+	}
+	slices.SortFunc(numbers, func(a, b int) int {
+		return cmp.Compare(fleet.Rank(entryName(a)), fleet.Rank(entryName(b)))
+	})
+	return numbers
+}
+
 // startZone starts zoneEntries entries in zone a and waits until all but the first in rank read through that one. It
 // returns them in the order of their rank.
 func (w *cluster) startZone() []*runningEntry {
@@ -26,10 +39,10 @@
 		}
 		w.awaitEntry(w.launchEntry(address, "a"))
 	}
-	ranked := slices.Clone(w.entries)
-	slices.SortFunc(ranked, func(a, b *runningEntry) int {
-		return int(int64(fleet.Rank(a.settings.Entry)) - int64(fleet.Rank(b.settings.Entry)))
-	})
+	var ranked []*runningEntry
+	for _, number := range rankedNumbers() {
+		ranked = append(ranked, w.entries[number-1])
+	}
 	w.waitFor("the entries read through the first one", func() bool {
 		for _, e := range ranked[1:] {
 			if relay, _ := e.process.sources.Status(); relay != ranked[0].settings.Entry {
@@ -94,13 +107,7 @@
 		t.Run(name, func(t *testing.T) {
 			w := newCluster(t)
 			w.startEndpoint(&cierzo.Endpoint{ID: "i-1", Service: "services"})
-			// The first in rank of the names that launchEntry gives.
-			firstNumber := 1
-			for number := 2; number <= zoneEntries; number++ {
-				if fleet.Rank(entryName(number)) < fleet.Rank(entryName(firstNumber)) {
-					firstNumber = number
-				}
-			}
+			firstNumber := rankedNumbers()[0]
 			var fault atomic.Int64
 			faulty, closeFaulty := w.store.ServeAt(func(*http.Request) cierzo.Fault { return cierzo.Fault(fault.Load()) })
 			defer closeFaulty()
@@ -127,3 +134,38 @@
 		})
 	}
 }
+
+// TestRefusedEntryReadsThroughTheNext makes the store refuse the entry that reads for the zone and another one. The latter
+// must read all tables through the next entry in rank, and must not go on asking the store.
+func TestRefusedEntryReadsThroughTheNext(t *testing.T) {
+	w := newCluster(t)
+	w.startEndpoint(&cierzo.Endpoint{ID: "i-1", Service: "services"})
+	var refusing atomic.Bool
+	var refused atomic.Int64
+	faulty, closeFaulty := w.store.ServeAt(func(*http.Request) cierzo.Fault {
+		if !refusing.Load() {
+			return cierzo.FaultNone
+		}
+		refused.Add(1)
+		return cierzo.FaultReset
+	})
+	defer closeFaulty()
+	numbers := rankedNumbers()
+	w.storeAddresses = map[int]netip.AddrPort{numbers[0]: faulty, numbers[zoneEntries-1]: faulty}
+	ranked := w.startZone()
+	refusing.Store(true)
+	time.Sleep(3 * time.Second)
+	// The first entry tries again after 0.2 s or more; the other one may try each table once or twice.
+	if n := refused.Load(); n > 25 {
+		t.Errorf("%d refused calls of the store in 3s, want at most 25", n)
+	}
+	second := ranked[1].settings.Entry
+	if relay, _ := ranked[zoneEntries-1].process.sources.Status(); relay != second {
+		t.Errorf("the refused entry reads through %q, want %q", relay, second)
+	}
+	w.startEndpoint(&cierzo.Endpoint{ID: "i-2", Service: "services"})
+	w.waitFor("the refused entry knows the new endpoint", func() bool {
+		_, found := ranked[zoneEntries-1].process.state.Endpoints.Get("i-2")
+		return found
+	})
+}
