Don't count another entry's loss of the store as an outage

The logs: the store refused the first entry of a zone, which told the second so every 0.4 s. That marked the registry of the second as unreachable each time, although it read from the store by itself, so that removed endpoints were retained for as long as that went on (2.4 s after the store's word).

An entry that the store refuses reads through another one of its zone, also if it is the first in rank (until now it went on without news); it tries the store again every second.

--- a/core/mirror/sources.go
+++ b/core/mirror/sources.go
@@ -25,6 +25,9 @@
 	awayBackoff = 400 * time.Millisecond
 	// awayMemory is how long the word of an entry counts that it doesn't reach the store.
 	awayMemory = 1500 * time.Millisecond
+	// directRetryInterval is how long an entry that doesn't reach the store reads through others before it tries the store
+	// again.
+	directRetryInterval = time.Second
 	// awayWitnesses is the number of entries whose word is taken that the store is away.
 	awayWitnesses = 2
 )
@@ -39,9 +42,9 @@
 	probing bool
 }
 
-// Sources decides through which entry this one reads the tables of the store. The first entries of each zone read from
-// the store, the others through the first of these that answers; an entry that others read through reads from the store
-// as well. Two entries of a zone that read from the store at the same time cost calls, but are not incorrect. The fields
+// Sources decides through which entry this one reads the tables of the store. The first entry of each zone reads from the
+// store, the others through it or, if it fails, through the second; an entry that others read through reads from the
+// store as well. An entry that doesn't reach the store reads through any of the first ones. Two entries of a zone that read from the store at the same time cost calls, but are not incorrect. The fields
 // must be set before use.
 //
 // Load pattern: hundreds of entries watch the same rows. Each change would wake as many calls of the store; instead it
@@ -60,6 +63,8 @@
 	// readers is the number of polls of other entries in progress; the last one ended at askedAt.
 	readers int
 	askedAt time.Time
+	// storeFailedUntil is until when this entry doesn't count as reaching the store, after a call that failed.
+	storeFailedUntil time.Time
 	// current is the relay that was chosen last, or "" for the store.
 	current fleet.EntryID
 	// demands is signaled when other entries begin to read through this one.
@@ -83,14 +88,9 @@
 
 // Choose returns the entry through which to read now; it reports false for the store itself.
 func (s *Sources) Choose(now time.Time) (fleet.Entry, bool) {
-	candidates := s.candidates()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.demanded(now) {
-		s.setCurrent("")
-		return fleet.Entry{}, false
-	}
-	for _, entry := range candidates {
+	for _, entry := range s.candidates(now) {
 		state, known := s.relays[entry.ID]
 		switch {
 		case !known || state.failures == 0:
@@ -109,13 +109,9 @@
 // Preferred reports whether an entry, or the store if id is "", is still the one to read from. Unlike Choose it changes
 // nothing.
 func (s *Sources) Preferred(id fleet.EntryID, now time.Time) bool {
-	candidates := s.candidates()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.demanded(now) {
-		return id == ""
-	}
-	for _, entry := range candidates {
+	for _, entry := range s.candidates(now) {
 		state, known := s.relays[entry.ID]
 		if entry.ID == id {
 			return true
@@ -221,20 +217,44 @@
 	return s.current, s.readers
 }
 
-// candidates returns the first entries of the zone that rank before this one, at most maxRelays.
-func (s *Sources) candidates() []fleet.Entry {
+// candidates returns the entries through which this one may read, the best first: the first maxRelays of the zone, as
+// far as they rank before this one. It returns none if others read through this entry, and also later ones of the zone if
+// this entry doesn't reach the store. The caller holds the lock.
+func (s *Sources) candidates(now time.Time) []fleet.Entry {
+	storeFailed := now.Before(s.storeFailedUntil)
+	if !storeFailed && s.demanded(now) {
+		return nil
+	}
+	limit := maxRelays
+	if storeFailed {
+		limit++
+	}
 	var candidates []fleet.Entry
 	for _, entry := range s.ranking.Entries(&s.State.Entries) {
-		if entry.ID == s.Self.ID || len(candidates) == maxRelays {
-			break
-		}
-		if entry.Zone == s.Self.Zone {
+		switch {
+		case len(candidates) == limit, entry.ID == s.Self.ID && !storeFailed:
+			return candidates
+		case entry.Zone == s.Self.Zone && entry.ID != s.Self.ID:
 			candidates = append(candidates, entry)
 		}
 	}
 	return candidates
 }
 
+// RecordStoreFailure records that a call of the store failed.
+func (s *Sources) RecordStoreFailure(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeFailedUntil = now.Add(directRetryInterval)
+}
+
+// RecordStoreSuccess records that a call of the store succeeded.
+func (s *Sources) RecordStoreSuccess() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeFailedUntil = time.Time{}
+}
+
 // demanded reports whether other entries read through this one; the caller holds the lock.
 func (s *Sources) demanded(now time.Time) bool {
 	return s.readers > 0 || !s.askedAt.IsZero() && now.Sub(s.askedAt) <= demandTTL
--- a/core/mirror/sources_test.go
+++ b/core/mirror/sources_test.go
@@ -64,6 +64,27 @@
 		"the first answers again": {
 			cores: 1, steps: func(s *Sources) { s.RecordFailure("a4", false, start); s.RecordSuccess("a4") }, want: "a4",
 		},
+		"first of the zone, store failed": {
+			cores: 5, steps: func(s *Sources) { s.RecordStoreFailure(start) }, want: "a4",
+		},
+		"first of the zone, store failed a while ago": {
+			cores: 5, steps: func(s *Sources) { s.RecordStoreFailure(start) }, after: directRetryInterval,
+		},
+		"first of the zone, store failed and answered": {
+			cores: 5, steps: func(s *Sources) { s.RecordStoreFailure(start); s.RecordStoreSuccess() },
+		},
+		"others read through it, store failed": {
+			cores: 3.5, steps: func(s *Sources) { s.BeginReading(); s.RecordStoreFailure(start) }, want: "a4",
+		},
+		"all before it and the store failed": {
+			cores: 2.5,
+			steps: func(s *Sources) {
+				s.RecordFailure("a4", false, start)
+				s.RecordFailure("a3", false, start)
+				s.RecordStoreFailure(start)
+			},
+			want: "a2",
+		},
 		"others read through it": {cores: 1, steps: func(s *Sources) { s.BeginReading() }},
 	}
 	for name, tc := range tests {
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -119,7 +119,11 @@
 			before := w.store.Calls()
 			takeAway(w, ranked[0], &fault)
 			time.Sleep(50 * time.Millisecond)
-			if took := w.configure(2, ranked[1:]); took > 2*time.Second {
+			reached := ranked
+			if name == "stops" {
+				reached = ranked[1:]
+			}
+			if took := w.configure(2, reached); took > 2*time.Second {
 				t.Errorf("the change took %v to reach all entries, want at most 2s", took)
 			}
 			// The entry that lost the store goes on asking it, and the next one reads all tables.
@@ -169,3 +173,35 @@
 		return found
 	})
 }
+
+// TestRemovalIsNotDelayedByARelay makes the store refuse the first entry of a zone. Another entry, which then reads from
+// the store, must drop a removed endpoint at once: that the first one lost the store is no outage for it.
+func TestRemovalIsNotDelayedByARelay(t *testing.T) {
+	w := newCluster(t)
+	w.startEndpoint(&cierzo.Endpoint{ID: "i-1", Service: "services"})
+	leaving := w.startEndpoint(&cierzo.Endpoint{ID: "i-2", Service: "services"})
+	var refusing atomic.Bool
+	faulty, closeFaulty := w.store.ServeAt(func(*http.Request) cierzo.Fault {
+		if refusing.Load() {
+			return cierzo.FaultUnavailable
+		}
+		return cierzo.FaultNone
+	})
+	defer closeFaulty()
+	w.storeAddresses = map[int]netip.AddrPort{rankedNumbers()[0]: faulty}
+	ranked := w.startZone()
+	refusing.Store(true)
+	time.Sleep(time.Second)
+	w.store.Remove("servers", leaving.ID)
+	removedAt := time.Now()
+	for _, e := range ranked {
+		w.waitFor("the removed endpoint is dropped", func() bool {
+			_, found := e.process.state.Endpoints.Get("i-2")
+			return !found
+		})
+	}
+	// The registry is polled every 0.4 s, and the drain time of endpoints is two seconds.
+	if elapsed := time.Since(removedAt); elapsed > 1500*time.Millisecond {
+		t.Errorf("the removal took %v to reach all entries, want at most 1.5s", elapsed)
+	}
+}
