--- a/gateway/process.go
+++ b/gateway/process.go
@@ -75,9 +75,6 @@
 	probeTimeout = 300 * time.Millisecond
 )
 
-// metricLinesDropped is the name of the gauge of log lines dropped because the output was too slow.
-const metricLinesDropped = "log.lines_dropped"
-
 // Process is one entry process. Its fields must be set before Run.
 type Process struct {
 	// Settings configures the entry and its components.
@@ -137,24 +134,10 @@
 	p.timeline = &timeline.Recorder{Entry: p.Settings.Entry}
 	p.metrics = metrics.NewRegistry()
 	if p.DroppedLogLines != nil {
-		p.metrics.GetOrRegister(metricLinesDropped, metrics.NewFunctionalGauge(p.DroppedLogLines))
+		p.registerGauge(metricLinesDropped, p.DroppedLogLines)
 	}
 	p.suspects = &retry.Suspects{Entry: p.Settings.Entry, DeathLimit: retry.NoTrialDeathLimit}
-	p.evidence = &freshness.Evidence{
-		Tracker: p.freshness,
-		Peers:   p.peerExchange,
-		Alone:   func() bool { return p.entryCount() <= 1 },
-		Log:     p.Log,
-	}
-	p.peers = peer.NewClient()
-	p.sources = &mirror.Sources{Self: p.self(), State: p.state, Log: p.Log}
-	p.feed = &store.Feed{
-		Client:  &store.Client{Address: p.Settings.Store, HTTP: store.NewHTTPClient()},
-		Sources: p.sources,
-		Relays:  &peer.RowsTransport{Client: p.peers, Clock: boottime.Now},
-		Clock:   boottime.Now,
-		Log:     p.Log,
-	}
+	p.buildFeed()
 	p.usages = &sharedload.UsageTable{}
 	p.outliers = &outlier.Detector{}
 	p.endpoints = &discovery.EndpointList{
@@ -209,14 +192,7 @@
 	usageReporter := &sharedload.UsageReporter{Choosers: p.choosers}
 	peerServer := &peer.Server{
 		Address: p.Settings.PeerAddress, Choosers: p.choosers, SuspectRecords: p.suspects, Freshness: p.peerExchange,
-		Rows: &mirror.Server{
-			Tables:    p.feed.Tables(),
-			Heartbeat: p.feed.Heartbeat(),
-			Sources:   p.sources,
-			StoreAway: p.feed.StoreAway,
-			Clock:     boottime.Now,
-		},
-		Clock: boottime.Now,
+		Rows: p.tableServer(), Clock: boottime.Now,
 	}
 	operatorServer := &operator.Server{
 		Address:  p.Settings.OperatorAddress,
@@ -352,13 +328,6 @@
 	return max(1, len(zones))
 }
 
-// hasDependents reports whether other entries rely on this one for the freshness of their configuration. Entries that
-// send their usage to this one or read through it do.
-func (p *Process) hasDependents() bool {
-	_, readers := p.sources.Status()
-	return readers > 0 || p.usages.HasReporters(time.Now())
-}
-
 // entryCount returns the number of known entries, at least one.
 func (p *Process) entryCount() int {
 	return max(1, len(p.state.Entries.Snapshot().Rows))
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -17,6 +17,7 @@
 		Zones:                 operator.ZoneStatuses(p.state),
 		Entries:               operator.EntryStatuses(p.state),
 		Endpoints:             p.endpointStatuses(),
+		Tables:                p.tablesStatus(),
 	}
 	for _, record := range p.suspects.Records() {
 		if record.Quarantined() {
@@ -26,6 +27,16 @@
 	return status
 }
 
+// tablesStatus returns how this entry reads the tables of the store.
+func (p *Process) tablesStatus() *operator.TablesStatus {
+	relay, readers := p.sources.Status()
+	status := &operator.TablesStatus{Relay: relay, Readers: readers, Era: p.feed.Client.Era(), ConfirmedAgeMs: -1}
+	if age, confirmed := p.freshness.Age(); confirmed {
+		status.ConfirmedAgeMs = age.Milliseconds()
+	}
+	return status
+}
+
 // endpointStatuses returns the status of all known endpoints in order of ID.
 func (p *Process) endpointStatuses() []operator.EndpointStatus {
 	totals := p.usages.Totals(time.Now())
--- /dev/null
+++ b/gateway/tables.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"wisteriadyke/core/freshness"
+	"wisteriadyke/core/mirror"
+	"wisteriadyke/io/boottime"
+	"wisteriadyke/io/peer"
+	"wisteriadyke/platform/store"
+)
+
+// Names of gauges.
+const (
+	// metricLinesDropped is the number of log lines dropped because the output was too slow.
+	metricLinesDropped = "log.lines_dropped"
+	// metricTableReaders is the number of polls of other entries that this entry holds; metricTablesRelayed is 1 if it
+	// reads through another entry itself, else 0.
+	metricTableReaders  = "mirror.readers"
+	metricTablesRelayed = "mirror.relayed"
+	// metricStoreEra is the latest era of the store.
+	metricStoreEra = "store.era"
+)
+
+// buildFeed creates the components that read the tables of the store.
+func (p *Process) buildFeed() {
+	p.evidence = &freshness.Evidence{
+		Tracker: p.freshness,
+		Peers:   p.peerExchange,
+		Alone:   func() bool { return p.entryCount() <= 1 },
+		Log:     p.Log,
+	}
+	p.peers = peer.NewClient()
+	p.sources = &mirror.Sources{Self: p.self(), State: p.state, Log: p.Log}
+	p.feed = &store.Feed{
+		Client:  &store.Client{Address: p.Settings.Store, HTTP: store.NewHTTPClient()},
+		Sources: p.sources,
+		Relays:  &peer.RowsTransport{Client: p.peers, Clock: boottime.Now},
+		Clock:   boottime.Now,
+		Log:     p.Log,
+	}
+	p.registerGauge(metricTableReaders, func() int64 {
+		_, readers := p.sources.Status()
+		return int64(readers)
+	})
+	p.registerGauge(metricTablesRelayed, func() int64 {
+		if relay, _ := p.sources.Status(); relay != "" {
+			return 1
+		}
+		return 0
+	})
+	p.registerGauge(metricStoreEra, p.feed.Client.Era)
+}
+
+// tableServer returns the component that answers the polls of other entries.
+func (p *Process) tableServer() *mirror.Server {
+	return &mirror.Server{
+		Tables:    p.feed.Tables(),
+		Heartbeat: p.feed.Heartbeat(),
+		Sources:   p.sources,
+		StoreAway: p.feed.StoreAway,
+		Clock:     boottime.Now,
+	}
+}
+
+// hasDependents reports whether other entries rely on this one for the freshness of their configuration. Entries that
+// send their usage to this one or read through it do.
+func (p *Process) hasDependents() bool {
+	_, readers := p.sources.Status()
+	return readers > 0 || p.usages.HasReporters(time.Now())
+}
+
+// registerGauge registers a gauge whose value is that of a function.
+func (p *Process) registerGauge(name string, value func() int64) {
+	p.metrics.GetOrRegister(name, metrics.NewFunctionalGauge(value))
+}
--- a/io/operator/status.go
+++ b/io/operator/status.go
@@ -30,6 +30,20 @@
 	// Quarantined is the number of requests that are not run any more, because too many endpoints died while running
 	// them.
 	Quarantined int
+	// Tables describes how the entry reads the tables of the platform's store; nil if it doesn't read them as a gateway.
+	Tables *TablesStatus
+}
+
+// TablesStatus is how an entry reads the tables of the platform's store.
+type TablesStatus struct {
+	// Relay is the entry through which it reads, or "" if it reads from the store.
+	Relay fleet.EntryID `json:"relay"`
+	// Readers is the number of polls of other entries that it holds.
+	Readers int `json:"readers"`
+	// Era is the latest era of the store that it knows.
+	Era int64 `json:"era"`
+	// ConfirmedAgeMs is the time since its configuration was confirmed to be the newest, or -1 if it never was.
+	ConfirmedAgeMs int64 `json:"confirmed_age_ms"`
 }
 
 // ZoneStatus is the state of one availability zone.
@@ -80,6 +94,7 @@
 	Endpoints             []EndpointStatus `json:"endpoints"`
 	OnTrial               int              `json:"suspects"`
 	Quarantined           int              `json:"quarantined"`
+	Tables                *TablesStatus    `json:"tables,omitempty"`
 }
 
 // handleStatus serves GET /v1/status with one JSON object.
