--- a/core/mirror/sources.go
+++ b/core/mirror/sources.go
@@ -23,21 +23,15 @@
 	maxRelayBackoff     = 30 * time.Second
 	// awayBackoff is how long an entry is left alone that doesn't reach the store.
 	awayBackoff = 400 * time.Millisecond
-	// awayMemory is how long the word of an entry counts that it doesn't reach the store.
-	awayMemory = 1500 * time.Millisecond
 	// directRetryInterval is how long an entry that doesn't reach the store reads through others before it tries the store
 	// again.
 	directRetryInterval = time.Second
-	// awayWitnesses is the number of entries whose word is taken that the store is away.
-	awayWitnesses = 2
 )
 
 // relayState is what is known of an entry as a relay.
 type relayState struct {
 	failures     int
 	backoffUntil time.Time
-	// awayAt is when the entry last said that it doesn't reach the store.
-	awayAt time.Time
 	// probing reports whether a poll of an entry that failed before is in flight.
 	probing bool
 }
@@ -65,7 +59,7 @@
 	askedAt time.Time
 	// storeFailedUntil is until when this entry doesn't count as reaching the store, after a call that failed.
 	storeFailedUntil time.Time
-	// current is the relay that was chosen last, or "" for the store.
+	// current is the relay that answered last, or "" for the store.
 	current fleet.EntryID
 	// demands is signaled when other entries begin to read through this one.
 	demands chan struct{}
@@ -99,10 +93,8 @@
 		default:
 			state.probing = true
 		}
-		s.setCurrent(entry.ID)
 		return entry, true
 	}
-	s.setCurrent("")
 	return fleet.Entry{}, false
 }
 
@@ -149,22 +141,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.relays, id)
+	s.setCurrent(id)
 }
 
-// RecordFailure records that an entry did not answer, or that it answered that it doesn't reach the store.
-func (s *Sources) RecordFailure(id fleet.EntryID, storeAway bool, now time.Time) {
+// RecordFailure records that an entry did not answer, or that it answered that it doesn't reach the store. It reports
+// whether the entry had not failed since its last answer.
+func (s *Sources) RecordFailure(id fleet.EntryID, storeAway bool, now time.Time) (first bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := s.relay(id)
+	first = state.failures == 0
 	state.probing = false
-	state.failures++
 	if storeAway {
-		state.awayAt = now
 		state.failures = 1
 		state.backoffUntil = now.Add(awayBackoff)
-		return
+		return first
 	}
+	state.failures++
 	state.backoffUntil = now.Add(min(initialRelayBackoff<<min(state.failures-1, 8), maxRelayBackoff))
+	return first
 }
 
 // Abandon records that a poll of an entry was broken off by this one.
@@ -176,20 +171,6 @@
 	}
 }
 
-// StoreAway reports whether other entries recently said that they don't reach the store, so that asking it is of little
-// use.
-func (s *Sources) StoreAway(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	witnesses := 0
-	for _, state := range s.relays {
-		if !state.awayAt.IsZero() && now.Sub(state.awayAt) <= awayMemory {
-			witnesses++
-		}
-	}
-	return witnesses >= awayWitnesses
-}
-
 // BeginReading records that another entry reads through this one, until the returned function is called.
 func (s *Sources) BeginReading() (end func()) {
 	s.mu.Lock()
@@ -209,7 +190,7 @@
 	}
 }
 
-// Status returns the entry through which this one reads, or "" for the store, and the number of entries that are reading
+// Status returns the entry that answered this one last, or "" for the store, and the number of entries that are reading
 // through this one.
 func (s *Sources) Status() (relay fleet.EntryID, readers int) {
 	s.mu.Lock()
@@ -253,6 +234,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.storeFailedUntil = time.Time{}
+	s.setCurrent("")
 }
 
 // demanded reports whether other entries read through this one; the caller holds the lock.
@@ -273,7 +255,7 @@
 	return state
 }
 
-// setCurrent records and logs the source that was chosen; the caller holds the lock.
+// setCurrent records and logs the source that answered; the caller holds the lock.
 func (s *Sources) setCurrent(id fleet.EntryID) {
 	if s.current == id {
 		return
--- a/core/mirror/sources_test.go
+++ b/core/mirror/sources_test.go
@@ -102,21 +102,6 @@
 	}
 }
 
-// TestStoreAwayTakesTwoWitnesses checks that the word of two entries counts, for awayMemory.
-func TestStoreAwayTakesTwoWitnesses(t *testing.T) {
-	start := time.Unix(1000, 0)
-	s := newTestSources(1)
-	s.RecordFailure("a4", true, start)
-	s.RecordFailure("a3", false, start)
-	if s.StoreAway(start) {
-		t.Error("away by the word of one entry and the silence of another")
-	}
-	s.RecordFailure("a3", true, start)
-	if !s.StoreAway(start.Add(awayMemory)) || s.StoreAway(start.Add(awayMemory+1)) {
-		t.Error("the word of two entries doesn't count for awayMemory")
-	}
-}
-
 // TestOthersPreferTheZone checks that an entry that needs what the store lacks asks its own zone first.
 func TestOthersPreferTheZone(t *testing.T) {
 	s := newTestSources(5)
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -205,3 +205,24 @@
 		t.Errorf("the removal took %v to reach all entries, want at most 1.5s", elapsed)
 	}
 }
+
+// TestZoneAfterAnOutage lets the store fall silent for all entries. Each entry must learn of a change soon after the
+// store's return: the platform counts on it three seconds after, and on the change two seconds after that.
+func TestZoneAfterAnOutage(t *testing.T) {
+	w := newCluster(t)
+	w.startEndpoint(&cierzo.Endpoint{ID: "i-1", Service: "services"})
+	var silent atomic.Bool
+	w.store.Fault = func(*http.Request) cierzo.Fault {
+		if silent.Load() {
+			return cierzo.FaultHang
+		}
+		return cierzo.FaultNone
+	}
+	ranked := w.startZone()
+	silent.Store(true)
+	time.Sleep(4 * time.Second)
+	silent.Store(false)
+	if took := w.configure(2, ranked); took > 2*time.Second {
+		t.Errorf("the change took %v to reach all entries, want at most 2s", took)
+	}
+}
