Soak: let the store come back from a copy

Change: at random times the store returns to a copy of 0.15 to 2.5 s before; operators and endpoints write their rows again within 0.8 s. The draws come from a stream of their own, so that the other faults of a seed stay as they are.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -18,6 +18,10 @@
 	maxFaultDuration = 2500 * time.Millisecond
 	// meanFaultInterval is the mean time between the starts of two consecutive faults.
 	meanFaultInterval = 350 * time.Millisecond
+	// maxRestorePause bounds the time between two restores of the store; maxRewriteDelay bounds the time after one until
+	// operators and endpoints have written their rows again.
+	maxRestorePause = 8 * time.Second
+	maxRewriteDelay = 800 * time.Millisecond
 	// excuseTime is how long after the end of a fault it still excuses violations, since the entry's own timeouts have to
 	// expire first.
 	excuseTime = 1500 * time.Millisecond
@@ -299,6 +303,49 @@
 	w.configure()
 }
 
+// runRestores lets the store come back from an older copy at random times, for the time total. It has its own random
+// source, so that the other faults of a seed stay the same.
+func (w *deployment) runRestores(r *rand.Rand, total time.Duration, log func(format string, args ...any)) {
+	started := time.Now()
+	for {
+		pause := time.Duration(r.Int64N(int64(maxRestorePause)))
+		age := minFaultDuration + time.Duration(r.Int64N(int64(maxFaultDuration-minFaultDuration)))
+		rewriteDelay := time.Duration(r.Int64N(int64(maxRewriteDelay)))
+		if time.Since(started)+pause+age > total {
+			return
+		}
+		time.Sleep(pause)
+		copied := w.store.Copy()
+		time.Sleep(age)
+		log("%6.2fs store comes back from a copy that is %v old", time.Since(started).Seconds(), age.Round(time.Millisecond))
+		w.recordSpan(&w.storeFaults, func() {
+			w.store.Restore(copied)
+			time.Sleep(rewriteDelay)
+			w.rewriteRows()
+		})
+	}
+}
+
+// rewriteRows writes again what operators and endpoints have written: the current configuration and the states of all
+// endpoints.
+func (w *deployment) rewriteRows() {
+	w.stateMu.Lock()
+	defer w.stateMu.Unlock()
+	cierzo.Configuration(w.store, w.version, w.keys, cierzo.Routes()...)
+	for _, e := range w.endpoints {
+		state := "ready"
+		if _, draining := w.drainingSince[e.ID]; draining {
+			state = "draining"
+		}
+		e.Register(w.store, state)
+	}
+	for _, e := range w.removedEndpoints {
+		if _, found := w.store.Row("servers", e.ID); found {
+			w.store.Remove("servers", e.ID)
+		}
+	}
+}
+
 // recentStoreFault reports whether the store or the connections to it had a fault within the last startTime.
 func (w *deployment) recentStoreFault() bool {
 	w.stateMu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,6 +28,8 @@
 	// late counts as a stall; minStall is an eighth of the callers' deadline.
 	stallCheckPeriod = 50 * time.Millisecond
 	minStall         = 500 * time.Millisecond
+	// restoreStream distinguishes the random numbers for restores of the store from those for the other faults.
+	restoreStream = 1
 	// defaultEntries is the default number of entries in a run.
 	defaultEntries = 5
 )
@@ -117,7 +119,14 @@
 		violations <- w.checkPeriodically(checkCtx)
 		return nil
 	})
-	w.runFaults(r, time.Duration(envInt("SOAK_SECONDS", int(faultTime/time.Second)))*time.Second, t.Logf)
+	total := time.Duration(envInt("SOAK_SECONDS", int(faultTime/time.Second))) * time.Second
+	var restoreGroup errgroup.Group
+	restoreGroup.Go(func() error {
+		w.runRestores(rand.New(rand.NewPCG(seed, restoreStream)), total, t.Logf)
+		return nil
+	})
+	w.runFaults(r, total, t.Logf)
+	_ = restoreGroup.Wait()
 	w.checkRecovery()
 	stopCallers()
 	time.Sleep(leakTime)
