Count the store's first answer as soon as another entry has replied

Change: the first reply of another entry decides on the latest answer again.

Run: core/freshness and the key, restore and peer tests of gateway pass; TestFirstReplyConfirms covers replies with the same, no and a newer version.

--- a/core/freshness/evidence.go
+++ b/core/freshness/evidence.go
@@ -51,8 +51,9 @@
 	restored   bool
 	restoredAt time.Duration
 	rewritten  bool
-	// reason is why the latest answer did not count, or "".
+	// reason is why the latest answer did not count, or ""; latest is that answer.
 	reason string
+	latest Answer
 }
 
 // MarkRestored records that the store came back from a copy of earlier rows.
@@ -77,12 +78,28 @@
 	if !e.started {
 		e.started, e.startedAt = true, e.Tracker.Now()
 	}
+	return e.decide(answer)
+}
+
+// Reconsider decides again on the latest answer if it did not count, since another entry has replied.
+func (e *Evidence) Reconsider() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.reason != "" {
+		e.decide(e.latest)
+	}
+}
+
+// decide confirms the configuration by an answer unless doubt returns a reason, and reports whether it did; the caller
+// holds the lock.
+func (e *Evidence) decide(answer Answer) bool {
 	reason := e.doubt(answer)
 	if reason != e.reason {
 		e.Log.Info().Str("reason", reason).Str("before", e.reason).Dur("since_restore_ms", e.Tracker.Now()-e.restoredAt).
 			Msg("freshness: answers of the store began or ceased to confirm the configuration")
 		e.reason = reason
 	}
+	e.latest = answer
 	if reason != "" {
 		return false
 	}
--- a/core/freshness/evidence_test.go
+++ b/core/freshness/evidence_test.go
@@ -54,3 +54,25 @@
 		})
 	}
 }
+
+// TestFirstReplyConfirms checks that an answer of the store that lacked only the word of another entry counts as soon as
+// one has replied, and doesn't if that one knows a newer configuration.
+func TestFirstReplyConfirms(t *testing.T) {
+	for name, version := range map[string]int64{"same version": 4, "no version": 0, "newer version": 5} {
+		t.Run(name, func(t *testing.T) {
+			now := 10 * time.Second
+			tracker := &Tracker{Clock: func() time.Duration { return now }}
+			peers := &PeerExchange{Tracker: tracker, Version: func() int64 { return 4 }}
+			e := &Evidence{Tracker: tracker, Peers: peers, Alone: func() bool { return false }}
+			peers.OnFirstReply = e.Reconsider
+			if e.Observe(Answer{RequestedAt: now}) {
+				t.Fatal("confirmed before any reply")
+			}
+			now += 50 * time.Millisecond
+			peers.Hear(version)
+			if age, confirmed := tracker.Age(); confirmed != (version <= 4) || confirmed && age != 50*time.Millisecond {
+				t.Errorf("confirmed = %t with age %v, want %t with 50ms", confirmed, age, version <= 4)
+			}
+		})
+	}
+}
--- a/core/freshness/peer_exchange.go
+++ b/core/freshness/peer_exchange.go
@@ -12,6 +12,8 @@
 	Tracker *Tracker
 	// Version returns the version of the current configuration, or 0 if there is none.
 	Version func() int64
+	// OnFirstReply is called when another entry has replied for the first time; nil means that nothing is called.
+	OnFirstReply func()
 
 	mu sync.Mutex
 	// heard reports whether any entry replied; newest is the newest version that one had, heard first at newestAt.
@@ -38,11 +40,15 @@
 // Hear records the version of another entry's configuration, or 0 if it has none.
 func (t *PeerExchange) Hear(version int64) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	first := !t.heard
 	t.heard = true
 	if version > t.newest {
 		t.newest, t.newestAt = version, t.Tracker.Now()
 	}
+	t.mu.Unlock()
+	if first && t.OnFirstReply != nil {
+		t.OnFirstReply()
+	}
 }
 
 // Heard reports whether any other entry has replied.
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -32,6 +32,7 @@
 		Alone:   func() bool { return p.entryCount() <= 1 },
 		Log:     p.Log,
 	}
+	p.peerExchange.OnFirstReply = p.evidence.Reconsider
 	p.peers = peer.NewClient()
 	p.sources = &mirror.Sources{Self: p.self(), State: p.state, Log: p.Log}
 	p.feed = &store.Feed{
