--- a/core/freshness/evidence.go
+++ b/core/freshness/evidence.go
@@ -95,8 +95,11 @@
 func (e *Evidence) decide(answer Answer) bool {
 	reason := e.doubt(answer)
 	if reason != e.reason {
-		e.Log.Info().Str("reason", reason).Str("before", e.reason).Dur("since_restore_ms", e.Tracker.Now()-e.restoredAt).
-			Msg("freshness: answers of the store began or ceased to confirm the configuration")
+		line := e.Log.Info().Str("reason", reason).Str("before", e.reason)
+		if e.restored {
+			line = line.Dur("since_restore_ms", e.Tracker.Now()-e.restoredAt)
+		}
+		line.Msg("freshness: answers of the store began or ceased to confirm the configuration")
 		e.reason = reason
 	}
 	e.latest = answer
