Wrap two long lines of core/mirror

Cause: read as a newcomer; a comment and a literal ran over the line.

Change: layout and the wording of two comments.

Run: gofmt lists nothing; go build ./core/... passes.

--- a/core/mirror/sources.go
+++ b/core/mirror/sources.go
@@ -38,8 +38,8 @@
 
 // Sources decides through which entry this one reads the tables of the store. The first entry of each zone reads from the
 // store, the others through it or, if it fails, through the second; an entry that others read through reads from the
-// store as well. An entry that doesn't reach the store reads through any of the first ones. Two entries of a zone that read from the store at the same time cost calls, but are not incorrect. The fields
-// must be set before use.
+// store as well. An entry that doesn't reach the store reads through any of the first ones. Two entries of a zone that
+// read from the store at the same time cost calls, but are not incorrect. The fields must be set before use.
 //
 // Load pattern: hundreds of entries watch the same rows. Each change would wake as many calls of the store; instead it
 // wakes one for each zone. If the entry that reads for a zone dies, the others move to the next one, not to the store.
@@ -115,8 +115,8 @@
 	return id == ""
 }
 
-// Others returns entries from which this one can take what a restored store lacks: the best of its zone first, then the
-// best of the others.
+// Others returns entries from which this one can take what a restored store lacks, at most maxRelays: the first in rank of
+// its zone, then the first of the other zones.
 func (s *Sources) Others(now time.Time) []fleet.Entry {
 	ranked := s.ranking.Entries(&s.State.Entries)
 	s.mu.Lock()
--- a/core/mirror/table.go
+++ b/core/mirror/table.go
@@ -140,7 +140,8 @@
 		return Update{}, false
 	}
 	u := Update{
-		Position: t.position, After: after.Version, Direct: t.direct, AnsweredAt: t.answeredAt, Confirmed: t.confirmed, ConfirmedAt: t.confirmedAt,
+		Position: t.position, After: after.Version, Direct: t.direct,
+		AnsweredAt: t.answeredAt, Confirmed: t.confirmed, ConfirmedAt: t.confirmedAt,
 	}
 	if !synced || after.Era != t.position.Era || after.Version < t.logStart {
 		u.Whole = true
