Leave out what a restored registry lists and the entry had not

An entry that had started after the endpoint was removed never knew it, took the copy's row for a live endpoint, and used it when it chose for itself, as an entry does while the one that chooses is too slow.

Change: an endpoint that the copy lists and the table had not was removed after the copy; it is left out for the lapse time of the registry, as one whose removal this entry saw. The test asserts the list of both entries, so that it no longer depends on who chooses.

--- a/core/discovery/departures.go
+++ b/core/discovery/departures.go
@@ -87,10 +87,10 @@
 	d.gone[endpoint.ID] = departure{incarnation: endpoint.Incarnation, at: now}
 }
 
-// removed reports whether the registry has removed this or a later incarnation of an endpoint.
-func (d *departures) removed(endpoint fleet.Endpoint) bool {
+// restarted reports whether the registry has removed an endpoint of which this is a later incarnation.
+func (d *departures) restarted(endpoint fleet.Endpoint) bool {
 	known, found := d.gone[endpoint.ID]
-	return found && endpoint.Incarnation <= known.incarnation
+	return found && endpoint.Incarnation > known.incarnation
 }
 
 // setLeaving stores the departure of an endpoint that leaves.
--- a/core/discovery/endpoint_list.go
+++ b/core/discovery/endpoint_list.go
@@ -11,7 +11,7 @@
 	"wisteriadyke/core/fleet"
 )
 
-// doubtedEndpoint is an endpoint that a restored registry lists although it was removed before.
+// doubtedEndpoint is an endpoint that a restored registry lists although it was not in the table before.
 type doubtedEndpoint struct {
 	endpoint fleet.Endpoint
 	// listedFrom is the time from which the endpoint counts as listed.
@@ -44,8 +44,8 @@
 	// expiry when the outage ends.
 	retained   map[fleet.EndpointID]time.Time
 	departures departures
-	// doubted holds the endpoints that a restored registry lists although they were removed before, with the time from
-	// which they count as listed.
+	// doubted holds the endpoints that a restored registry lists although they were not in the table before, with the time
+	// from which they count as listed.
 	doubted map[fleet.EndpointID]doubtedEndpoint
 }
 
@@ -58,9 +58,9 @@
 }
 
 // Restore replaces the rows of the table by a complete list of a registry that came back from a copy some seconds old.
-// Endpoints that the copy lacks are retained for ReconnectGrace, so that they can register again. Endpoints that were
-// removed before but are in the copy are left out for LapseTime: by then, the registry has removed them again unless
-// they live.
+// Endpoints that the copy lacks are retained for ReconnectGrace, so that they can register again. Endpoints that are in the
+// copy but not in the table were removed after the copy, even if this entry never knew them. They are left out for
+// LapseTime: by then, the registry has removed them again unless they live.
 func (l *EndpointList) Restore(listed map[fleet.EndpointID]fleet.Endpoint, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -69,7 +69,8 @@
 	l.doubted = make(map[fleet.EndpointID]doubtedEndpoint)
 	believed := make(map[fleet.EndpointID]fleet.Endpoint, len(listed))
 	for id, endpoint := range listed {
-		if l.departures.removed(endpoint) {
+		_, known := l.State.Endpoints.Get(id)
+		if !known && !l.departures.restarted(endpoint) {
 			l.doubted[id] = doubtedEndpoint{endpoint: endpoint, listedFrom: now.Add(l.LapseTime)}
 			l.Log.Info().Str("endpoint", string(id)).Uint64("incarnation", uint64(endpoint.Incarnation)).
 				Msg("discovery: restored registry lists a removed endpoint; leaving it out")
--- a/core/discovery/endpoint_list_test.go
+++ b/core/discovery/endpoint_list_test.go
@@ -196,6 +196,14 @@
 				l.MarkReachable(at(time.Second + lapse))
 			},
 		},
+		"never known, then in a restored registry": {
+			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
+				l.Remove("a", at(0))
+				l.departures = departures{}
+				l.Restore(listed(live(5)), at(time.Second))
+				l.MarkReachable(at(time.Second + lapse - 1))
+			},
+		},
 		"later incarnation in a restored registry": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
 				l.Remove("a", at(0))
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -80,10 +80,18 @@
 	})
 	w.waitFor("the second entry is ready", func() bool { return second.readyStatus() == http.StatusOK })
 	before := len(draining.Requests()) + len(removed.Requests()) + len(drained.Requests())
+	w.waitFor("the second entry knows the endpoints", func() bool {
+		_, found := second.process.state.Endpoints.Get("i-1")
+		return found
+	})
 	w.store.Restore(copied)
 	for start := time.Now(); time.Since(start) < 3*time.Second; time.Sleep(20 * time.Millisecond) {
 		for _, entry := range w.entries {
 			w.send(entry, streamCall)
+			// An entry that gets no answer of the one that chooses for it chooses by what it knows itself.
+			if endpoint, found := entry.process.state.Endpoints.Get("i-3"); found {
+				t.Fatalf("%s lists the removed endpoint as %s", entry.settings.Entry, endpoint.State)
+			}
 		}
 	}
 	after := len(draining.Requests()) + len(removed.Requests()) + len(drained.Requests())
