--- a/core/dispatch/diagnose.go
+++ b/core/dispatch/diagnose.go
@@ -16,15 +16,15 @@
 )
 
 // diagnosis is the state of an endpoint whose attempt broke.
-type diagnosis int
+type diagnosis string
 
 const (
 	// diagnosisAlive means that the endpoint still runs with the same incarnation.
-	diagnosisAlive diagnosis = iota
+	diagnosisAlive diagnosis = "alive"
 	// diagnosisDied means that this incarnation of the endpoint has ended.
-	diagnosisDied
+	diagnosisDied diagnosis = "died"
 	// diagnosisZoneUnreachable means that the endpoint's whole zone is unreachable.
-	diagnosisZoneUnreachable
+	diagnosisZoneUnreachable diagnosis = "zone_unreachable"
 )
 
 // diagnose checks whether the endpoint still runs with the given incarnation; 0 matches any. An endpoint that does not
--- a/core/dispatch/ports.go
+++ b/core/dispatch/ports.go
@@ -173,6 +173,8 @@
 	Payload any
 	// Fingerprint identifies the request across resends; "" derives it from the account and the prompt.
 	Fingerprint retry.Fingerprint
+	// SharedParts holds the parts of the prompt that other requests may share, in their order.
+	SharedParts []fleet.PromptPart
 	// RetryPolicy specifies whether another attempt may follow one that may have run.
 	RetryPolicy RetryPolicy
 	// MaxAttempts limits the attempts that are sent to endpoints; zero means no limit. Without LimitRefusedRetries of the
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -67,6 +67,28 @@
 	})
 }
 
+// recordDiagnosis logs what was found about the endpoint of a broken attempt, with what may identify the cause.
+func (r *requestRun) recordDiagnosis(a *attemptRun, result attemptResult, d diagnosis) {
+	r.Log.Info().
+		Str("request", string(r.request.ID)).
+		Str("attempt", string(a.id)).
+		Str("endpoint", string(a.endpoint.ID)).
+		Uint64("incarnation", uint64(a.endpoint.Incarnation)).
+		Str("diagnosis", string(d)).
+		Int64("generated", int64(result.release.GeneratedTokens)).
+		Strs("shared_parts", partNames(r.request.SharedParts)).
+		Msg("dispatch: broken attempt diagnosed")
+}
+
+// partNames returns the parts of a prompt as strings for the log.
+func partNames(parts []fleet.PromptPart) []string {
+	names := make([]string, 0, len(parts))
+	for _, p := range parts {
+		names = append(names, string(p))
+	}
+	return names
+}
+
 // helperNames returns the endpoint IDs of the prefill helpers as strings for the log.
 func helperNames(helpers []reservation.Helper) []string {
 	names := make([]string, 0, len(helpers))
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -301,7 +301,9 @@
 	case result.errorAnswer != nil:
 		return r.handleErrorAnswer(result.errorAnswer)
 	}
-	if r.diagnose(ctx, a.endpoint, result.release.Incarnation) == diagnosisDied {
+	d := r.diagnose(ctx, a.endpoint, result.release.Incarnation)
+	r.recordDiagnosis(a, result, d)
+	if d == diagnosisDied {
 		r.recordDeath(ctx, a, result.release.Incarnation)
 	}
 	if !r.canRetry() {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -41,6 +41,9 @@
 // Tokens is a number of prompt, generated or KV cache tokens.
 type Tokens int64
 
+// PromptPart identifies a part of a prompt, which other prompts may share.
+type PromptPart string
+
 // Kind is the kind of an endpoint.
 type Kind string
 
