Add a failing test for prompt parts that crash endpoints

Cause: crashes are attributed to a digest of the whole request. Requests that share one part of their prompt but are not alike are never recognized.

Change: the stand-in of an endpoint can crash when it begins to answer a prompt with a certain part; a test sends such requests through three entries, next to others with the same account and first part. Listed as known red.

--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,3 +61,71 @@
 		t.Errorf("another request: answer = %+v, want status 200", got)
 	}
 }
+
+const (
+	// crashesUntilBlocked is the number of crashes within which entries must identify a prompt part, and
+	// requestsAfterwards the number of requests with it that may still reach endpoints; the platform sets both.
+	crashesUntilBlocked = 5
+	requestsAfterwards  = 3
+)
+
+// TestPromptPartThatCrashesEndpoints sends requests that share one part of their prompts, no two alike, through all
+// entries; every endpoint that begins to answer one crashes. Meanwhile, other requests with the same account and first
+// part are served. An entry that starts later must know the part as well.
+func TestPromptPartThatCrashesEndpoints(t *testing.T) {
+	const endpoints, rounds = 14, 16
+	w := newCluster(t)
+	for i := range endpoints {
+		w.startEndpoint(&cierzo.Endpoint{
+			ID: fmt.Sprintf("i-%d", i), Zone: []string{"a", "b"}[i%2], Events: 10, Pause: 50 * time.Millisecond,
+			Work: 30 * time.Millisecond, CrashPart: "bad",
+		})
+	}
+	entries := []*runningEntry{w.startEntry(), w.startEntry(), w.startEntry()}
+	w.waitFor("the entries know each other", func() bool {
+		return !slices.ContainsFunc(entries, func(e *runningEntry) bool { return e.process.entryCount() != len(entries) })
+	})
+	number := 0
+	prompt := func(parts string) call {
+		number++
+		c := streamCall
+		c.body = fmt.Sprintf("prompt %d", number)
+		c.header = []string{"X-Token-Counts: 3000,500", fmt.Sprintf("X-Prompt-Prefix: %s,%x:700", parts, number)}
+		return c
+	}
+	for range rounds {
+		for _, e := range entries {
+			sound := w.open(e, prompt("first:40,other:600"))
+			w.send(e, prompt("first:40,bad:300,other:600"))
+			got := w.read(sound, http.MethodPost)
+			if w.requestsWithPart("bad:") > crashesUntilBlocked && (got.status != http.StatusOK || !got.complete) {
+				t.Errorf("request without the part: answer = %+v", got)
+			}
+			_ = sound.Close()
+		}
+	}
+	if got, most := w.requestsWithPart("bad:"), crashesUntilBlocked+requestsAfterwards; got > most {
+		t.Fatalf("%d requests with the part reached endpoints, want %d at most", got, most)
+	}
+	reached := w.requestsWithPart("bad:")
+	late := w.startEntry()
+	w.waitFor("the other entries know the last one", func() bool { return entries[0].process.entryCount() == len(entries)+1 })
+	time.Sleep(time.Second)
+	w.send(late, prompt("first:40,bad:300,other:600"))
+	if got := w.requestsWithPart("bad:"); got != reached {
+		t.Errorf("%d requests with the part reached endpoints through an entry that started later, want 0", got-reached)
+	}
+}
+
+// requestsWithPart returns the number of requests that reached endpoints and whose prompt has a part.
+func (w *cluster) requestsWithPart(part string) int {
+	count := 0
+	for _, k := range w.endpoints {
+		for _, seen := range k.Requests() {
+			if strings.Contains(seen.Header.Get("X-Prompt-Prefix"), part) {
+				count++
+			}
+		}
+	}
+	return count
+}
--- a/standin/cierzo/endpoint.go
+++ b/standin/cierzo/endpoint.go
@@ -51,6 +51,9 @@
 	Work time.Duration
 	// Public is the address that Register states in the registry; the zero value means the listen address.
 	Public netip.AddrPort
+	// CrashPart is the ID of a prompt part. The endpoint crashes when it begins to write the answer to a prompt with this
+	// part that other requests may share; "" means that there is none.
+	CrashPart string
 	// Intercept, if not nil, may answer a request in place of the endpoint. It reports whether it did.
 	Intercept func(w http.ResponseWriter, r *http.Request, seen ReceivedRequest) bool
 
@@ -186,6 +189,11 @@
 	if !k.wait(r, k.Work) {
 		return
 	}
+	if k.crashesOn(r.Header.Get("X-Prompt-Prefix")) {
+		_ = http.NewResponseController(w).Flush()
+		k.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	if k.Events == 0 {
 		_, _ = fmt.Fprintf(w, "answer of %s", k.ID)
 		return
@@ -193,6 +201,17 @@
 	k.stream(w, r)
 }
 
+// crashesOn reports whether the parts of a prompt, but for the last, contain CrashPart.
+func (k *Endpoint) crashesOn(parts string) bool {
+	shared := parts[:max(0, strings.LastIndex(parts, ","))]
+	for part := range strings.SplitSeq(shared, ",") {
+		if id, _, _ := strings.Cut(part, ":"); id != "" && id == k.CrashPart {
+			return true
+		}
+	}
+	return false
+}
+
 // stream sends the events after the one that Last-Event-Id names.
 func (k *Endpoint) stream(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "text/event-stream")
