Read the limits that endpoints state

Cause: nothing reads the header, so that the logs can't tell whether an entry knows a limit that it exceeds.

The gateway counts and logs limits. No decision uses them yet.

Run: go test ./platform/wire ./platform/endpointclient ./cmd: passed.

--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -15,6 +15,7 @@
 const (
 	metricLeavingResponses = "endpoints.leaving_responses"
 	metricPauseRequests    = "endpoints.pause_requests"
+	metricLimitResponses   = "endpoints.limit_responses"
 )
 
 // endpointNotices applies what endpoints say of themselves in their responses. It implements endpointclient.Notices.
@@ -39,3 +40,13 @@
 	n.log.Info().Str("endpoint", string(id)).Uint64("incarnation", uint64(incarnation)).Dur("asked_ms", pause).
 		Dur("held_ms", until.Sub(now)).Msg("outlier: endpoint asked for a pause")
 }
+
+// StateLimit logs the limit that an endpoint states.
+func (n *endpointNotices) StateLimit(id fleet.EndpointID, incarnation fleet.Incarnation, perSecond float64) {
+	metrics.GetOrRegisterCounter(metricLimitResponses, n.metrics).Inc(1)
+	n.log.Info().Str("endpoint", string(id)).Uint64("incarnation", uint64(incarnation)).Float64("per_second", perSecond).
+		Msg("ratelimit: endpoint stated a limit")
+}
+
+// StateNoLimit does nothing.
+func (n *endpointNotices) StateNoLimit(fleet.EndpointID, fleet.Incarnation, time.Time) {}
