--- a/standin/cierzo/endpoint.go
+++ b/standin/cierzo/endpoint.go
@@ -59,6 +59,7 @@
 
 	mu          sync.Mutex
 	leaving     bool
+	limit       float64
 	received    []ReceivedRequest
 	disconnects int
 	// reservations holds the end of the lease of each memory reservation by its ID.
@@ -112,12 +113,21 @@
 	k.leaving = true
 }
 
-// Restart begins a new incarnation under the same ID and address: the endpoint no longer leaves, and Register states a
-// later start.
+// SetLimit makes the endpoint state in all its answers how many requests per second it takes from all entries; 0 makes
+// it state no limit.
+func (k *Endpoint) SetLimit(perSecond float64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.limit = perSecond
+}
+
+// Restart begins a new incarnation under the same ID and address: the endpoint no longer leaves and has no limit, and
+// Register states a later start.
 func (k *Endpoint) Restart() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.leaving = false
+	k.limit = 0
 	k.startedAtMs++
 }
 
@@ -162,6 +172,9 @@
 	if k.leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if k.limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(k.limit, 'f', -1, 64))
+	}
 	k.mu.Unlock()
 	if r.URL.Path == "/wisteriadyke/order" {
 		k.handleOrder(w, r)
