Keep the limits that endpoints state

Callers saw: endpoints in need, which say in their answers how many requests per second they take from all entries together, got as many as before: up to 21 in four seconds where 16 were allowed.

Cause: no package read the header; nothing that an endpoint says of its own load reached the entry that chooses, but for leaving and pauses.

Evidence: in the incident both endpoints got four to seven requests a second before and after 8.0, when they began to state 1.8. TestLimitStatedByAnEndpoint failed with 130 requests in four seconds, 17 allowed.

Change: core/ratelimit.Limits keeps the latest statement of each endpoint by incarnation and time. A response without a limit ends it only if its request was sent after the limit was last stated, so that one that a frozen entry reads late doesn't. Entries pass on what was stated to them with their usage reports. The chooser keeps a token bucket for each endpoint with a limit: the leader for the whole limit, the fallbacks for shares that begin empty. A choice carries the limit of its endpoint, so that the entry that gets the response can tell that the limit has ended. Long prompts avoid such endpoints while most of the pool has no limit. When all limits of a pool are reached, a request waits within its objective and is then refused with rate_limited and a time to return.

Why it works: one entry chooses for all, and the bucket is consumed with each of its choices.

--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -221,7 +221,7 @@
 	if endpoint.ID != "" {
 		r.excluded[endpoint.ID] = true
 	}
-	if transientReason(refusal.Reason) {
+	if transientReason(refusal.Reason) || refusal.Reason == reservation.ReasonRateLimited && r.mayAwaitRate() {
 		r.transientRefusal = true
 		return nil
 	}
@@ -244,6 +244,12 @@
 	return nil
 }
 
+// mayAwaitRate reports whether the request waits for an endpoint whose limit is reached: only within its objective, since
+// more requests than all limits allow would wait in vain, or if the caller has a part of the answer and can't be refused.
+func (r *requestRun) mayAwaitRate() bool {
+	return r.position > r.request.ResumeAfter || time.Since(r.arrivedAt) < r.request.Objective
+}
+
 // transientReason reports whether the same endpoint may accept the request soon.
 func transientReason(reason reservation.Reason) bool {
 	switch reason {
--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -191,6 +191,8 @@
 	// ReasonPaused means that all endpoints of the pool that are in service are unusable and that some of them asked this
 	// entry to send no requests for a time.
 	ReasonPaused Reason = "paused"
+	// ReasonRateLimited means that endpoints of the pool state limits that are reached.
+	ReasonRateLimited Reason = "rate_limited"
 	// ReasonCold means that the endpoint is in a cold start and has reached its limit; without endpoint owners, that an
 	// endpoint, which may be warm, has reached its rate limit.
 	ReasonCold Reason = "cold"
--- a/core/sharedload/choice.go
+++ b/core/sharedload/choice.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/ratelimit"
 	"wisteriadyke/core/reservation"
 )
 
@@ -37,6 +38,9 @@
 	Predicted time.Duration
 	// Usages is the usage by endpoint that lasts until the attempt ends; it excludes the prefill.
 	Usages map[fleet.EndpointID]Usage
+	// Limit is what Endpoint last said of its limit, or nil if it never had one. The entry that sends the request can thus
+	// tell whether the response ends the limit.
+	Limit *ratelimit.Statement
 }
 
 // prefillUsages returns the usage by endpoint that lasts until the prompt is prefilled.
--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"wisteriadyke/core/clusterstate"
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/placement"
@@ -24,6 +26,11 @@
 	// behindRetryAfter is the retry delay for a long prompt that the pool has no capacity for: a few times the duration of
 	// the longest prefills, which have to finish first.
 	behindRetryAfter = 4 * time.Second
+	// limitBurst is the time whose requests an endpoint with a limit may get at once.
+	limitBurst = 250 * time.Millisecond
+	// maxLimitRetryAfter bounds the retry delay for a request that is refused because the limits that endpoints state are
+	// reached; a limit may end at any time.
+	maxLimitRetryAfter = 2 * time.Second
 	// maxLongPlans bounds the plans that are tried for a long prompt; another one is made if the decoder of a plan
 	// is full or its rate limit is reached.
 	maxLongPlans = 3
@@ -42,13 +49,19 @@
 	Policy *Policy
 	// Rate returns the requests per second that may be sent to an endpoint by choices in a role; false means no limit.
 	Rate func(endpoint fleet.Endpoint, role Role, now time.Time) (float64, bool)
+	// Limits holds the limits that endpoints state; nil means that there are none.
+	Limits *ratelimit.Limits
+	// LimitRate returns the requests per second, out of the limit that an endpoint states, that may be sent by choices in
+	// a role; false means no limit. It is required with Limits.
+	LimitRate func(endpoint fleet.Endpoint, role Role) (float64, bool)
 
 	// mu is held while a choice is made and recorded.
 	mu      sync.Mutex
 	windows map[windowKey]*ratelimit.Window
+	buckets map[windowKey]*rate.Limiter
 }
 
-// windowKey identifies a rate window; choices in different roles have separate rates.
+// windowKey identifies a rate window or a bucket; choices in different roles have separate rates.
 type windowKey struct {
 	endpoint fleet.EndpointID
 	role     Role
@@ -64,10 +77,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	choice, err := c.choose(pool, need, role, now)
-	if err == nil {
-		record(choice)
+	if err != nil {
+		return Choice{}, err
+	}
+	if c.Limits != nil {
+		if statement, found := c.Limits.Known(choice.Endpoint); found {
+			choice.Limit = &statement
+		}
 	}
-	return choice, err
+	record(choice)
+	return choice, nil
 }
 
 // choose chooses an endpoint for a request, with its helpers if the prompt is long; the caller holds the lock.
@@ -82,7 +101,7 @@
 	refusal := &reservation.Refusal{Reason: reservation.ReasonQueueFull, RetryAfter: fullRetryAfter}
 	for i := range states {
 		if refused := c.admit(&states[i], role, now); refused != nil {
-			refusal = preferColdRefusal(refusal, refused)
+			refusal = preferRateRefusal(refusal, refused)
 			continue
 		}
 		return quickChoice(pool, &states[i], need), nil
@@ -106,7 +125,7 @@
 		if refused == nil {
 			return longChoice(pool, plan, need), nil
 		}
-		refusal = preferColdRefusal(refusal, refused)
+		refusal = preferRateRefusal(refusal, refused)
 		if need.Excluded == nil {
 			need.Excluded = make(map[fleet.EndpointID]bool)
 		}
@@ -122,25 +141,75 @@
 	if slots > 0 && float64(s.usage.Running) >= maxAttemptsPerSlot*float64(slots) {
 		return &reservation.Refusal{Reason: reservation.ReasonQueueFull, RetryAfter: fullRetryAfter}
 	}
+	bucket, limited := c.limitBucket(s.endpoint, role, now)
+	if limited && bucket.TokensAt(now) < 1 {
+		missing := (1 - bucket.TokensAt(now)) / float64(bucket.Limit())
+		retryAfter := min(time.Duration(missing*float64(time.Second)), maxLimitRetryAfter)
+		return &reservation.Refusal{Reason: reservation.ReasonRateLimited, RetryAfter: retryAfter}
+	}
 	if !c.consumeRate(s.endpoint, role, now) {
 		return &reservation.Refusal{Reason: reservation.ReasonCold, RetryAfter: coldRetryAfter}
 	}
+	if limited {
+		bucket.AllowN(now, 1)
+	}
 	return nil
 }
 
-// preferColdRefusal returns b if a reached rate limit (ReasonCold) caused it, since such a refusal has the shortest
-// retry delay, else a.
-func preferColdRefusal(a, b *reservation.Refusal) *reservation.Refusal {
-	if b.Reason == reservation.ReasonCold {
+// preferRateRefusal returns b if a reached rate (ReasonCold) or limit (ReasonRateLimited) caused it, since such refusals
+// have the shortest retry delays, else a. Of two limits it returns the refusal with the shorter delay.
+func preferRateRefusal(a, b *reservation.Refusal) *reservation.Refusal {
+	switch {
+	case b.Reason == reservation.ReasonCold:
 		return b
+	case b.Reason != reservation.ReasonRateLimited:
+		return a
+	case a.Reason == reservation.ReasonRateLimited && a.RetryAfter <= b.RetryAfter:
+		return a
+	default:
+		return b
+	}
+}
+
+// limitBucket returns the token bucket of an endpoint that states a limit; it reports false for others. The bucket of
+// the leader begins with one request, the others begin empty: many entries may begin to choose for themselves at the same
+// time. The caller holds the lock.
+func (c *Chooser) limitBucket(endpoint fleet.Endpoint, role Role, now time.Time) (*rate.Limiter, bool) {
+	if c.Limits == nil {
+		return nil, false
+	}
+	perSecond, limited := c.LimitRate(endpoint, role)
+	key := windowKey{endpoint: endpoint.ID, role: role}
+	bucket, found := c.buckets[key]
+	if !limited {
+		delete(c.buckets, key)
+		return nil, false
+	}
+	burst := max(1, int(perSecond*limitBurst.Seconds()))
+	if !found {
+		if c.buckets == nil {
+			c.buckets = make(map[windowKey]*rate.Limiter)
+		}
+		c.dropUnlisted()
+		bucket = rate.NewLimiter(rate.Limit(perSecond), burst)
+		if role == RoleLeader {
+			bucket.AllowN(now, burst-1)
+		} else {
+			bucket.AllowN(now, burst)
+		}
+		c.buckets[key] = bucket
+	}
+	if bucket.Limit() != rate.Limit(perSecond) {
+		bucket.SetLimitAt(now, rate.Limit(perSecond))
+		bucket.SetBurstAt(now, burst)
 	}
-	return a
+	return bucket, true
 }
 
 // consumeRate counts a request against the rate of an endpoint and reports whether the rate allows it; the caller holds
 // the lock.
 func (c *Chooser) consumeRate(endpoint fleet.Endpoint, role Role, now time.Time) bool {
-	rate, limited := c.Rate(endpoint, role, now)
+	perSecond, limited := c.Rate(endpoint, role, now)
 	if !limited {
 		return true
 	}
@@ -150,20 +219,24 @@
 	key := windowKey{endpoint: endpoint.ID, role: role}
 	window, found := c.windows[key]
 	if !found {
-		c.dropUnlistedWindows()
+		c.dropUnlisted()
 		window = &ratelimit.Window{}
 		c.windows[key] = window
 	}
-	return window.Allow(rate, now)
+	return window.Allow(perSecond, now)
 }
 
-// dropUnlistedWindows drops the windows of endpoints that are no longer listed; the caller holds the lock.
-func (c *Chooser) dropUnlistedWindows() {
+// dropUnlisted drops the windows and buckets of endpoints that are no longer listed; the caller holds the lock.
+func (c *Chooser) dropUnlisted() {
 	listed := c.State.Endpoints.Snapshot().Rows
 	maps.DeleteFunc(c.windows, func(key windowKey, _ *ratelimit.Window) bool {
 		_, found := listed[key.endpoint]
 		return !found
 	})
+	maps.DeleteFunc(c.buckets, func(key windowKey, _ *rate.Limiter) bool {
+		_, found := listed[key.endpoint]
+		return !found
+	})
 }
 
 // quickChoice returns the choice of a single endpoint for a quick request or a call to a plain service.
--- a/core/sharedload/chooser_set.go
+++ b/core/sharedload/chooser_set.go
@@ -13,6 +13,7 @@
 	"wisteriadyke/core/clusterstate"
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/placement"
+	"wisteriadyke/core/ratelimit"
 	"wisteriadyke/core/reservation"
 )
 
@@ -35,6 +36,8 @@
 	Settled uint64
 	// Leaving holds the incarnations of the endpoints that recently announced to the entry that they leave.
 	Leaving map[fleet.EndpointID]fleet.Incarnation
+	// Limits holds what endpoints recently stated to the entry.
+	Limits map[fleet.EndpointID]ratelimit.Statement
 }
 
 // LeavingEndpoints holds which endpoints announced that they leave; *discovery.EndpointList implements it.
@@ -92,6 +95,8 @@
 	Transport Transport
 	// Leaving holds which endpoints announced that they leave; nil leaves it out of the reports.
 	Leaving LeavingEndpoints
+	// Limits holds the limits that endpoints state; nil leaves them out of the reports.
+	Limits *ratelimit.Limits
 	// Log receives messages about entries that start or stop choosing or don't answer.
 	Log zerolog.Logger
 
@@ -119,6 +124,9 @@
 		switch {
 		case err == nil:
 			choice.Chooser = c.entry.ID
+			if p.Limits != nil && choice.Limit != nil {
+				p.Limits.Merge(choice.Endpoint, *choice.Limit)
+			}
 			return choice, settle, nil
 		case errors.As(err, &refusal):
 			settle()
@@ -159,9 +167,14 @@
 	return UsageReply{Chooses: now.Sub(p.Started) >= startupDelay, Zones: p.reportingZones(now)}
 }
 
-// recordReport stores the usage of another entry and marks the endpoints that announced to it that they leave.
+// recordReport stores the usage of another entry and what endpoints stated to it: that they leave, and their limits.
 func (p *ChooserSet) recordReport(report UsageReport, now time.Time) {
 	p.Usages.UpdatePeer(report.Entry, report.Usages, report.Settled, now)
+	if p.Limits != nil {
+		for id, statement := range report.Limits {
+			p.Limits.Merge(id, statement)
+		}
+	}
 	if p.Leaving == nil {
 		return
 	}
@@ -215,6 +228,9 @@
 	if p.Leaving != nil {
 		report.Leaving = p.Leaving.Announced(time.Now())
 	}
+	if p.Limits != nil {
+		report.Limits = p.Limits.Own(time.Now())
+	}
 	return report
 }
 
--- a/core/sharedload/estimate.go
+++ b/core/sharedload/estimate.go
@@ -37,6 +37,8 @@
 	rankCost time.Duration
 	// recentlyExcluded reports whether another entry recently excluded the endpoint; see UsageTable.RecordExclusions.
 	recentlyExcluded bool
+	// limited reports whether the endpoint states a limit.
+	limited bool
 }
 
 // passTime returns the duration of one pass of the endpoint's engine without prefill.
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -9,6 +9,7 @@
 
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/placement"
+	"wisteriadyke/core/ratelimit"
 	"wisteriadyke/core/routing"
 )
 
@@ -52,6 +53,8 @@
 	Pool func(fleet.PoolName) (routing.Pool, bool)
 	// Usable reports whether an endpoint may receive requests now.
 	Usable func(endpoint fleet.Endpoint, now time.Time) bool
+	// Limits holds the limits that endpoints state; nil means that there are none.
+	Limits *ratelimit.Limits
 	// Log receives messages about long prompts that are refused because other requests would lose more value.
 	Log zerolog.Logger
 
@@ -71,17 +74,29 @@
 	return states
 }
 
-// withoutRecentExclusions returns the endpoints that no other entry recently excluded. If fewer than minHealthyShare
-// are left, the cause is probably the entries or the network, and it returns all endpoints.
+// without returns the endpoints that are not to be avoided. If fewer than minHealthyShare are left, it returns all
+// endpoints.
+func without(states []endpointState, avoid func(s endpointState) bool) []endpointState {
+	left := slices.DeleteFunc(slices.Clone(states), avoid)
+	if float64(len(left)) < minHealthyShare*float64(len(states)) {
+		return states
+	}
+	return left
+}
+
+// recentlyExcluded reports whether another entry recently excluded an endpoint. If many are, the cause is probably the
+// entries or the network.
 //
 // Load pattern: endpoints go down and come back in turn while each long prompt is prefilled by up to 17 endpoints. If
 // one of them fails, so does the whole prefill.
-func withoutRecentExclusions(states []endpointState) []endpointState {
-	healthy := slices.DeleteFunc(slices.Clone(states), func(s endpointState) bool { return s.recentlyExcluded })
-	if float64(len(healthy)) < minHealthyShare*float64(len(states)) {
-		return states
-	}
-	return healthy
+func recentlyExcluded(s endpointState) bool {
+	return s.recentlyExcluded
+}
+
+// limited reports whether an endpoint states a limit. It has trouble with what it runs, and the prefill of a part of a
+// long prompt would add to that.
+func limited(s endpointState) bool {
+	return s.limited
 }
 
 // planLong returns the plan for the prefill of a long prompt and updates the demand averages of the pool. It reports
@@ -89,7 +104,8 @@
 func (p *Policy) planLong(pool routing.Pool, view placement.View, need placement.Need) (prefillPlan, bool) {
 	states := p.endpointStates(view, need)
 	demand := p.demand.update(pool.Name, states, time.Now())
-	plan, found := planPrefill(pool, withoutRecentExclusions(states), need.PromptTokens, need.MaxTokens, need.Objective)
+	preferred := without(without(states, recentlyExcluded), limited)
+	plan, found := planPrefill(pool, preferred, need.PromptTokens, need.MaxTokens, need.Objective)
 	if !found || !p.worthwhile(pool, len(states), need, plan.firstToken, demand) {
 		return prefillPlan{}, false
 	}
@@ -141,6 +157,7 @@
 			endpoint:         endpoint,
 			usage:            totals[id],
 			recentlyExcluded: p.Usages.RecentlyExcluded(id, now),
+			limited:          p.isLimited(endpoint),
 		})
 	}
 	slices.SortFunc(found, func(a, b endpointState) int {
@@ -153,6 +170,15 @@
 	return found
 }
 
+// isLimited reports whether an endpoint states a limit.
+func (p *Policy) isLimited(endpoint fleet.Endpoint) bool {
+	if p.Limits == nil {
+		return false
+	}
+	_, limited := p.Limits.Limit(endpoint)
+	return limited
+}
+
 // acceptsRequests reports whether an endpoint is live and usable and its zone is not drained.
 func (p *Policy) acceptsRequests(view placement.View, endpoint fleet.Endpoint, now time.Time) bool {
 	return inService(view, endpoint) && p.Usable(endpoint, now)
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -9,6 +9,7 @@
 	"wisteriadyke/core/discovery"
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/outlier"
+	"wisteriadyke/core/ratelimit"
 )
 
 // Counters of what endpoints say of themselves in their responses.
@@ -22,6 +23,7 @@
 type endpointNotices struct {
 	endpoints *discovery.EndpointList
 	outliers  *outlier.Detector
+	limits    *ratelimit.Limits
 	metrics   metrics.Registry
 	log       zerolog.Logger
 }
@@ -41,12 +43,23 @@
 		Dur("held_ms", until.Sub(now)).Msg("outlier: endpoint asked for a pause")
 }
 
-// StateLimit logs the limit that an endpoint states.
+// StateLimit applies the limit that an endpoint states and logs it if it is new.
 func (n *endpointNotices) StateLimit(id fleet.EndpointID, incarnation fleet.Incarnation, perSecond float64) {
 	metrics.GetOrRegisterCounter(metricLimitResponses, n.metrics).Inc(1)
-	n.log.Info().Str("endpoint", string(id)).Uint64("incarnation", uint64(incarnation)).Float64("per_second", perSecond).
-		Msg("ratelimit: endpoint stated a limit")
+	now := time.Now()
+	n.recordLimit(id, ratelimit.Statement{Incarnation: incarnation, PerSecond: perSecond, At: now}, now)
+}
+
+// StateNoLimit ends the limit of an endpoint that states none.
+func (n *endpointNotices) StateNoLimit(id fleet.EndpointID, incarnation fleet.Incarnation, sentAt time.Time) {
+	n.recordLimit(id, ratelimit.Statement{Incarnation: incarnation, At: sentAt}, time.Now())
 }
 
-// StateNoLimit does nothing.
-func (n *endpointNotices) StateNoLimit(fleet.EndpointID, fleet.Incarnation, time.Time) {}
+// recordLimit records what an endpoint said of its limit and logs changes.
+func (n *endpointNotices) recordLimit(id fleet.EndpointID, statement ratelimit.Statement, now time.Time) {
+	if !n.limits.Record(id, statement, now) {
+		return
+	}
+	n.log.Info().Str("endpoint", string(id)).Uint64("incarnation", uint64(statement.Incarnation)).
+		Float64("per_second", statement.PerSecond).Msg("ratelimit: endpoint changed its limit")
+}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -24,6 +24,7 @@
 	"wisteriadyke/core/mirror"
 	"wisteriadyke/core/outlier"
 	"wisteriadyke/core/quarantine"
+	"wisteriadyke/core/ratelimit"
 	"wisteriadyke/core/report"
 	"wisteriadyke/core/retry"
 	"wisteriadyke/core/routing"
@@ -69,6 +70,8 @@
 	// for each other role, which chooses while entries can't reach the leader.
 	leaderRateShare   = 0.5
 	fallbackRateShare = 0.25
+	// limitTrialRate is the number of requests per second that the leader sends to an endpoint whatever limit it states.
+	limitTrialRate = 0.25
 	// gcPercent is the growth of the heap, in percent, that starts a garbage collection. It is above the default since
 	// memory is plentiful and CPU time is scarce.
 	gcPercent = 300
@@ -101,6 +104,7 @@
 	feed           *store.Feed
 	usages         *sharedload.UsageTable
 	outliers       *outlier.Detector
+	limits         *ratelimit.Limits
 	endpoints      *discovery.EndpointList
 	endpointClient *endpointclient.Client
 	leases         *sharedload.MemoryLeases
@@ -147,6 +151,10 @@
 	p.buildFeed()
 	p.usages = &sharedload.UsageTable{}
 	p.outliers = &outlier.Detector{}
+	p.limits = &ratelimit.Limits{Listed: func(id fleet.EndpointID) bool {
+		_, found := p.state.Endpoints.Get(id)
+		return found
+	}}
 	p.endpoints = &discovery.EndpointList{
 		State:          p.state,
 		ReconnectGrace: reconnectGrace,
@@ -158,8 +166,10 @@
 		PooledHTTP:   endpointclient.NewPooledHTTPClient(),
 		UnpooledHTTP: endpointclient.NewUnpooledHTTPClient(),
 		Dialer:       &tcp.Dialer{Timeout: probeTimeout, AckTimeout: probeTimeout},
-		Notices:      &endpointNotices{endpoints: p.endpoints, outliers: p.outliers, metrics: p.metrics, log: p.Log},
-		BodyMemory:   semaphore.NewWeighted(int64(float64(p.Settings.Memory) * bodyMemoryShare * (1 << 20))),
+		Notices: &endpointNotices{
+			endpoints: p.endpoints, outliers: p.outliers, limits: p.limits, metrics: p.metrics, log: p.Log,
+		},
+		BodyMemory: semaphore.NewWeighted(int64(float64(p.Settings.Memory) * bodyMemoryShare * (1 << 20))),
 	}
 	p.buildChoosers()
 	p.leases = &sharedload.MemoryLeases{Entry: p.Settings.Entry, Memory: p.endpointClient, Log: p.Log}
@@ -241,13 +251,15 @@
 // buildChoosers creates the components that choose endpoints.
 func (p *Process) buildChoosers() {
 	p.views = &report.ViewCache{State: p.state, Zone: p.Settings.Zone}
-	p.policy = &sharedload.Policy{Usages: p.usages, Pool: p.pool, Usable: p.outliers.Usable, Log: p.Log}
+	p.policy = &sharedload.Policy{Usages: p.usages, Pool: p.pool, Usable: p.outliers.Usable, Limits: p.limits, Log: p.Log}
 	p.choosers = &sharedload.ChooserSet{
 		Self:    p.self(),
 		Started: time.Now(),
 		State:   p.state,
 		Usages:  p.usages,
-		Chooser: &sharedload.Chooser{State: p.state, Views: p.views, Policy: p.policy, Rate: p.maxRate},
+		Chooser: &sharedload.Chooser{
+			State: p.state, Views: p.views, Policy: p.policy, Rate: p.maxRate, Limits: p.limits, LimitRate: p.maxLimitRate,
+		},
 		Transport: &peer.UsageTransport{
 			Client:         p.peers,
 			SuspectRecords: p.suspects,
@@ -255,6 +267,7 @@
 			Freshness:      p.peerExchange,
 		},
 		Leaving: p.endpoints,
+		Limits:  p.limits,
 		Log:     p.Log,
 	}
 }
@@ -318,13 +331,29 @@
 	if now.After(endpoint.ColdUntil) {
 		rate *= warmRateFactor
 	}
+	return rate * p.rateShare(role, leaderRateShare), true
+}
+
+// maxLimitRate returns the number of requests per second that the choices of a role may send to an endpoint that states
+// a limit; it reports false if it states none. The leader gets the whole limit, since nobody else chooses while entries
+// agree on it, but at least limitTrialRate, since only responses show that a limit has ended.
+func (p *Process) maxLimitRate(endpoint fleet.Endpoint, role sharedload.Role) (float64, bool) {
+	limit, limited := p.limits.Limit(endpoint)
+	if limited && role == sharedload.RoleLeader {
+		limit = max(limit, limitTrialRate)
+	}
+	return limit * p.rateShare(role, 1), limited
+}
+
+// rateShare returns the share of an endpoint's rate for the choices of a role at this entry.
+func (p *Process) rateShare(role sharedload.Role, leaderShare float64) float64 {
 	switch role {
 	case sharedload.RoleLeader:
-		return rate * leaderRateShare, true
+		return leaderShare
 	case sharedload.RoleZone:
-		return rate * fallbackRateShare / float64(p.zoneCount()), true
+		return fallbackRateShare / float64(p.zoneCount())
 	default:
-		return rate * fallbackRateShare / float64(p.entryCount()), true
+		return fallbackRateShare / float64(p.entryCount())
 	}
 }
 
--- a/io/peer/choices.go
+++ b/io/peer/choices.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"time"
+
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/placement"
 	"wisteriadyke/core/reservation"
@@ -60,6 +62,9 @@
 		PredictedUs: c.Predicted.Microseconds(),
 		Work:        toUsages(c.Usages),
 	}
+	if c.Limit != nil {
+		m.Limit = toEndpointLimit(c.Endpoint, *c.Limit, time.Now())
+	}
 	for i, h := range c.Helpers {
 		helper := &ChosenHelper{Endpoint: string(h.Endpoint)}
 		if c.HelperMemory != nil {
@@ -78,6 +83,10 @@
 		Predicted:   microseconds(m.PredictedUs),
 		Usages:      fromUsages(m.Work),
 	}
+	if m.Limit != nil {
+		limit := fromEndpointLimit(m.Limit, time.Now())
+		c.Limit = &limit
+	}
 	memory := make([]fleet.Tokens, 0, len(m.Helpers))
 	var totalMemory fleet.Tokens
 	for _, h := range m.Helpers {
--- a/io/peer/usages.go
+++ b/io/peer/usages.go
@@ -9,6 +9,7 @@
 
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/quarantine"
+	"wisteriadyke/core/ratelimit"
 	"wisteriadyke/core/retry"
 	"wisteriadyke/core/sharedload"
 )
@@ -169,6 +170,10 @@
 	for id, incarnation := range report.Leaving {
 		m.Leaving = append(m.Leaving, &LeavingEndpoint{Endpoint: string(id), Incarnation: uint64(incarnation)})
 	}
+	now := time.Now()
+	for id, statement := range report.Limits {
+		m.Limits = append(m.Limits, toEndpointLimit(id, statement, now))
+	}
 	return m
 }
 
@@ -179,13 +184,37 @@
 		Usages:  fromUsages(m.GetUsages()),
 		Settled: m.GetSettled(),
 		Leaving: make(map[fleet.EndpointID]fleet.Incarnation, len(m.GetLeaving())),
+		Limits:  make(map[fleet.EndpointID]ratelimit.Statement, len(m.GetLimits())),
 	}
 	for _, l := range m.GetLeaving() {
 		report.Leaving[fleet.EndpointID(l.Endpoint)] = fleet.Incarnation(l.Incarnation)
 	}
+	now := time.Now()
+	for _, l := range m.GetLimits() {
+		report.Limits[fleet.EndpointID(l.Endpoint)] = fromEndpointLimit(l, now)
+	}
 	return report
 }
 
+// toEndpointLimit converts what an endpoint said of its limit, with its time relative to now.
+func toEndpointLimit(id fleet.EndpointID, statement ratelimit.Statement, now time.Time) *EndpointLimit {
+	return &EndpointLimit{
+		Endpoint:    string(id),
+		Incarnation: uint64(statement.Incarnation),
+		PerSecond:   statement.PerSecond,
+		AgeUs:       now.Sub(statement.At).Microseconds(),
+	}
+}
+
+// fromEndpointLimit converts a message received at now.
+func fromEndpointLimit(m *EndpointLimit, now time.Time) ratelimit.Statement {
+	return ratelimit.Statement{
+		Incarnation: fleet.Incarnation(m.Incarnation),
+		PerSecond:   m.PerSecond,
+		At:          now.Add(-microseconds(m.AgeUs)),
+	}
+}
+
 // toUsages converts usages to messages.
 func toUsages(usages map[fleet.EndpointID]sharedload.Usage) []*EndpointUsage {
 	messages := make([]*EndpointUsage, 0, len(usages))
