Keep quarantined prompt parts over a restart of all entries

Cause: what entries know of prompt parts that crash endpoints was in their memory only. If all of them start anew at once, the part is learned again, at the price of three or more endpoints.

Change: the leader writes the quarantined groups to a table of the store, one row each, and removes them when they end; an entry that is not of a new deployment reads the table once when it starts, and quarantines the groups for another ten minutes. Restored groups are not passed on, so that the restart of one entry renews no quarantine at others.

--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -10,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/retry"
 )
 
 const (
@@ -53,7 +55,7 @@
 	lastNumber uint64
 }
 
-// numbered is a value with the number of the change that made it known to this entry.
+// numbered is a value with the number of the change that made it known to this entry; 0 if it is not passed on.
 type numbered[T any] struct {
 	value  T
 	number uint64
@@ -82,6 +84,29 @@
 	}
 }
 
+// Restore quarantines a group that was quarantined before this entry started, as if the deaths had just happened. The
+// entry doesn't pass it on to others.
+func (p *Parts) Restore(parts []fleet.PromptPart, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	name := Group{Parts: parts}.String()
+	for i := range deathLimit {
+		diedAt := now.Add(-time.Duration(deathLimit-1-i) * time.Second)
+		report := Report{
+			Attempt: fleet.AttemptID(fmt.Sprintf("restored.%s.%d", name, i)),
+			Death:   retry.Death{Endpoint: fleet.EndpointID(fmt.Sprintf("restored.%s.%d", name, i))},
+			SentAt:  diedAt.Add(-time.Second / 2),
+			DiedAt:  diedAt,
+			Parts:   parts,
+		}
+		p.addReport(report, now)
+		if stored, found := p.reports[report.key()]; found {
+			stored.number = 0
+			p.reports[report.key()] = stored
+		}
+	}
+}
+
 // Blocked returns the quarantined group that a prompt contains, and whether there is one.
 func (p *Parts) Blocked(parts []fleet.PromptPart, now time.Time) (Group, bool) {
 	p.mu.Lock()
--- a/core/quarantine/parts_test.go
+++ b/core/quarantine/parts_test.go
@@ -156,6 +156,26 @@
 	}
 }
 
+// TestRestoredGroup restores a group with a sound part. It is not passed on, and ends for requests without the other part
+// once the sound one survives.
+func TestRestoredGroup(t *testing.T) {
+	var p Parts
+	p.Restore(prompt("a bad"), start)
+	if _, blocked := p.Blocked(prompt("a bad"), start); !blocked {
+		t.Error("a prompt with the group may run")
+	}
+	p.RecordSurvival(prompt("a"), start.Add(time.Second))
+	if _, blocked := p.Blocked(prompt("bad"), start.Add(time.Second)); !blocked {
+		t.Error("a prompt with the other part may run")
+	}
+	if changes, _ := p.changesAfter(0); len(changes.Reports) != 0 {
+		t.Errorf("%d reports are passed on, want 0", len(changes.Reports))
+	}
+	if _, blocked := p.Blocked(prompt("bad"), start.Add(quarantineDuration+time.Second)); blocked {
+		t.Error("the quarantine doesn't end")
+	}
+}
+
 // TestManyReportsDropNoQuarantine fills the reports with those of other parts.
 func TestManyReportsDropNoQuarantine(t *testing.T) {
 	var p Parts
--- a/core/sharedload/chooser_set.go
+++ b/core/sharedload/chooser_set.go
@@ -298,6 +298,11 @@
 	return RoleAlone
 }
 
+// Leads reports whether this entry is the leader, or takes itself for it.
+func (p *ChooserSet) Leads() bool {
+	return p.ownRole() == RoleLeader
+}
+
 // inZone reports whether an entry is in the zone of this one.
 func (p *ChooserSet) inZone(entry fleet.Entry) bool {
 	return entry.Zone == p.Self.Zone
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -129,3 +129,55 @@
 	}
 	return count
 }
+
+// TestQuarantineOutlastsAllEntries stops all entries after a prompt part was quarantined. Entries that start then must
+// know the part, and may forget it only when a request with it is answered.
+func TestQuarantineOutlastsAllEntries(t *testing.T) {
+	w := newCluster(t)
+	startEndpoints := func(name string) {
+		for i := range 6 {
+			w.startEndpoint(&cierzo.Endpoint{
+				ID: fmt.Sprintf("%s-%d", name, i), Zone: []string{"a", "b"}[i%2], Events: 10, Pause: 50 * time.Millisecond,
+				CrashPart: "bad",
+			})
+		}
+	}
+	startEndpoints("old")
+	crashing := streamCall
+	crashing.header = append(slices.Clone(streamCall.header), "X-Prompt-Prefix: first:40,bad:300,own:700")
+	sound := streamCall
+	sound.header = append(slices.Clone(streamCall.header), "X-Prompt-Prefix: first:40,own:700")
+	before := []*runningEntry{w.startEntry(), w.startEntry()}
+	time.Sleep(startOfChoosing)
+	for i := range 6 {
+		crashing.body = fmt.Sprintf("prompt %d", i)
+		w.send(before[i%2], crashing)
+	}
+	w.waitFor("the store lists the group", func() bool { return len(w.store.Keys("quarantine")) > 0 })
+	for _, e := range before {
+		e.stop()
+	}
+	w.waitFor("the entries have ended", func() bool {
+		return !slices.ContainsFunc(before, func(e *runningEntry) bool { return len(e.ended) == 0 })
+	})
+	for _, k := range w.endpoints {
+		w.store.Remove("servers", k.ID)
+		t.Cleanup(k.Close)
+	}
+	w.endpoints = nil
+	startEndpoints("new")
+	after := []*runningEntry{w.startEntry(), w.startEntry()}
+	time.Sleep(startOfChoosing)
+	for i := range 4 {
+		crashing.body = fmt.Sprintf("prompt %d after the restart", i)
+		if got := w.send(after[i%2], crashing); got.status != http.StatusServiceUnavailable {
+			t.Errorf("answer = %+v, want status 503", got)
+		}
+		if got := w.send(after[i%2], sound); got.status != http.StatusOK {
+			t.Errorf("request without the part: answer = %+v", got)
+		}
+	}
+	if got := w.crashingRequests(); got != 0 {
+		t.Errorf("%d requests with the part reached endpoints after the restart, want 0", got)
+	}
+}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -206,6 +206,9 @@
 	entryDirectory := &store.EntryDirectory{
 		Feed: p.feed, Self: p.self(), FirstStart: p.Settings.FirstStart, State: p.state, Log: p.Log,
 	}
+	quarantineTable := &store.QuarantineTable{
+		Client: p.feed.Client, FirstStart: p.Settings.FirstStart, Parts: p.parts, Leads: p.choosers.Leads, Log: p.Log,
+	}
 	usageReporter := &sharedload.UsageReporter{Choosers: p.choosers}
 	peerServer := &peer.Server{
 		Address: p.Settings.PeerAddress, Choosers: p.choosers, SuspectRecords: p.suspects, Parts: p.partExchange,
@@ -220,7 +223,7 @@
 	prober := &outlier.Prober{State: p.state, Detector: p.outliers, Connect: p.endpointClient.Connect}
 	return []lifecycle.Component{
 		prober.Run, operatorServer.Run, p.feed.Run, operatorWatcher.Run, registryWatcher.Run, entryDirectory.Run, usageReporter.Run,
-		peerServer.Run, p.leases.Run,
+		peerServer.Run, p.leases.Run, quarantineTable.Run,
 	}
 }
 
