Don't suspect requests whose answer had gone on when an endpoint died

Callers saw: a request that ran on three endpoints that died within half a minute was refused for half a minute, although it had been answered for seconds on each of them and another request was at fault.

Cause: each attempt on an endpoint that dies counted as a death of its request, however long its answer had gone on. A request that crashes endpoints does so when they begin to answer it.

Change: where parts of prompts are tracked, an attempt that was answered for half a second counts for neither its request nor the parts. The incarnation of a death is that of the registry where the answers state none, so that two deaths of one endpoint are told apart.

--- a/core/dispatch/trial.go
+++ b/core/dispatch/trial.go
@@ -98,26 +98,31 @@
 }
 
 // recordDeath records the death of the endpoint that ran the attempt, and that the request is suspected or quarantined.
-// The parts of its prompt are suspected unless the answer had gone on for quarantine.SettleTime.
+// Where parts of prompts are tracked, they are suspected as well, and neither is if the answer had gone on for
+// quarantine.SettleTime.
 func (r *requestRun) recordDeath(ctx context.Context, a *attemptRun, result attemptResult) {
+	r.increment(metricEndpointDeaths)
+	r.record(timeline.Event{Kind: timeline.KindEndpointDied, Attempt: a.id, Endpoint: a.endpoint.ID})
+	if r.Parts != nil && a.settled {
+		return
+	}
 	incarnation := result.release.Incarnation
 	if incarnation == 0 {
 		incarnation = a.endpoint.Incarnation
 	}
-	if r.Parts != nil && !a.settled {
+	death := retry.Death{Endpoint: a.endpoint.ID, Incarnation: incarnation}
+	if r.Parts != nil {
 		r.Parts.RecordDeath(quarantine.Report{
 			Attempt: a.id,
-			Death:   retry.Death{Endpoint: a.endpoint.ID, Incarnation: incarnation},
+			Death:   death,
 			SentAt:  a.sentAt,
 			DiedAt:  result.endedAt,
 			Parts:   r.request.SharedParts,
 		}, time.Now())
 	}
-	r.increment(metricEndpointDeaths)
-	r.record(timeline.Event{Kind: timeline.KindEndpointDied, Attempt: a.id, Endpoint: a.endpoint.ID})
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
-	record := r.Suspects.RecordDeath(ctx, r.fingerprint, retry.Death{Endpoint: a.endpoint.ID, Incarnation: incarnation})
+	record := r.Suspects.RecordDeath(ctx, r.fingerprint, death)
 	kind := timeline.KindSuspected
 	if record.Quarantined() {
 		kind = timeline.KindQuarantined
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"wisteriadyke/core/quarantine"
 	"wisteriadyke/core/retry"
 	"wisteriadyke/standin/cierzo"
 )
@@ -181,3 +182,43 @@
 		t.Errorf("%d requests with the part reached endpoints after the restart, want 0", got)
 	}
 }
+
+// TestRequestBesideCrashesIsNotSuspected crashes three endpoints in turn while each has been answering the same request
+// for a while. The fourth one must get it and answer it.
+func TestRequestBesideCrashesIsNotSuspected(t *testing.T) {
+	w := newCluster(t)
+	for i := range 6 {
+		w.startEndpoint(&cierzo.Endpoint{ID: fmt.Sprintf("i-%d", i), Events: 60, Pause: 50 * time.Millisecond})
+	}
+	e := w.startEntry()
+	time.Sleep(startOfChoosing)
+	crashed := make(map[*cierzo.Endpoint]bool)
+	crashNext := func() {
+		t.Helper()
+		var running *cierzo.Endpoint
+		w.waitFor("an endpoint gets the request", func() bool {
+			for _, k := range w.endpoints {
+				if !crashed[k] && len(k.Requests()) > 0 {
+					running = k
+				}
+			}
+			return running != nil
+		})
+		time.Sleep(2 * quarantine.SettleTime)
+		running.Crash()
+		crashed[running] = true
+	}
+	first := w.open(e, streamCall)
+	crashNext()
+	crashNext()
+	if got := w.read(first, http.MethodPost); got.complete {
+		t.Fatalf("answer = %+v, want an incomplete one", got)
+	}
+	_ = first.Close()
+	second := w.open(e, streamCall)
+	crashNext()
+	if got := w.read(second, http.MethodPost); got.status != http.StatusOK || !got.complete {
+		t.Errorf("answer = %+v, want a complete one with status 200", got)
+	}
+	_ = second.Close()
+}
