Soak: endpoints with limits, and requests that crash endpoints

Change: streams name the shared parts of their prompts; at random times endpoints state limits, and requests with a part that crashes endpoints begin. Crashed endpoints are replaced. The oracle counts the requests that reach endpoints after the fifth crash, and those at an endpoint with a limit, from entries that were not disturbed.

--- a/soak/attempt_log_test.go
+++ b/soak/attempt_log_test.go
@@ -26,6 +26,8 @@
 	body    string
 	// from is the id of the last event that the caller of a stream already has, sent as Last-Event-Id; 0 means none.
 	from int
+	// parts holds the shared parts of the prompt of a stream.
+	parts string
 
 	sentAt  time.Time
 	endedAt time.Time
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -78,6 +78,7 @@
 		a.path = "/u/" + a.id + "?q=%20"
 	case kindStream:
 		a.path = "/s/" + a.id
+		a.parts = soundParts
 		if rand.Float64() < 0.2 {
 			a.from = 2
 		}
@@ -115,6 +116,7 @@
 			tokens = 150_000
 		}
 		request.Header.Set("X-Token-Counts", fmt.Sprintf("%d,300", tokens))
+		request.Header.Set("X-Prompt-Prefix", fmt.Sprintf("%s,%s:%d", a.parts, a.id, tokens))
 		if a.from > 0 {
 			request.Header.Set("Last-Event-Id", strconv.Itoa(a.from))
 		}
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -111,6 +111,7 @@
 	w.drainingSince = make(map[string]time.Time)
 	w.disturbed = make(map[int][]*span)
 	w.stopping = make(map[int][]*span)
+	w.peerFaults = make(map[int][]*span)
 	w.store.Start()
 	w.configure()
 	for i := range 4 {
--- a/soak/endpoint_test.go
+++ b/soak/endpoint_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wisteriadyke/standin/cierzo"
@@ -55,6 +56,9 @@
 	*cierzo.Endpoint
 	proxy    *faultproxy.Proxy
 	attempts *attemptLog
+	// onCrash is called when a request crashes the endpoint; crashed reports whether one did.
+	onCrash func()
+	crashed atomic.Bool
 
 	mu    sync.Mutex
 	fault requestFault
@@ -63,6 +67,7 @@
 // newEndpoint starts an endpoint and its proxy and registers it as ready. It returns an error if the proxy can't start.
 func newEndpoint(w *deployment, id, pool, zone string) (*endpoint, error) {
 	e := &endpoint{attempts: w.attemptLog}
+	e.onCrash = func() { w.crash(e) }
 	e.Endpoint = &cierzo.Endpoint{ID: id, Service: pool, Zone: zone, Slots: 8, Intercept: e.serve}
 	e.Start()
 	e.proxy = &faultproxy.Proxy{Target: e.Address()}
@@ -124,6 +129,11 @@
 		return true
 	}
 	w.Header().Set("X-Response-Seal", "seal-"+e.ID)
+	if strings.Contains(r.Header.Get("X-Prompt-Prefix"), ","+crashPart+":") {
+		_ = http.NewResponseController(w).Flush()
+		e.onCrash()
+		panic(http.ErrAbortHandler)
+	}
 	if strings.HasPrefix(r.URL.Path, "/s/") {
 		e.streamEvents(w, r, id, from, fault)
 		return true
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -218,7 +219,12 @@
 
 // disruptPeerLink disrupts the connections from the other entries to one entry.
 func (w *deployment) disruptPeerLink(r *rand.Rand, duration time.Duration) {
-	disrupt(w.randomEntry(r).peers, r, duration)
+	e := w.randomEntry(r)
+	s := &span{from: time.Now(), to: time.Now().Add(duration + excuseTime)}
+	w.stateMu.Lock()
+	w.peerFaults[e.number] = append(w.peerFaults[e.number], s)
+	w.stateMu.Unlock()
+	disrupt(e.peers, r, duration)
 }
 
 // disruptCallerLink disrupts the connections from callers to one entry.
@@ -266,8 +272,17 @@
 	e.Register(w.store, "draining")
 	time.Sleep(drainTime + duration)
 	w.store.Remove("servers", e.ID)
+	w.replace(e)
+}
+
+// replace replaces an endpoint by one with another ID, unless that was done.
+func (w *deployment) replace(e *endpoint) {
 	w.stateMu.Lock()
 	defer w.stateMu.Unlock()
+	i := slices.Index(w.endpoints, e)
+	if i < 0 {
+		return
+	}
 	w.replacedCount++
 	replacement, err := newEndpoint(w, fmt.Sprintf("%s-%d", e.Service, w.replacedCount+100), e.Service, e.Zone)
 	if err != nil {
--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -37,6 +37,11 @@
 	storeFaults []*span
 	// stalls is when the soak process itself did not run, so that its callers and endpoints were late.
 	stalls []*span
+	// peerFaults holds, by entry number, when the connections from other entries were disrupted.
+	peerFaults map[int][]*span
+	// limits holds the limits that endpoints stated, and crashes when endpoints crashed.
+	limits  []*statedLimit
+	crashes []time.Time
 	// endpointFaults is when endpoints or the connections to them had a fault.
 	endpointFaults []*span
 }
@@ -61,6 +66,8 @@
 			}
 		}
 	}
+	found = append(found, e.checkCrashes()...)
+	found = append(found, e.checkLimits()...)
 	slices.Sort(found)
 	return found
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -30,6 +30,9 @@
 	minStall         = 500 * time.Millisecond
 	// restoreStream distinguishes the random numbers for restores of the store from those for the other faults.
 	restoreStream = 1
+	// limitStream and crashStream do so for limits of endpoints and for requests that crash endpoints.
+	limitStream = 2
+	crashStream = 3
 	// defaultEntries is the default number of entries in a run.
 	defaultEntries = 5
 )
@@ -120,13 +123,17 @@
 		return nil
 	})
 	total := time.Duration(envInt("SOAK_SECONDS", int(faultTime/time.Second))) * time.Second
-	var restoreGroup errgroup.Group
-	restoreGroup.Go(func() error {
-		w.runRestores(rand.New(rand.NewPCG(seed, restoreStream)), total, t.Logf)
-		return nil
-	})
+	var hazards errgroup.Group
+	for stream, run := range map[uint64]func(*rand.Rand, time.Duration, func(string, ...any)){
+		restoreStream: w.runRestores, limitStream: w.runLimits, crashStream: w.runCrashes,
+	} {
+		hazards.Go(func() error {
+			run(rand.New(rand.NewPCG(seed, stream)), total, t.Logf)
+			return nil
+		})
+	}
 	w.runFaults(r, total, t.Logf)
-	_ = restoreGroup.Wait()
+	_ = hazards.Wait()
 	w.checkRecovery()
 	stopCallers()
 	time.Sleep(leakTime)
