--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -117,6 +117,9 @@
 func (p *Parts) changesAfter(number uint64) (Changes, uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if number == p.lastNumber {
+		return Changes{}, number
+	}
 	return Changes{
 		Reports:   valuesAfter(p.reports, number),
 		Survivals: valuesAfter(p.survivals, number),
