Log why no endpoint was left to choose, and when an entry is cut off

Change: a line with the endpoints in service, those excluded by the entry of the request and those that the chooser doesn't use; a line when most endpoints become unreachable for an entry or are reachable again. Nothing is decided by it yet.

--- a/core/outlier/detector.go
+++ b/core/outlier/detector.go
@@ -24,11 +24,12 @@
 )
 
 // record holds the failures of one incarnation of an endpoint since its last success; until is the end of the
-// back-off.
+// back-off, and unreachable reports whether the latest failure was that no connection could be opened.
 type record struct {
 	incarnation fleet.Incarnation
 	failures    int
 	until       time.Time
+	unreachable bool
 }
 
 // pause is the time until which an incarnation of an endpoint asked to receive no requests from this entry.
@@ -81,6 +82,7 @@
 	d.RecordFailure(endpoint, now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.markUnreachable(endpoint)
 	if d.unreachableZones == nil {
 		d.unreachableZones = make(map[fleet.Zone]bool)
 	}
@@ -120,6 +122,23 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.addFailure(endpoint, now)
+	d.markUnreachable(endpoint)
+}
+
+// markUnreachable marks the latest failure of an endpoint as one to open a connection; the caller holds the lock.
+func (d *Detector) markUnreachable(endpoint fleet.Endpoint) {
+	r := d.records[endpoint.ID]
+	r.unreachable = true
+	d.records[endpoint.ID] = r
+}
+
+// Unreachable reports whether the current incarnation of an endpoint is in a back-off because no connection to it could
+// be opened.
+func (d *Detector) Unreachable(endpoint fleet.Endpoint, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r, found := d.records[endpoint.ID]
+	return found && r.unreachable && r.incarnation == endpoint.Incarnation && now.Before(r.until)
 }
 
 // RecordFailure records that an attempt could not be sent to an endpoint or broke off there; it has no effect
@@ -145,6 +164,7 @@
 		r = record{incarnation: endpoint.Incarnation}
 	}
 	r.failures++
+	r.unreachable = false
 	r.until = now.Add(min(initialBackoff<<min(r.failures-1, 8), maxBackoff))
 	d.records[endpoint.ID] = r
 }
--- a/core/outlier/prober.go
+++ b/core/outlier/prober.go
@@ -29,6 +29,8 @@
 	Detector *Detector
 	// Connect opens and closes a connection to an endpoint, and returns an error if it cannot be opened.
 	Connect func(ctx context.Context, endpoint fleet.Endpoint) error
+	// Reach is updated before each round of probes; nil disables that.
+	Reach *Reach
 
 	mu      sync.Mutex
 	probing map[fleet.EndpointID]bool
@@ -45,6 +47,9 @@
 			return group.Wait()
 		case <-ticker.C:
 		}
+		if p.Reach != nil {
+			p.Reach.update(time.Now())
+		}
 		p.startProbes(ctx, &group, time.Now())
 	}
 }
--- a/core/sharedload/choice.go
+++ b/core/sharedload/choice.go
@@ -22,6 +22,18 @@
 	RoleLeader
 )
 
+// String returns the name of the role for the log.
+func (r Role) String() string {
+	switch r {
+	case RoleZone:
+		return "zone"
+	case RoleLeader:
+		return "leader"
+	default:
+		return "alone"
+	}
+}
+
 // Choice is the placement of one request.
 type Choice struct {
 	// Chooser is the entry that made the choice; it is not sent, but set by the entry that receives the choice.
--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -96,7 +96,7 @@
 	}
 	states := c.Policy.orderQuick(pool, c.Views.View(), need)
 	if len(states) == 0 {
-		return Choice{}, &reservation.Refusal{Reason: reservation.ReasonNoEndpoint, RetryAfter: fullRetryAfter}
+		return Choice{}, c.refuseEmpty(need, role, now)
 	}
 	refusal := &reservation.Refusal{Reason: reservation.ReasonQueueFull, RetryAfter: fullRetryAfter}
 	for i := range states {
@@ -112,7 +112,7 @@
 // chooseLong chooses an endpoint and its helpers for a long prompt; the caller holds the lock.
 func (c *Chooser) chooseLong(pool routing.Pool, need placement.Need, role Role, now time.Time) (Choice, error) {
 	if len(c.Policy.endpointStates(c.Views.View(), need)) == 0 {
-		return Choice{}, &reservation.Refusal{Reason: reservation.ReasonNoEndpoint, RetryAfter: fullRetryAfter}
+		return Choice{}, c.refuseEmpty(need, role, now)
 	}
 	refusal := &reservation.Refusal{Reason: reservation.ReasonPoolBehind, RetryAfter: behindRetryAfter}
 	need.Excluded = maps.Clone(need.Excluded)
@@ -134,6 +134,34 @@
 	return Choice{}, refusal
 }
 
+// refuseEmpty returns the refusal of a request that has no endpoint left to choose, and logs whether the entry that needs
+// one excludes the endpoints of the pool or this entry doesn't use them.
+func (c *Chooser) refuseEmpty(need placement.Need, role Role, now time.Time) *reservation.Refusal {
+	view := c.Views.View()
+	inPool, excluded, unusable := 0, 0, 0
+	for id, endpoint := range view.Endpoints {
+		if endpoint.Pool != need.Pool || !inService(view, endpoint) {
+			continue
+		}
+		inPool++
+		if need.Excluded[id] {
+			excluded++
+		}
+		if !c.Policy.Usable(endpoint, now) {
+			unusable++
+		}
+	}
+	c.Policy.Log.Info().
+		Str("request", string(need.Request)).
+		Str("pool", string(need.Pool)).
+		Str("role", role.String()).
+		Int("in_service", inPool).
+		Int("excluded_by_request", excluded).
+		Int("unusable_for_chooser", unusable).
+		Msg("sharedload: no endpoint left to choose")
+	return &reservation.Refusal{Reason: reservation.ReasonNoEndpoint, RetryAfter: fullRetryAfter}
+}
+
 // admit counts a request against the rate of an endpoint, or returns a refusal if the endpoint has
 // maxAttemptsPerSlot attempts for each slot or its rate limit is reached; the caller holds the lock.
 func (c *Chooser) admit(s *endpointState, role Role, now time.Time) *reservation.Refusal {
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -94,6 +94,7 @@
 	feed           *store.Feed
 	usages         *sharedload.UsageTable
 	outliers       *outlier.Detector
+	reach          *outlier.Reach
 	limits         *ratelimit.Limits
 	endpoints      *discovery.EndpointList
 	endpointClient *endpointclient.Client
@@ -141,6 +142,7 @@
 	p.buildFeed()
 	p.usages = &sharedload.UsageTable{}
 	p.outliers = &outlier.Detector{}
+	p.reach = &outlier.Reach{State: p.state, Detector: p.outliers, Log: p.Log}
 	p.limits = &ratelimit.Limits{Listed: func(id fleet.EndpointID) bool {
 		_, found := p.state.Endpoints.Get(id)
 		return found
@@ -210,7 +212,7 @@
 		Timeline: p.timeline,
 		Metrics:  p.metrics,
 	}
-	prober := &outlier.Prober{State: p.state, Detector: p.outliers, Connect: p.endpointClient.Connect}
+	prober := &outlier.Prober{State: p.state, Detector: p.outliers, Connect: p.endpointClient.Connect, Reach: p.reach}
 	return []lifecycle.Component{
 		prober.Run, operatorServer.Run, p.feed.Run, operatorWatcher.Run, registryWatcher.Run, entryDirectory.Run, usageReporter.Run,
 		peerServer.Run, p.leases.Run, quarantineTable.Run,
