Add failing tests for entries that lose their path to all endpoints

An entry that reaches no endpoint refuses its callers, a leader that reaches none lets all entries refuse theirs, and the attempts that break with the path are taken for deaths of endpoints. Change: a stand-in for the path of one entry to all endpoints, which can be silent, reset or closed to new connections (faultproxy.Path), the hook of the gateway that dials through it, and three tests, listed as known red.

--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -18,6 +18,7 @@
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/io/settings"
 	"wisteriadyke/standin/cierzo"
+	"wisteriadyke/standin/faultproxy"
 	"wisteriadyke/standin/loopback"
 )
 
@@ -47,8 +48,10 @@
 type runningEntry struct {
 	settings settings.Gateway
 	process  *Process
-	stop     context.CancelFunc
-	ended    chan error
+	// path is the entry's path to the endpoints.
+	path  *faultproxy.Path
+	stop  context.CancelFunc
+	ended chan error
 }
 
 // newCluster starts a store that holds a configuration. The cluster is stopped when the test ends.
@@ -126,7 +129,8 @@
 		stop:  stop,
 		ended: make(chan error, 1),
 	}
-	e.process = &Process{Settings: e.settings, Log: zerolog.New(zerolog.NewTestWriter(w.t)).Level(zerolog.WarnLevel)}
+	e.path = &faultproxy.Path{}
+	e.process = &Process{Settings: e.settings, DialEndpoint: e.path.Dial, Log: zerolog.New(zerolog.NewTestWriter(w.t)).Level(zerolog.WarnLevel)}
 	w.entries = append(w.entries, e)
 	var group errgroup.Group
 	group.Go(func() error {
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -78,6 +78,8 @@
 	Log zerolog.Logger
 	// DroppedLogLines returns the number of log lines dropped because the output was too slow; nil disables the metric.
 	DroppedLogLines func() int64
+	// DialEndpoint connects to endpoints; nil means TCP.
+	DialEndpoint endpointclient.DialFunc
 
 	state          *clusterstate.State
 	activeTable    *routing.ActiveTable
@@ -154,10 +156,15 @@
 		LapseTime:      lapseTime,
 		Log:            p.Log,
 	}
+	dial, dialProbe := p.DialEndpoint, p.DialEndpoint
+	if dial == nil {
+		dial = endpointclient.Dial
+		dialProbe = (&tcp.Dialer{Timeout: probeTimeout, AckTimeout: probeTimeout}).DialContext
+	}
 	p.endpointClient = &endpointclient.Client{
-		PooledHTTP:   endpointclient.NewPooledHTTPClient(),
-		UnpooledHTTP: endpointclient.NewUnpooledHTTPClient(),
-		Dialer:       &tcp.Dialer{Timeout: probeTimeout, AckTimeout: probeTimeout},
+		PooledHTTP:   endpointclient.NewPooledHTTPClient(dial),
+		UnpooledHTTP: endpointclient.NewUnpooledHTTPClient(dial),
+		Dial:         dialProbe,
 		Notices: &endpointNotices{
 			endpoints: p.endpoints, outliers: p.outliers, limits: p.limits, metrics: p.metrics, log: p.Log,
 		},
