Choose for others by their view when the leader reaches no endpoint

Cause: the leader left out, for all entries, the endpoints that it could not connect to itself. Entries that are cut off also told it to avoid the endpoints that they excluded. Why it works: what an entry can't reach no longer decides for the others. Run: go test ./gateway -run TestLeaderWithoutEndpoints failed in all three subtests before and passes now; core/sharedload, core/outlier, io/peer pass.

--- a/core/outlier/reach.go
+++ b/core/outlier/reach.go
@@ -32,6 +32,16 @@
 	return r.cutOff.Load()
 }
 
+// UsableForOthers reports whether requests of other entries may be sent to an endpoint. While this entry is cut off, it
+// knows nothing against an endpoint except a pause that the endpoint asked for.
+func (r *Reach) UsableForOthers(endpoint fleet.Endpoint, now time.Time) bool {
+	if !r.CutOff() {
+		return r.Detector.Usable(endpoint, now)
+	}
+	_, paused := r.Detector.PausedUntil(endpoint, now)
+	return !paused
+}
+
 // Count returns the number of live endpoints, and how many of them are unreachable.
 func (r *Reach) Count(now time.Time) (unreachable, live int) {
 	for _, endpoint := range r.State.Endpoints.Snapshot().Rows {
--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -147,7 +147,7 @@
 		if need.Excluded[id] {
 			excluded++
 		}
-		if !c.Policy.Usable(endpoint, now) {
+		if !c.Policy.choosable(endpoint, now) {
 			unusable++
 		}
 	}
--- a/core/sharedload/chooser_set.go
+++ b/core/sharedload/chooser_set.go
@@ -38,6 +38,8 @@
 	Leaving map[fleet.EndpointID]fleet.Incarnation
 	// Limits holds what endpoints recently stated to the entry.
 	Limits map[fleet.EndpointID]ratelimit.Statement
+	// CutOff reports whether most endpoints are unreachable for the entry. What it says about endpoints is then not used.
+	CutOff bool
 }
 
 // LeavingEndpoints holds which endpoints announced that they leave; *discovery.EndpointList implements it.
@@ -97,6 +99,8 @@
 	Leaving LeavingEndpoints
 	// Limits holds the limits that endpoints state; nil leaves them out of the reports.
 	Limits *ratelimit.Limits
+	// CutOff reports whether most endpoints are unreachable for this entry; nil means that they never are.
+	CutOff func() bool
 	// Log receives messages about entries that start or stop choosing or don't answer.
 	Log zerolog.Logger
 
@@ -154,7 +158,9 @@
 func (p *ChooserSet) HandleChoose(request ChooseRequest) (Choice, error) {
 	now := time.Now()
 	p.recordReport(request.Report, now)
-	p.Usages.RecordExclusions(request.Need.Excluded, now)
+	if !request.Report.CutOff {
+		p.Usages.RecordExclusions(request.Need.Excluded, now)
+	}
 	return p.Chooser.Choose(request.Need, request.Role, now, func(c Choice) {
 		p.Usages.AddPending(request.Report.Entry, request.Number, c.initialUsages(), now)
 	})
@@ -231,9 +237,15 @@
 	if p.Limits != nil {
 		report.Limits = p.Limits.Own(time.Now())
 	}
+	report.CutOff = p.isCutOff()
 	return report
 }
 
+// isCutOff reports whether most endpoints are unreachable for this entry.
+func (p *ChooserSet) isCutOff() bool {
+	return p.CutOff != nil && p.CutOff()
+}
+
 // startChoice returns the number of a new choice, which is outstanding until it is settled.
 func (p *ChooserSet) startChoice() uint64 {
 	p.mu.Lock()
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -53,6 +53,8 @@
 	Pool func(fleet.PoolName) (routing.Pool, bool)
 	// Usable reports whether an endpoint may receive requests now.
 	Usable func(endpoint fleet.Endpoint, now time.Time) bool
+	// UsableForOthers reports whether choices may use an endpoint, whichever entry they are for; nil means Usable.
+	UsableForOthers func(endpoint fleet.Endpoint, now time.Time) bool
 	// Limits holds the limits that endpoints state; nil means that there are none.
 	Limits *ratelimit.Limits
 	// Log receives messages about long prompts that are refused because other requests would lose more value.
@@ -150,7 +152,7 @@
 	totals := p.Usages.Totals(now)
 	var found []endpointState
 	for id, endpoint := range view.Endpoints {
-		if endpoint.Pool != need.Pool || need.Excluded[id] || !p.acceptsRequests(view, endpoint, now) {
+		if endpoint.Pool != need.Pool || need.Excluded[id] || !inService(view, endpoint) || !p.choosable(endpoint, now) {
 			continue
 		}
 		found = append(found, endpointState{
@@ -179,6 +181,15 @@
 	return limited
 }
 
+// choosable reports whether choices may use an endpoint. The entry for which one is made excludes the endpoints that it
+// doesn't use itself.
+func (p *Policy) choosable(endpoint fleet.Endpoint, now time.Time) bool {
+	if p.UsableForOthers != nil {
+		return p.UsableForOthers(endpoint, now)
+	}
+	return p.Usable(endpoint, now)
+}
+
 // acceptsRequests reports whether an endpoint is live and usable and its zone is not drained.
 func (p *Policy) acceptsRequests(view placement.View, endpoint fleet.Endpoint, now time.Time) bool {
 	return inService(view, endpoint) && p.Usable(endpoint, now)
--- a/core/sharedload/reporter.go
+++ b/core/sharedload/reporter.go
@@ -23,8 +23,8 @@
 	// Choosers finds the choosers.
 	Choosers *ChooserSet
 
-	// last is the report at the latest check; version counts the checks that found its usage or its leaving endpoints
-	// changed.
+	// last is the report at the latest check; version counts the checks that found its usage, its leaving endpoints
+	// or its path to the endpoints changed.
 	last    UsageReport
 	version uint64
 }
@@ -47,7 +47,7 @@
 // send sends the current usage to the entries that are due for a report; changed usage gets a new version.
 func (t *UsageReporter) send(ctx context.Context, group *errgroup.Group, now time.Time) {
 	report := t.Choosers.usageReport()
-	if !maps.Equal(report.Usages, t.last.Usages) || !maps.Equal(report.Leaving, t.last.Leaving) {
+	if !maps.Equal(report.Usages, t.last.Usages) || !maps.Equal(report.Leaving, t.last.Leaving) || report.CutOff != t.last.CutOff {
 		t.version++
 	}
 	t.last = report
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -253,7 +253,10 @@
 // buildChoosers creates the components that choose endpoints.
 func (p *Process) buildChoosers() {
 	p.views = &report.ViewCache{State: p.state, Zone: p.Settings.Zone}
-	p.policy = &sharedload.Policy{Usages: p.usages, Pool: p.pool, Usable: p.outliers.Usable, Limits: p.limits, Log: p.Log}
+	p.policy = &sharedload.Policy{
+		Usages: p.usages, Pool: p.pool, Usable: p.outliers.Usable, UsableForOthers: p.reach.UsableForOthers, Limits: p.limits,
+		Log: p.Log,
+	}
 	p.choosers = &sharedload.ChooserSet{
 		Self:    p.self(),
 		Started: time.Now(),
@@ -270,6 +273,7 @@
 		},
 		Leaving: p.endpoints,
 		Limits:  p.limits,
+		CutOff:  p.reach.CutOff,
 		Log:     p.Log,
 	}
 }
--- a/io/peer/usages.go
+++ b/io/peer/usages.go
@@ -166,7 +166,9 @@
 
 // toUsageSet converts a usage report to its message, without the suspect records (Deaths), which ReportUsage adds.
 func toUsageSet(report sharedload.UsageReport) *UsageSet {
-	m := &UsageSet{Entry: string(report.Entry), Usages: toUsages(report.Usages), Settled: report.Settled}
+	m := &UsageSet{
+		Entry: string(report.Entry), Usages: toUsages(report.Usages), Settled: report.Settled, CutOff: report.CutOff,
+	}
 	for id, incarnation := range report.Leaving {
 		m.Leaving = append(m.Leaving, &LeavingEndpoint{Endpoint: string(id), Incarnation: uint64(incarnation)})
 	}
@@ -185,6 +187,7 @@
 		Settled: m.GetSettled(),
 		Leaving: make(map[fleet.EndpointID]fleet.Incarnation, len(m.GetLeaving())),
 		Limits:  make(map[fleet.EndpointID]ratelimit.Statement, len(m.GetLimits())),
+		CutOff:  m.GetCutOff(),
 	}
 	for _, l := range m.GetLeaving() {
 		report.Leaving[fleet.EndpointID(l.Endpoint)] = fleet.Incarnation(l.Incarnation)
