Ask other entries before an endpoint counts as dead

Cause: the diagnosis of a broken attempt took this entry's own failure to connect for the death of the endpoint. An endpoint that one of them reaches is not dead (path_broken); if nobody can tell and this entry is cut off, it is unknown. Only died feeds suspicion and quarantine. A request whose path is broken is passed on next.

--- a/core/dispatch/diagnose.go
+++ b/core/dispatch/diagnose.go
@@ -25,11 +25,15 @@
 	diagnosisDied diagnosis = "died"
 	// diagnosisZoneUnreachable means that the endpoint's whole zone is unreachable.
 	diagnosisZoneUnreachable diagnosis = "zone_unreachable"
+	// diagnosisPathBroken means that another entry reaches the endpoint and this one doesn't.
+	diagnosisPathBroken diagnosis = "path_broken"
+	// diagnosisUnknown means that this entry is cut off from the endpoints and no other one can tell.
+	diagnosisUnknown diagnosis = "unknown"
 )
 
 // diagnose checks whether the endpoint still runs with the given incarnation; 0 matches any. An endpoint that does not
-// answer counts as dead, unless its whole availability zone is unreachable, which does not indicate a request that
-// crashes endpoints.
+// answer counts as dead, unless another entry reaches it or what this entry sees says nothing about it: its whole
+// availability zone is unreachable, or this entry is cut off from the endpoints.
 func (r *requestRun) diagnose(ctx context.Context, endpoint fleet.Endpoint, incarnation fleet.Incarnation) diagnosis {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), diagnoseTimeout)
 	defer cancel()
@@ -39,10 +43,20 @@
 		return diagnosisAlive
 	case err == nil:
 		return diagnosisDied
-	case r.zoneReachable(endpoint.Zone):
-		return diagnosisDied
-	default:
+	}
+	reached, failed := 0, 0
+	if r.AskOthers != nil {
+		reached, failed = r.AskOthers(ctx, endpoint)
+	}
+	switch {
+	case reached > 0:
+		return diagnosisPathBroken
+	case !r.zoneReachable(endpoint.Zone):
 		return diagnosisZoneUnreachable
+	case failed == 0 && r.Forwarding != nil && r.Forwarding.CutOff(endpoint.Pool):
+		return diagnosisUnknown
+	default:
+		return diagnosisDied
 	}
 }
 
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -75,6 +75,9 @@
 	Reachable func(zone fleet.Zone) bool
 	// Forwarding lets other entries serve requests while this entry reaches no endpoint; nil disables that.
 	Forwarding *Forwarding
+	// AskOthers asks other entries whether they can connect to an endpoint that this one can't reach, and returns how many
+	// can and how many can't; nil disables that.
+	AskOthers func(ctx context.Context, endpoint fleet.Endpoint) (reached, failed int)
 	// Suspects tracks the requests that may crash endpoints.
 	Suspects *retry.Suspects
 	// Parts tracks the prompt parts that crash endpoints; nil disables that.
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -333,8 +333,11 @@
 	}
 	d := r.diagnose(ctx, a.endpoint, result.release.Incarnation)
 	r.recordDiagnosis(a, result, d)
-	if d == diagnosisDied {
+	switch d {
+	case diagnosisDied:
 		r.recordDeath(ctx, a, result)
+	case diagnosisPathBroken:
+		r.connectFailures = max(r.connectFailures, minConnectFailures)
 	}
 	if !r.canRetry() {
 		return &Failure{State: StateOutcomeUnknown, Reason: ReasonNoAnswer}
--- /dev/null
+++ b/core/outlier/witness_test.go
@@ -0,0 +1,53 @@
+package outlier
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"wisteriadyke/core/clusterstate"
+	"wisteriadyke/core/fleet"
+)
+
+// TestWitness checks what an entry tells others about an endpoint of incarnation 2.
+func TestWitness(t *testing.T) {
+	tests := map[string]struct {
+		endpoint       fleet.EndpointID
+		incarnation    fleet.Incarnation
+		down, cutOff   bool
+		reached, known bool
+	}{
+		"runs":                         {endpoint: "i", incarnation: 2, reached: true, known: true},
+		"down":                         {endpoint: "i", incarnation: 2, down: true, known: true},
+		"down, or cut off":             {endpoint: "i", incarnation: 2, down: true, cutOff: true},
+		"runs, others are cut off":     {endpoint: "i", incarnation: 2, cutOff: true, reached: true, known: true},
+		"an earlier incarnation":       {endpoint: "i", incarnation: 1, known: true},
+		"a later incarnation":          {endpoint: "i", incarnation: 3},
+		"an endpoint that is unlisted": {endpoint: "j", incarnation: 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			state := &clusterstate.State{}
+			state.Endpoints.Set("i", fleet.Endpoint{ID: "i", Incarnation: 2, State: fleet.StateLive})
+			reach := &Reach{State: state, Detector: &Detector{}, Log: zerolog.Nop()}
+			if tc.cutOff {
+				endpoint, _ := state.Endpoints.Get("i")
+				reach.Detector.RecordUnreachable(endpoint, time.Now())
+				reach.update(time.Now())
+			}
+			w := &Witness{State: state, Reach: reach, Connect: func(context.Context, fleet.Endpoint) error {
+				if tc.down {
+					return errors.New("connection refused")
+				}
+				return nil
+			}}
+			reached, known := w.Reaches(t.Context(), tc.endpoint, tc.incarnation)
+			if reached != tc.reached || known != tc.known {
+				t.Errorf("got reached %v, known %v, want %v, %v", reached, known, tc.reached, tc.known)
+			}
+		})
+	}
+}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -321,6 +321,7 @@
 		LimitRefusedRetries: true,
 		Reachable:           p.choosers.Reachable,
 		Forwarding:          &dispatch.Forwarding{CutOff: p.reach.CutOff, Alternates: p.choosers.Alternates, Client: p.forwards},
+		AskOthers:           p.choosers.AskOthers,
 		Suspects:            p.suspects,
 		Parts:               p.parts,
 		Timeline:            p.timeline,
