--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"syscall"
 	"time"
 
 	"wisteriadyke/core/fleet"
@@ -56,6 +57,7 @@
 		Int64("generated", int64(result.release.GeneratedTokens)).
 		Str("outcome", string(result.release.Outcome)).
 		Str("at_fault", string(result.release.FailedHelper)).
+		Bool("silent", isSilence(result.cause)).
 		AnErr("cause", result.cause).
 		Msg("dispatch: attempt ended")
 	r.record(timeline.Event{
@@ -68,6 +70,11 @@
 	})
 }
 
+// isSilence reports whether a connection failed because its endpoint was silent for too long.
+func isSilence(err error) bool {
+	return errors.Is(err, syscall.ETIMEDOUT)
+}
+
 // recordDiagnosis logs what was found about the endpoint of a broken attempt, with what may identify the cause.
 func (r *requestRun) recordDiagnosis(a *attemptRun, result attemptResult, d diagnosis) {
 	r.Log.Info().
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -117,7 +117,8 @@
 func (p *Process) Run(ctx context.Context) error {
 	p.configureRuntime()
 	p.buildComponents()
-	p.Log.Info().Str("entry", string(p.Settings.Entry)).Str("zone", string(p.Settings.Zone)).Msg("gateway: started")
+	p.Log.Info().Str("entry", string(p.Settings.Entry)).Str("zone", string(p.Settings.Zone)).
+		Dur("ack_timeout_ms", endpointclient.AckTimeout).Msg("gateway: started")
 	err := lifecycle.Run(ctx, p.components(), p.serveCallers)
 	p.Log.Info().Err(err).Msg("gateway: stopped")
 	return err
