Check the path before an endpoint counts as dead

Callers saw: in the first moments of a cut, attempts at endpoints that ran on were still diagnosed died, since the entries that were asked had lost their paths as well and didn't know it yet. Cause: a failure to connect was taken for evidence by an entry that had not found itself cut off. Change: an entry that can't connect to an endpoint says so only if it reaches one of two other endpoints; all that ask at the same time share that check. Run: TestWitness has the case, which failed before.

--- a/core/dispatch/diagnose.go
+++ b/core/dispatch/diagnose.go
@@ -27,13 +27,13 @@
 	diagnosisZoneUnreachable diagnosis = "zone_unreachable"
 	// diagnosisPathBroken means that another entry reaches the endpoint and this one doesn't.
 	diagnosisPathBroken diagnosis = "path_broken"
-	// diagnosisUnknown means that this entry is cut off from the endpoints and no other one can tell.
+	// diagnosisUnknown means that no entry that reaches other endpoints can tell.
 	diagnosisUnknown diagnosis = "unknown"
 )
 
 // diagnose checks whether the endpoint still runs with the given incarnation; 0 matches any. An endpoint that does not
 // answer counts as dead, unless another entry reaches it or what this entry sees says nothing about it: its whole
-// availability zone is unreachable, or this entry is cut off from the endpoints.
+// availability zone is unreachable, or this entry reaches no other endpoint either.
 func (r *requestRun) diagnose(ctx context.Context, endpoint fleet.Endpoint, incarnation fleet.Incarnation) diagnosis {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), diagnoseTimeout)
 	defer cancel()
@@ -53,7 +53,7 @@
 		return diagnosisPathBroken
 	case !r.zoneReachable(endpoint.Zone):
 		return diagnosisZoneUnreachable
-	case failed == 0 && r.Forwarding != nil && r.Forwarding.CutOff(endpoint.Pool):
+	case failed == 0 && r.CanTell != nil && !r.CanTell(ctx, endpoint):
 		return diagnosisUnknown
 	default:
 		return diagnosisDied
--- a/core/dispatch/diagnose_test.go
+++ b/core/dispatch/diagnose_test.go
@@ -30,7 +30,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				engines := &fakeEngines{unanswered: 1}
 				d := newTestDispatcher(engines, &fakeReservations{})
-				d.Forwarding = &Forwarding{CutOff: func(fleet.PoolName) bool { return tc.cutOff }}
+				d.CanTell = func(context.Context, fleet.Endpoint) bool { return !tc.cutOff }
 				d.AskOthers = func(context.Context, fleet.Endpoint) (int, int) { return tc.reached, tc.failed }
 				r := &requestRun{Dispatcher: d, request: newTestRequest()}
 				zone := tc.zone
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -78,6 +78,9 @@
 	// AskOthers asks other entries whether they can connect to an endpoint that this one can't reach, and returns how many
 	// can and how many can't; nil disables that.
 	AskOthers func(ctx context.Context, endpoint fleet.Endpoint) (reached, failed int)
+	// CanTell reports whether a failure to connect to an endpoint says something about the endpoint, and not about this
+	// entry's path to all of them; nil means that it does.
+	CanTell func(ctx context.Context, endpoint fleet.Endpoint) bool
 	// Suspects tracks the requests that may crash endpoints.
 	Suspects *retry.Suspects
 	// Parts tracks the prompt parts that crash endpoints; nil disables that.
--- a/core/outlier/witness.go
+++ b/core/outlier/witness.go
@@ -2,16 +2,24 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/singleflight"
 
 	"wisteriadyke/core/clusterstate"
 	"wisteriadyke/core/fleet"
 )
 
-// witnessTimeout bounds the connection to an endpoint on behalf of another entry.
-const witnessTimeout = 300 * time.Millisecond
+const (
+	// witnessTimeout bounds the connection to an endpoint on behalf of another entry.
+	witnessTimeout = 300 * time.Millisecond
+	// maxControls is the number of other endpoints that are connected to in order to tell whether an endpoint or the path
+	// to all of them is at fault.
+	maxControls = 2
+)
 
 // Witness tells other entries whether this one reaches an endpoint. Its fields must be set before use.
 type Witness struct {
@@ -22,12 +30,13 @@
 	// Connect opens and closes a connection to an endpoint, and returns an error if it cannot be opened.
 	Connect func(ctx context.Context, endpoint fleet.Endpoint) error
 
-	// probes shares one connection among all that ask at the same time.
-	probes singleflight.Group
+	// probes shares one connection, and controls one check of the path, among all that ask at the same time.
+	probes   singleflight.Group
+	controls singleflight.Group
 }
 
 // Reaches reports whether an incarnation of an endpoint accepts connections; known is false if this entry can't tell,
-// since it is cut off itself or doesn't list the endpoint. An incarnation before the listed one has ended.
+// since it reaches no other endpoint either or doesn't list this one. An incarnation before the listed one has ended.
 func (w *Witness) Reaches(ctx context.Context, id fleet.EndpointID, incarnation fleet.Incarnation) (reached, known bool) {
 	endpoint, found := w.State.Endpoints.Get(id)
 	if !found || endpoint.Incarnation < incarnation {
@@ -43,8 +52,55 @@
 	})
 	select {
 	case r := <-result:
-		return r.Err == nil, r.Err == nil || !w.Reach.CutOff(endpoint.Pool)
+		return r.Err == nil, r.Err == nil || w.CanTell(ctx, endpoint)
 	case <-ctx.Done():
 		return false, false
 	}
 }
+
+// CanTell reports whether a failure to connect to an endpoint says something about the endpoint: this entry is not cut off
+// from its pool, and reaches another endpoint if there is one.
+func (w *Witness) CanTell(ctx context.Context, endpoint fleet.Endpoint) bool {
+	if w.Reach.CutOff(endpoint.Pool) {
+		return false
+	}
+	result := w.controls.DoChan("", func() (any, error) {
+		return w.reachesOther(context.WithoutCancel(ctx), endpoint), nil
+	})
+	select {
+	case r := <-result:
+		reaches, ok := r.Val.(bool)
+		return ok && reaches
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// reachesOther connects to up to maxControls random live endpoints other than the given one, and reports whether one
+// accepts or there is none.
+func (w *Witness) reachesOther(ctx context.Context, than fleet.Endpoint) bool {
+	var others []fleet.Endpoint
+	for id, endpoint := range w.State.Endpoints.Snapshot().Rows {
+		if id != than.ID && endpoint.State == fleet.StateLive {
+			others = append(others, endpoint)
+		}
+	}
+	if len(others) == 0 {
+		return true
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	var reached atomic.Bool
+	var group errgroup.Group
+	for _, endpoint := range others[:min(len(others), maxControls)] {
+		group.Go(func() error {
+			if w.Connect(ctx, endpoint) == nil {
+				reached.Store(true)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return reached.Load()
+}
--- a/core/outlier/witness_test.go
+++ b/core/outlier/witness_test.go
@@ -15,13 +15,15 @@
 // TestWitness checks what an entry tells others about an endpoint of incarnation 2.
 func TestWitness(t *testing.T) {
 	tests := map[string]struct {
-		endpoint       fleet.EndpointID
-		incarnation    fleet.Incarnation
-		down, cutOff   bool
-		reached, known bool
+		endpoint    fleet.EndpointID
+		incarnation fleet.Incarnation
+		// down ends the endpoint, cut the path to all others.
+		down, cut, cutOff bool
+		reached, known    bool
 	}{
 		"runs":                         {endpoint: "i", incarnation: 2, reached: true, known: true},
 		"down":                         {endpoint: "i", incarnation: 2, down: true, known: true},
+		"down, or the path is":         {endpoint: "i", incarnation: 2, down: true, cut: true},
 		"down, or cut off":             {endpoint: "i", incarnation: 2, down: true, cutOff: true},
 		"runs, others are cut off":     {endpoint: "i", incarnation: 2, cutOff: true, reached: true, known: true},
 		"an earlier incarnation":       {endpoint: "i", incarnation: 1, known: true},
@@ -31,15 +33,16 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			state := &clusterstate.State{}
-			state.Endpoints.Set("i", fleet.Endpoint{ID: "i", Incarnation: 2, State: fleet.StateLive})
+			state.Endpoints.Set("i", fleet.Endpoint{ID: "i", Pool: "p", Incarnation: 2, State: fleet.StateLive})
+			state.Endpoints.Set("other", fleet.Endpoint{ID: "other", Pool: "q", State: fleet.StateLive})
 			reach := &Reach{State: state, Detector: &Detector{}, Log: zerolog.Nop()}
 			if tc.cutOff {
 				endpoint, _ := state.Endpoints.Get("i")
 				reach.Detector.RecordUnreachable(endpoint, time.Now())
 				reach.update(time.Now())
 			}
-			w := &Witness{State: state, Reach: reach, Connect: func(context.Context, fleet.Endpoint) error {
-				if tc.down {
+			w := &Witness{State: state, Reach: reach, Connect: func(_ context.Context, endpoint fleet.Endpoint) error {
+				if tc.down && endpoint.ID == "i" || tc.cut {
 					return errors.New("connection refused")
 				}
 				return nil
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -100,6 +100,7 @@
 	usages         *sharedload.UsageTable
 	outliers       *outlier.Detector
 	reach          *outlier.Reach
+	witness        *outlier.Witness
 	limits         *ratelimit.Limits
 	endpoints      *discovery.EndpointList
 	endpointClient *endpointclient.Client
@@ -176,6 +177,7 @@
 		},
 		BodyMemory: semaphore.NewWeighted(p.memoryShare(bodyMemoryShare)),
 	}
+	p.witness = &outlier.Witness{State: p.state, Reach: p.reach, Connect: p.endpointClient.Connect}
 	p.forwards = &peer.ForwardTransport{Client: p.peers, Codec: wire.Codec{}}
 	p.buildChoosers()
 	p.leases = &sharedload.MemoryLeases{Entry: p.Settings.Entry, Memory: p.endpointClient, Log: p.Log}
@@ -232,7 +234,7 @@
 	peerServer := &peer.Server{
 		Address: p.Settings.PeerAddress, Choosers: p.choosers, SuspectRecords: p.suspects, Parts: p.partExchange,
 		Freshness: p.peerExchange, Rows: p.tableServer(), Clock: boottime.Now, Forwards: p.receiver, Codec: p.forwards.Codec,
-		Reach: &outlier.Witness{State: p.state, Reach: p.reach, Connect: p.endpointClient.Connect},
+		Reach: p.witness,
 	}
 	operatorServer := &operator.Server{
 		Address:  p.Settings.OperatorAddress,
@@ -276,8 +278,8 @@
 func (p *Process) buildChoosers() {
 	p.views = &report.ViewCache{State: p.state, Zone: p.Settings.Zone}
 	p.policy = &sharedload.Policy{
-		Usages: p.usages, Pool: p.pool, Usable: p.outliers.Usable, UsableForOthers: p.reach.UsableForOthers, Limits: p.limits,
-		Log: p.Log,
+		Usages: p.usages, Pool: p.pool, Usable: p.outliers.Usable, UsableForOthers: p.reach.UsableForOthers,
+		Limits: p.limits, Log: p.Log,
 	}
 	p.choosers = &sharedload.ChooserSet{
 		Self:    p.self(),
@@ -323,6 +325,7 @@
 		Reachable:           p.choosers.Reachable,
 		Forwarding:          &dispatch.Forwarding{CutOff: p.reach.CutOff, Alternates: p.choosers.Alternates, Client: p.forwards},
 		AskOthers:           p.choosers.AskOthers,
+		CanTell:             p.witness.CanTell,
 		Suspects:            p.suspects,
 		Parts:               p.parts,
 		Timeline:            p.timeline,
