Avoid endpoints that only the leader can't reach, instead of leaving them out

Callers saw: 503 with queue_full at all entries in the first second after the leader had lost its path, while it had not found itself cut off. Cause: each endpoint that the leader could not connect to was left out for all, so that the rest was overfull before half of them were unreachable. Change: such an endpoint is left out if another entry excluded it too; else it is avoided like one that another entry excluded. Run: TestEndpointUnreachableForTheChooser fails without the change ("only this one": no choice).

--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -55,6 +55,8 @@
 	Usable func(endpoint fleet.Endpoint, now time.Time) bool
 	// UsableForOthers reports whether choices may use an endpoint, whichever entry they are for; nil means Usable.
 	UsableForOthers func(endpoint fleet.Endpoint, now time.Time) bool
+	// Unreachable reports whether this entry could not connect to an endpoint lately; nil means that it can't tell.
+	Unreachable func(endpoint fleet.Endpoint, now time.Time) bool
 	// Limits holds the limits that endpoints state; nil means that there are none.
 	Limits *ratelimit.Limits
 	// Log receives messages about long prompts that are refused because other requests would lose more value.
@@ -158,7 +160,7 @@
 		found = append(found, endpointState{
 			endpoint:         endpoint,
 			usage:            totals[id],
-			recentlyExcluded: p.Usages.RecentlyExcluded(id, now),
+			recentlyExcluded: p.Usages.RecentlyExcluded(id, now) || p.unreachable(endpoint, now),
 			limited:          p.isLimited(endpoint),
 		})
 	}
@@ -182,12 +184,18 @@
 }
 
 // choosable reports whether choices may use an endpoint. The entry for which one is made excludes the endpoints that it
-// doesn't use itself.
+// doesn't use itself. An endpoint that this entry can't connect to is left out for all only if another entry excluded it
+// as well; else it is avoided like one that another entry excluded, since the path of this entry may be at fault.
 func (p *Policy) choosable(endpoint fleet.Endpoint, now time.Time) bool {
-	if p.UsableForOthers != nil {
-		return p.UsableForOthers(endpoint, now)
+	if p.UsableForOthers == nil {
+		return p.Usable(endpoint, now)
 	}
-	return p.Usable(endpoint, now)
+	return p.UsableForOthers(endpoint, now) || p.unreachable(endpoint, now) && !p.Usages.RecentlyExcluded(endpoint.ID, now)
+}
+
+// unreachable reports whether this entry could not connect to an endpoint lately.
+func (p *Policy) unreachable(endpoint fleet.Endpoint, now time.Time) bool {
+	return p.Unreachable != nil && p.Unreachable(endpoint, now)
 }
 
 // acceptsRequests reports whether an endpoint is live and usable and its zone is not drained.
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -279,7 +279,7 @@
 	p.views = &report.ViewCache{State: p.state, Zone: p.Settings.Zone}
 	p.policy = &sharedload.Policy{
 		Usages: p.usages, Pool: p.pool, Usable: p.outliers.Usable, UsableForOthers: p.reach.UsableForOthers,
-		Limits: p.limits, Log: p.Log,
+		Unreachable: p.outliers.Unreachable, Limits: p.limits, Log: p.Log,
 	}
 	p.choosers = &sharedload.ChooserSet{
 		Self:    p.self(),
