Soak: cut the paths of a zone's entries to all endpoints

Change: the entries of each zone reach the endpoints through proxies of their own (a view of the store's rows), which refuse new connections while open ones are reset, stall or go on. Cuts come at random beside the other faults; after these, one cut comes alone, and from three seconds on the callers of the cut entries must be served as the platform's rule says.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -87,6 +87,7 @@
 	store     *cierzo.Store
 	entries   []*entry
 	endpoints []*endpoint
+	paths     endpointPaths
 
 	background errgroup.Group
 	// stateMu guards the fields below and the observations, except the attempt log, which has its own lock.
@@ -158,7 +159,8 @@
 	w.t.Helper()
 	e := &entry{number: number, storeFault: &guarded[cierzo.Fault]{}}
 	var storeAddress netip.AddrPort
-	storeAddress, e.closeStoreListener = w.store.ServeAt(func(*http.Request) cierzo.Fault { return e.storeFault.get() })
+	storeAddress, e.closeStoreListener = w.store.ServeView(
+		func(*http.Request) cierzo.Fault { return e.storeFault.get() }, w.paths.view(zoneOf(number)))
 	listen, peer := w.freeAddress(), w.freeAddress()
 	e.ready = w.freeAddress()
 	e.callers, e.store, e.peers = w.startProxy(listen), w.startProxy(storeAddress), w.startProxy(peer)
@@ -276,6 +278,7 @@
 	for _, e := range append(w.removedEndpoints, w.endpoints...) {
 		e.close()
 	}
+	w.paths.close()
 	w.store.Close()
 	_ = w.background.Wait()
 }
--- a/soak/endpoint_test.go
+++ b/soak/endpoint_test.go
@@ -74,6 +74,9 @@
 	if err := e.proxy.Start(); err != nil {
 		return nil, err
 	}
+	if err := w.paths.add(w, id, e.proxy.Address()); err != nil {
+		return nil, err
+	}
 	e.Public = e.proxy.Address()
 	e.Register(w.store, "ready")
 	return e, nil
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -33,6 +33,9 @@
 	// limitStream and crashStream do so for limits of endpoints and for requests that crash endpoints.
 	limitStream = 2
 	crashStream = 3
+	// pathStream does so for cuts of the paths to all endpoints, and cutStream for the one that is checked alone.
+	pathStream = 4
+	cutStream  = 5
 	// defaultEntries is the default number of entries in a run.
 	defaultEntries = 5
 )
@@ -126,6 +129,7 @@
 	var hazards errgroup.Group
 	for stream, run := range map[uint64]func(*rand.Rand, time.Duration, func(string, ...any)){
 		restoreStream: w.runRestores, limitStream: w.runLimits, crashStream: w.runCrashes,
+		pathStream: w.runPathCuts,
 	} {
 		hazards.Go(func() error {
 			run(rand.New(rand.NewPCG(seed, stream)), total, t.Logf)
@@ -135,6 +139,7 @@
 	w.runFaults(r, total, t.Logf)
 	_ = hazards.Wait()
 	w.checkRecovery()
+	w.checkPathCut(rand.New(rand.NewPCG(seed, cutStream)), t.Logf)
 	stopCallers()
 	time.Sleep(leakTime)
 	endChecks()
--- a/standin/cierzo/endpoint.go
+++ b/standin/cierzo/endpoint.go
@@ -106,6 +106,24 @@
 	s.Put("servers", k.ID, base64.StdEncoding.EncodeToString(record))
 }
 
+// WithAddress returns the row of an endpoint with another address. Values that are no such row are returned unchanged.
+func WithAddress(value string, address netip.AddrPort) string {
+	data, err := base64.StdEncoding.DecodeString(value)
+	if err != nil {
+		return value
+	}
+	var record map[string]any
+	if json.Unmarshal(data, &record) != nil {
+		return value
+	}
+	record["address"] = address.String()
+	data, err = json.Marshal(record)
+	if err != nil {
+		return value
+	}
+	return base64.StdEncoding.EncodeToString(data)
+}
+
 // Leave makes the endpoint say in all its answers that it leaves, and go on serving.
 func (k *Endpoint) Leave() {
 	k.mu.Lock()
--- a/standin/cierzo/store.go
+++ b/standin/cierzo/store.go
@@ -124,8 +124,16 @@
 // ServeAt also serves the rows on another free port, with its own faults. It returns the address and a function that
 // stops serving there.
 func (s *Store) ServeAt(fault func(r *http.Request) Fault) (netip.AddrPort, func()) {
+	return s.ServeView(fault, nil)
+}
+
+// View returns the value of a row as some of the readers see it. It must not call the store.
+type View func(table, key, value string) string
+
+// ServeView is like ServeAt, but its readers see the rows through a view; nil changes nothing.
+func (s *Store) ServeView(fault func(r *http.Request) Fault, view View) (netip.AddrPort, func()) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.serveWithFaults(w, r, fault)
+		s.serveWithFaults(w, r, fault, view)
 	}))
 	return addressOf(server), func() {
 		server.CloseClientConnections()
@@ -181,11 +189,11 @@
 
 // serve answers a request with the fault that Fault returns for it.
 func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
-	s.serveWithFaults(w, r, s.Fault)
+	s.serveWithFaults(w, r, s.Fault, nil)
 }
 
 // serveWithFaults answers a request with the fault that decide returns for it. A nil decide means no faults.
-func (s *Store) serveWithFaults(w http.ResponseWriter, r *http.Request, decide func(r *http.Request) Fault) {
+func (s *Store) serveWithFaults(w http.ResponseWriter, r *http.Request, decide func(r *http.Request) Fault, view View) {
 	s.mu.Lock()
 	s.calls++
 	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
@@ -206,7 +214,7 @@
 		<-r.Context().Done()
 		return
 	case FaultLostResponse:
-		s.answer(httptest.NewRecorder(), r)
+		s.answer(httptest.NewRecorder(), r, view)
 		panic(http.ErrAbortHandler)
 	case FaultCompacted:
 		if strings.HasSuffix(r.URL.Path, "rows-feed") {
@@ -214,16 +222,16 @@
 			return
 		}
 	}
-	s.answer(w, r)
+	s.answer(w, r, view)
 }
 
 // answer answers a request normally.
-func (s *Store) answer(w http.ResponseWriter, r *http.Request) {
+func (s *Store) answer(w http.ResponseWriter, r *http.Request, view View) {
 	switch r.URL.Path {
 	case "/wisteriadyke/rows-get":
-		s.get(w, r.URL.Query())
+		s.get(w, r.URL.Query(), view)
 	case "/wisteriadyke/rows-feed":
-		s.feed(w, r)
+		s.feed(w, r, view)
 	case "/wisteriadyke/rows-tx":
 		s.write(w, r)
 	default:
@@ -232,7 +240,7 @@
 }
 
 // get answers with the rows of a table from a key on, in key order, up to a limit.
-func (s *Store) get(w http.ResponseWriter, query url.Values) {
+func (s *Store) get(w http.ResponseWriter, query url.Values, view View) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	rows := []row{}
@@ -247,12 +255,12 @@
 	if more {
 		rows = rows[:limit]
 	}
-	writeJSON(w, map[string]any{"rows": rows, "hasMore": more, "ver": s.version})
+	writeJSON(w, map[string]any{"rows": view.apply(rows), "hasMore": more, "ver": s.version})
 }
 
 // feed is a long poll: it answers with the changes of a table after a version, and waits for the first one for up to
 // waitMs.
-func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+func (s *Store) feed(w http.ResponseWriter, r *http.Request, view View) {
 	query := r.URL.Query()
 	after, _ := strconv.ParseInt(query.Get("afterRev"), 10, 64)
 	wait, _ := strconv.Atoi(query.Get("waitMs"))
@@ -285,7 +293,7 @@
 		version, changed := s.version, s.changed
 		s.mu.Unlock()
 		if len(rows) > 0 {
-			writeJSON(w, map[string]any{"rows": rows, "ver": version})
+			writeJSON(w, map[string]any{"rows": view.apply(rows), "ver": version})
 			return
 		}
 		select {
@@ -299,6 +307,17 @@
 	}
 }
 
+// apply returns the rows as the readers of the view see them.
+func (v View) apply(rows []row) []row {
+	if v == nil {
+		return rows
+	}
+	for i := range rows {
+		rows[i].Value = v(rows[i].Table, rows[i].Key, rows[i].Value)
+	}
+	return rows
+}
+
 // write applies the changes of a transaction, without checking versions.
 func (s *Store) write(w http.ResponseWriter, r *http.Request) {
 	var body struct {
--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -44,6 +44,8 @@
 type Proxy struct {
 	// Target is the address of the server.
 	Target netip.AddrPort
+	// Listen is the address to listen on; the zero value means a free port of 127.0.0.1. Refuse requires it.
+	Listen netip.AddrPort
 
 	mu   sync.Mutex
 	mode Mode
@@ -55,27 +57,55 @@
 	group    errgroup.Group
 }
 
-// Start listens on a free port of 127.0.0.1 and serves in the background, in mode PassThrough.
+// Start listens and serves in the background, in mode PassThrough.
 func (p *Proxy) Start() error {
 	ctx, stop := context.WithCancel(context.Background())
+	p.stop = stop
+	p.changed = make(chan struct{})
+	p.conns = make(map[net.Conn]bool)
+	if err := p.listen(ctx); err != nil {
+		stop()
+		return err
+	}
+	return nil
+}
+
+// listen listens and accepts connections in the background.
+func (p *Proxy) listen(ctx context.Context) error {
+	address := "127.0.0.1:0"
+	if p.Listen.IsValid() {
+		address = p.Listen.String()
+	}
 	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
+	listener, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
-		stop()
 		return errors.Wrap(err, "fault proxy")
 	}
-	p.listener, p.stop = listener, stop
-	p.changed = make(chan struct{})
-	p.conns = make(map[net.Conn]bool)
+	p.mu.Lock()
+	p.listener = listener
+	p.mu.Unlock()
 	p.group.Go(func() error {
-		p.accept(ctx)
+		p.accept(ctx, listener)
 		return nil
 	})
 	return nil
 }
 
+// Refuse refuses new connections while the function do runs; open ones go on. It returns an error if the proxy can't
+// listen again.
+func (p *Proxy) Refuse(do func()) error {
+	p.mu.Lock()
+	listener := p.listener
+	p.mu.Unlock()
+	_ = listener.Close()
+	do()
+	return p.listen(context.Background())
+}
+
 // Address returns the address that clients connect to.
 func (p *Proxy) Address() netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return netip.MustParseAddrPort(p.listener.Addr().String())
 }
 
@@ -96,15 +126,18 @@
 // Close resets all connections, stops listening and waits until all goroutines have ended.
 func (p *Proxy) Close() {
 	p.stop()
-	_ = p.listener.Close()
+	p.mu.Lock()
+	listener := p.listener
+	p.mu.Unlock()
+	_ = listener.Close()
 	p.SetMode(Reset)
 	_ = p.group.Wait()
 }
 
 // accept serves new connections until the listener is closed.
-func (p *Proxy) accept(ctx context.Context) {
+func (p *Proxy) accept(ctx context.Context, listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
