--- a/soak/hazards_test.go
+++ b/soak/hazards_test.go
@@ -94,6 +94,7 @@
 	w.stateMu.Unlock()
 	w.background.Go(func() error {
 		w.recordSpan(&w.endpointFaults, func() {
+			w.paths.end(e.ID)
 			e.proxy.Close()
 			e.Crash()
 			time.Sleep(rand.N(maxRestart))
--- a/soak/path_cuts_test.go
+++ b/soak/path_cuts_test.go
@@ -82,6 +82,17 @@
 	}
 }
 
+// end stops the proxies in front of an endpoint, so that it accepts no connection any more.
+func (p *endpointPaths) end(id string) {
+	p.mu.Lock()
+	byZone := p.proxies[id]
+	delete(p.proxies, id)
+	p.mu.Unlock()
+	for _, proxy := range byZone {
+		proxy.Close()
+	}
+}
+
 // close stops all proxies.
 func (p *endpointPaths) close() {
 	for number := range 2 {
--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -53,6 +53,7 @@
 	changed  chan struct{}
 	conns    map[net.Conn]bool
 	listener net.Listener
+	closed   bool
 	stop     context.CancelFunc
 	group    errgroup.Group
 }
@@ -82,8 +83,11 @@
 		return errors.Wrap(err, "fault proxy")
 	}
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return errors.Wrap(listener.Close(), "fault proxy")
+	}
 	p.listener = listener
-	p.mu.Unlock()
 	p.group.Go(func() error {
 		p.accept(ctx, listener)
 		return nil
@@ -127,6 +131,7 @@
 func (p *Proxy) Close() {
 	p.stop()
 	p.mu.Lock()
+	p.closed = true
 	listener := p.listener
 	p.mu.Unlock()
 	_ = listener.Close()
