Ask entries of the zone when nobody names one that reaches the endpoints

Callers saw: with the leader cut off on a loaded machine, 3 of 17 calls at it refused with no_endpoint (TestEntriesWithoutEndpoints/leader_silent, and 4 of 21 in one_silent; load average 17). The logs show that the others had got no answer from the leader in time and reported their usage to others, so that it knew nobody to pass requests on to. In a cut between zones, requests waited 0.3 s for each entry behind it that was named. Cause: an entry relied on replies and reports that may be missing, and asked entries again that it had just failed to reach. Change: an entry that reaches no endpoint asks entries of its zone if nobody names one. One that can't be reached is left out for a second, and one that declined comes last. Entries that are down no longer count as cut off when the load of a zone's entries is weighed.

--- a/core/dispatch/forward.go
+++ b/core/dispatch/forward.go
@@ -39,6 +39,8 @@
 	CutOff func(fleet.PoolName) bool
 	// Alternates returns entries that may reach the endpoints of a pool, the best first.
 	Alternates func(fleet.PoolName) []fleet.Entry
+	// RecordFailure records that an entry did not accept a request, or could not be reached.
+	RecordFailure func(id fleet.EntryID, reached bool)
 	// Client passes the requests on.
 	Client ForwardClient
 }
@@ -72,6 +74,8 @@
 			return false, sink.err
 		case isCertainlyNotRun(err), lacksEndpoints(err):
 			r.increment(metricForwardsDeclined)
+			var attemptErr *AttemptError
+			r.Forwarding.RecordFailure(to.ID, !errors.As(err, &attemptErr) || attemptErr.Certainty == CertainRefused)
 			if ctx.Err() != nil {
 				return false, r.finalFailure(ctx, ReasonTimeout)
 			}
--- a/core/dispatch/forward_test.go
+++ b/core/dispatch/forward_test.go
@@ -76,11 +76,13 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				forwards := &fakeForwards{steps: tc.steps}
+				failures := make(map[fleet.EntryID]bool)
 				d := newTestDispatcher(&fakeEngines{script: []behavior{{}}}, &fakeReservations{})
 				d.Forwarding = &Forwarding{
-					CutOff:     func(fleet.PoolName) bool { return !tc.reached },
-					Alternates: func(fleet.PoolName) []fleet.Entry { return []fleet.Entry{{ID: "x"}, {ID: "y"}, {ID: "z"}} },
-					Client:     forwards,
+					CutOff:        func(fleet.PoolName) bool { return !tc.reached },
+					Alternates:    func(fleet.PoolName) []fleet.Entry { return []fleet.Entry{{ID: "x"}, {ID: "y"}, {ID: "z"}} },
+					RecordFailure: func(id fleet.EntryID, reached bool) { failures[id] = reached },
+					Client:        forwards,
 				}
 				request := newTestRequest()
 				request.ForwardedBy, request.RetryPolicy, request.MaxAttempts = tc.forwardedBy, tc.policy, tc.maxAttempts
@@ -92,6 +94,12 @@
 				if tc.served != (err == nil) {
 					t.Fatalf("got error %v, want served %v", err, tc.served)
 				}
+				for i, id := range forwards.asked {
+					reached, failed := failures[id]
+					if err := tc.steps[i].err; failed != (isCertainlyNotRun(err) || lacksEndpoints(err)) || failed && reached == errors.Is(err, notRun) {
+						t.Errorf("failure of %s recorded %v, reached %v, after %v", id, failed, reached, err)
+					}
+				}
 				for _, r := range forwards.requests {
 					if r.ForwardedBy != d.Entry {
 						t.Errorf("forwarded by %q, want %q", r.ForwardedBy, d.Entry)
@@ -118,9 +126,10 @@
 		d := newTestDispatcher(&fakeEngines{}, &fakeReservations{})
 		d.Engines = engines
 		d.Forwarding = &Forwarding{
-			CutOff:     func(fleet.PoolName) bool { return false },
-			Alternates: func(fleet.PoolName) []fleet.Entry { return []fleet.Entry{{ID: "x"}} },
-			Client:     forwards,
+			CutOff:        func(fleet.PoolName) bool { return false },
+			Alternates:    func(fleet.PoolName) []fleet.Entry { return []fleet.Entry{{ID: "x"}} },
+			RecordFailure: func(fleet.EntryID, bool) {},
+			Client:        forwards,
 		}
 		if err := d.Generate(t.Context(), newTestRequest(), &collector{}); err != nil {
 			t.Fatal(err)
--- a/core/sharedload/alternates.go
+++ b/core/sharedload/alternates.go
@@ -17,6 +17,8 @@
 	maxAlternates = 4
 	// alternatesTTL is how long the entries named by a reply are used; a reply follows every reportRenewal.
 	alternatesTTL = time.Second
+	// alternateBackoff is how long an entry that could not be reached is not named, and one that declined is named last.
+	alternateBackoff = time.Second
 	// maxWitnesses is the number of entries that are asked whether they reach an endpoint.
 	maxWitnesses = 2
 )
@@ -43,6 +45,12 @@
 	cutOff, unreached []fleet.PoolName
 }
 
+// alternateFailure is when an entry did not accept a request, and whether it was reached.
+type alternateFailure struct {
+	at      time.Time
+	reached bool
+}
+
 // namedAlternates are the entries that the latest reply of a chooser named, by pool.
 type namedAlternates struct {
 	entries map[fleet.PoolName][]fleet.EntryID
@@ -50,12 +58,12 @@
 }
 
 // Alternates returns entries that may serve requests to a pool while this entry can't reach endpoints, the best first.
-// While it is cut off from the pool, these are the ones that its choosers name, who know which others are cut off; before that, some of those that
-// it reaches.
+// While it is cut off from the pool, these are the ones that its choosers name, who know which others are cut off. Before
+// that, or if nobody names one and it reaches no endpoint at all, they are some of those that it reaches.
 func (p *ChooserSet) Alternates(pool fleet.PoolName) []fleet.Entry {
 	now := time.Now()
 	if !p.isCutOff(pool) {
-		return p.randomEntries(p.Self.Zone, maxWitnesses)
+		return p.withoutFailed(p.randomEntries(p.Self.Zone, maxWitnesses), now)
 	}
 	var named []fleet.EntryID
 	if p.ownRole() != RoleAlone {
@@ -76,9 +84,43 @@
 			entries = append(entries, entry)
 		}
 	}
+	if len(entries) == 0 && p.isUnreached(pool) {
+		entries = p.randomEntries(p.Self.Zone, maxAlternates)
+	}
+	entries = p.withoutFailed(entries, now)
 	return entries[:min(len(entries), maxAlternates)]
 }
 
+// RecordAlternateFailure records that an entry did not accept a request, or could not be reached.
+func (p *ChooserSet) RecordAlternateFailure(id fleet.EntryID, reached bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.alternateFailures == nil {
+		p.alternateFailures = make(map[fleet.EntryID]alternateFailure)
+	}
+	p.alternateFailures[id] = alternateFailure{at: time.Now(), reached: reached}
+}
+
+// withoutFailed drops the entries that could not be reached lately, and moves those that declined to the end.
+//
+// Load pattern: a zone is cut off from the others. Its entries reach few endpoints, and the entries that were named to
+// them are behind the cut.
+func (p *ChooserSet) withoutFailed(entries []fleet.Entry, now time.Time) []fleet.Entry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var left, declined []fleet.Entry
+	for _, entry := range entries {
+		failure, found := p.alternateFailures[entry.ID]
+		switch {
+		case !found || now.Sub(failure.at) >= alternateBackoff:
+			left = append(left, entry)
+		case failure.reached:
+			declined = append(declined, entry)
+		}
+	}
+	return slices.Concat(left, declined)
+}
+
 // alternatesOf returns up to maxAlternates random entries that reach a pool, for an entry that is cut off from it. They
 // are entries of its zone if at least as many of these reach the pool as don't, so that none has more than twice its usual
 // load, else of all zones; all are in its region. If all entries are cut off, there are alternates only for one that
@@ -90,20 +132,22 @@
 	var all, local, partial []fleet.EntryID
 	localCutOff := 0
 	for id, entry := range p.State.Entries.Snapshot().Rows {
-		cutOff, none := p.lostPath(id, pool, now)
-		if cutOff && entry.Zone == of.Zone {
-			localCutOff++
-		}
-		if cutOff && !none && id != of.ID && entry.Region == of.Region {
-			partial = append(partial, id)
-		}
-		if cutOff || entry.Region != of.Region {
+		if entry.Region != of.Region || id != p.Self.ID && !p.Usages.HasReport(id, now) {
 			continue
 		}
-		all = append(all, id)
-		if entry.Zone == of.Zone {
+		cutOff, none := p.lostPath(id, pool)
+		switch {
+		case cutOff && entry.Zone == of.Zone:
+			localCutOff++
+		case !cutOff && entry.Zone == of.Zone:
 			local = append(local, id)
 		}
+		switch {
+		case !cutOff:
+			all = append(all, id)
+		case !none && id != of.ID:
+			partial = append(partial, id)
+		}
 	}
 	chosen := all
 	if len(local) > 0 && len(local) >= localCutOff {
@@ -117,14 +161,11 @@
 }
 
 // lostPath reports whether an entry, which may be this one, is cut off from a pool, and whether it reaches no endpoint of
-// it. Both are assumed of one that has not reported its usage lately.
-func (p *ChooserSet) lostPath(id fleet.EntryID, pool fleet.PoolName, now time.Time) (cutOff, unreached bool) {
+// it, as it last reported.
+func (p *ChooserSet) lostPath(id fleet.EntryID, pool fleet.PoolName) (cutOff, unreached bool) {
 	if id == p.Self.ID {
 		return p.isCutOff(pool), p.isUnreached(pool)
 	}
-	if !p.Usages.HasReport(id, now) {
-		return true, true
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.Contains(p.lost[id].cutOff, pool), slices.Contains(p.lost[id].unreached, pool)
--- a/core/sharedload/chooser_set.go
+++ b/core/sharedload/chooser_set.go
@@ -120,6 +120,8 @@
 	// lost holds the paths that other entries last reported to have lost, and alternates what each chooser named.
 	lost       map[fleet.EntryID]lostPaths
 	alternates map[fleet.EntryID]namedAlternates
+	// alternateFailures holds the latest failure of each entry to accept a request of this one.
+	alternateFailures map[fleet.EntryID]alternateFailure
 }
 
 // Choose returns the choice for a request and a function that must be called once the usage table of this entry
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -323,14 +323,17 @@
 		Budget:              p.retryBudget(),
 		LimitRefusedRetries: true,
 		Reachable:           p.choosers.Reachable,
-		Forwarding:          &dispatch.Forwarding{CutOff: p.reach.CutOff, Alternates: p.choosers.Alternates, Client: p.forwards},
-		AskOthers:           p.choosers.AskOthers,
-		CanTell:             p.witness.CanTell,
-		Suspects:            p.suspects,
-		Parts:               p.parts,
-		Timeline:            p.timeline,
-		Metrics:             p.metrics,
-		Log:                 p.Log,
+		Forwarding: &dispatch.Forwarding{
+			CutOff: p.reach.CutOff, Alternates: p.choosers.Alternates, RecordFailure: p.choosers.RecordAlternateFailure,
+			Client: p.forwards,
+		},
+		AskOthers: p.choosers.AskOthers,
+		CanTell:   p.witness.CanTell,
+		Suspects:  p.suspects,
+		Parts:     p.parts,
+		Timeline:  p.timeline,
+		Metrics:   p.metrics,
+		Log:       p.Log,
 	}
 }
 
