Bound the attempts of a forwarded request below; wrap comments

A request that had used all its attempts would have been passed on with 0, which means no limit; no path leads there today. Change: at least one attempt goes along; comments of forwarding reworded and wrapped.

--- a/core/dispatch/forward.go
+++ b/core/dispatch/forward.go
@@ -46,7 +46,7 @@
 }
 
 // tryForward lets another entry serve the request if this one can't reach the endpoints. It returns false and nil if the
-// request is to be tried here, or again: no entry accepted it, or its answer broke off and it may be retried.
+// request is to be tried here: it need not be passed on, or no entry that may serve it is left.
 func (r *requestRun) tryForward(ctx context.Context) (done bool, err error) {
 	if r.Forwarding == nil || r.request.ForwardedBy != "" {
 		return false, nil
@@ -98,7 +98,8 @@
 // awaitsAlternates reports whether the request waits for entries that may serve it: they become known soon after this
 // entry has found itself cut off.
 func (r *requestRun) awaitsAlternates() bool {
-	return r.Forwarding != nil && r.request.ForwardedBy == "" && r.backoffs < maxAlternatesBackoffs && r.Forwarding.CutOff(r.request.Pool)
+	return r.Forwarding != nil && r.request.ForwardedBy == "" && r.backoffs < maxAlternatesBackoffs &&
+		r.Forwarding.CutOff(r.request.Pool)
 }
 
 // remainingRequest returns the request as another entry is to serve it: without what was answered and tried already.
@@ -108,7 +109,8 @@
 	request.Fingerprint = r.fingerprint
 	request.ResumeAfter = r.position
 	if request.MaxAttempts > 0 {
-		request.MaxAttempts -= r.sentAttempts
+		// Zero would mean no limit.
+		request.MaxAttempts = max(1, request.MaxAttempts-r.sentAttempts)
 	}
 	return request
 }
@@ -167,8 +169,8 @@
 	}
 }
 
-// WriteToken writes the next piece of the answer. It returns errTokenGap, which does not come from the caller, if a piece
-// is missing or repeated.
+// WriteToken writes the next piece of the answer. It returns errTokenGap, which does not come from the caller, if a
+// piece is missing or repeated.
 func (s *forwardSink) WriteToken(position fleet.Tokens, text string) error {
 	if position != s.position+1 {
 		return errTokenGap
--- a/core/dispatch/forward_receiver.go
+++ b/core/dispatch/forward_receiver.go
@@ -43,8 +43,8 @@
 	inFlight sync.WaitGroup
 }
 
-// Accept decides whether to serve a request to a pool with a payload of the given size in bytes. It returns the reason if not, else
-// a function that must be called when the request has ended.
+// Accept decides whether to serve a request to a pool with a payload of the given size in bytes. It returns the reason
+// if not, else a function that must be called when the request has ended.
 func (f *ForwardReceiver) Accept(pool fleet.PoolName, payloadBytes int64) (release func(), declined string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
