Try entries that could not be reached if there is no other way

Cause: only one entry reached the endpoints there. A connection to it took longer than 0.3 s on the loaded machine (three lines with i/o timeout), and the entry was then left out for a second, so that nobody was asked. Change: an entry that could not be reached comes last, and is left out only by an entry that reaches endpoints of the pool itself. Run: TestAlternatesThatFail has the case, which failed before.

--- a/core/sharedload/alternates.go
+++ b/core/sharedload/alternates.go
@@ -17,7 +17,7 @@
 	maxAlternates = 4
 	// alternatesTTL is how long the entries named by a reply are used; a reply follows every reportRenewal.
 	alternatesTTL = time.Second
-	// alternateBackoff is how long an entry that could not be reached is not named, and one that declined is named last.
+	// alternateBackoff is how long an entry that did not accept a request comes after the others.
 	alternateBackoff = time.Second
 	// maxWitnesses is the number of entries that are asked whether they reach an endpoint.
 	maxWitnesses = 2
@@ -63,7 +63,7 @@
 func (p *ChooserSet) Alternates(pool fleet.PoolName) []fleet.Entry {
 	now := time.Now()
 	if !p.isCutOff(pool) {
-		return p.withoutFailed(p.randomEntries(p.Self.Zone, maxWitnesses), now)
+		return p.failedLast(p.randomEntries(p.Self.Zone, maxWitnesses), pool, now)
 	}
 	var named []fleet.EntryID
 	if p.ownRole() != RoleAlone {
@@ -87,7 +87,7 @@
 	if len(entries) == 0 && p.isUnreached(pool) {
 		entries = p.randomEntries(p.Self.Zone, maxAlternates)
 	}
-	entries = p.withoutFailed(entries, now)
+	entries = p.failedLast(entries, pool, now)
 	return entries[:min(len(entries), maxAlternates)]
 }
 
@@ -101,14 +101,16 @@
 	p.alternateFailures[id] = alternateFailure{at: time.Now(), reached: reached}
 }
 
-// withoutFailed drops the entries that could not be reached lately, and moves those that declined to the end.
+// failedLast moves the entries that declined lately to the end, and after them those that could not be reached. It drops
+// the latter if this entry reaches endpoints of the pool itself.
 //
 // Load pattern: a zone is cut off from the others. Its entries reach few endpoints, and the entries that were named to
 // them are behind the cut.
-func (p *ChooserSet) withoutFailed(entries []fleet.Entry, now time.Time) []fleet.Entry {
+func (p *ChooserSet) failedLast(entries []fleet.Entry, pool fleet.PoolName, now time.Time) []fleet.Entry {
+	noOtherWay := p.isUnreached(pool)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var left, declined []fleet.Entry
+	var left, declined, unreachable []fleet.Entry
 	for _, entry := range entries {
 		failure, found := p.alternateFailures[entry.ID]
 		switch {
@@ -116,9 +118,11 @@
 			left = append(left, entry)
 		case failure.reached:
 			declined = append(declined, entry)
+		case noOtherWay:
+			unreachable = append(unreachable, entry)
 		}
 	}
-	return slices.Concat(left, declined)
+	return slices.Concat(left, declined, unreachable)
 }
 
 // alternatesOf returns up to maxAlternates random entries that reach a pool, for an entry that is cut off from it. They
--- a/core/sharedload/alternates_test.go
+++ b/core/sharedload/alternates_test.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// TestAlternatesThatFail checks that an entry that can't be reached is left out for a time, and that one that declines
-// comes last.
+// TestAlternatesThatFail checks that an entry that declines comes last, and that one that can't be reached is left out
+// for a time unless there is no other way.
 func TestAlternatesThatFail(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		state := &clusterstate.State{}
@@ -101,9 +101,10 @@
 			state.Entries.Set(id, fleet.Entry{ID: id, Zone: "a"})
 			named = append(named, id)
 		}
+		paths := &fakePaths{cutOff: []fleet.PoolName{"p"}}
 		p := &ChooserSet{
 			Self: fleet.Entry{ID: "self", Zone: "a"}, Started: time.Now(), State: state, Usages: &UsageTable{},
-			Paths: &fakePaths{cutOff: []fleet.PoolName{"p"}}, Log: zerolog.Nop(),
+			Paths: paths, Log: zerolog.Nop(),
 		}
 		reply := UsageReply{Chooses: true, Alternates: map[fleet.PoolName][]fleet.EntryID{"p": named}}
 		p.recordReply(fleet.Entry{ID: "serves"}, reply, nil)
@@ -116,6 +117,11 @@
 		if want := []fleet.EntryID{"serves", "declines"}; !slices.Equal(got, want) {
 			t.Errorf("got %v, want %v", got, want)
 		}
+		paths.unreached = paths.cutOff
+		if got := p.Alternates("p"); len(got) != len(named) || got[len(got)-1].ID != "gone" {
+			t.Errorf("got %v without another way, want all with the unreachable one last", got)
+		}
+		paths.unreached = nil
 		time.Sleep(alternatesTTL)
 		if got := p.Alternates("p"); len(got) != len(named) {
 			t.Errorf("got %d entries after the back-off, want %d", len(got), len(named))
