--- a/gateway/process.go
+++ b/gateway/process.go
@@ -204,11 +204,6 @@
 	}
 }
 
-// memoryShare returns a share of the setting Memory in bytes.
-func (p *Process) memoryShare(share float64) int64 {
-	return int64(float64(p.Settings.Memory) * share * (1 << 20))
-}
-
 // components returns the Run methods of all components except the server for callers.
 func (p *Process) components() []lifecycle.Component {
 	operatorWatcher := &store.OperatorWatcher{
@@ -400,11 +395,3 @@
 	})
 	return group.Wait()
 }
-
-// finishForwards declines further requests of other entries and waits until those in flight have ended, for the grace
-// time at most.
-func (p *Process) finishForwards(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, p.Settings.GraceTime-shutdownMargin)
-	defer cancel()
-	p.receiver.Stop(ctx)
-}
