Ask more entries before an endpoint counts as dead

Callers saw: their requests were suspected of crashing endpoints after a cut that left every endpoint running. Cause: two entries were asked, those of the endpoint's zone first. A cut between one endpoint and a part of the entries takes the path of both, who reach other endpoints and so answer for certain that this one is gone. Change: if none of the first two reaches the endpoint, six more of all zones are asked; the first one that reaches it ends the calls.

--- a/core/sharedload/alternates.go
+++ b/core/sharedload/alternates.go
@@ -19,8 +19,11 @@
 	alternatesTTL = time.Second
 	// alternateBackoff is how long an entry that did not accept a request comes after the others.
 	alternateBackoff = time.Second
-	// maxWitnesses is the number of entries that are asked whether they reach an endpoint.
+	// maxWitnesses is the number of entries that are asked first whether they reach an endpoint.
 	maxWitnesses = 2
+	// maxFurtherWitnesses is the number of entries that are asked if none of the first ones reaches it. A cut between an
+	// endpoint and a part of the entries leaves all of these other paths, so that the first ones may share the cut.
+	maxFurtherWitnesses = 6
 )
 
 // ReachClient asks other entries about endpoints.
@@ -210,14 +213,37 @@
 }
 
 // AskOthers asks other entries whether they reach an endpoint, those that are named as Alternates or are in the zone of
-// the endpoint first. It returns how many do and how many don't; those that can't tell are not counted.
+// the endpoint first, and more of all zones if none of these does. It returns how many do and how many don't; those that
+// can't tell are not counted.
 func (p *ChooserSet) AskOthers(ctx context.Context, endpoint fleet.Endpoint) (reached, failed int) {
-	asked := p.randomEntries(endpoint.Zone, maxWitnesses)
+	asked := p.randomEntries(endpoint.Zone, maxWitnesses+maxFurtherWitnesses)
 	if p.isCutOff(endpoint.Pool) {
-		if named := p.Alternates(endpoint.Pool); len(named) > 0 {
-			asked = named[:min(len(named), maxWitnesses)]
-		}
+		asked = putFirst(asked, p.Alternates(endpoint.Pool))
+	}
+	first := min(len(asked), maxWitnesses)
+	reached, failed = p.askEntries(ctx, asked[:first], endpoint)
+	if reached > 0 {
+		return reached, failed
 	}
+	reached, furtherFailed := p.askEntries(ctx, asked[first:], endpoint)
+	return reached, failed + furtherFailed
+}
+
+// putFirst returns preferred entries and then those of others that are not among them.
+func putFirst(others, preferred []fleet.Entry) []fleet.Entry {
+	left := slices.DeleteFunc(slices.Clone(others), func(e fleet.Entry) bool {
+		return slices.ContainsFunc(preferred, func(f fleet.Entry) bool { return f.ID == e.ID })
+	})
+	return slices.Concat(preferred, left)
+}
+
+// askEntries asks entries at the same time whether they reach an endpoint. The first one that does ends the calls to the
+// others, which are not counted then.
+func (p *ChooserSet) askEntries(
+	ctx context.Context, asked []fleet.Entry, endpoint fleet.Endpoint,
+) (reached, failed int) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var mu sync.Mutex
 	var group errgroup.Group
 	for _, entry := range asked {
@@ -228,6 +254,7 @@
 			switch {
 			case ok && known:
 				reached++
+				cancel()
 			case known:
 				failed++
 			}
