Mark contended pools; fields for waiting requests, paces and lost paths

Cause: queueing, placement by cost and shared paths need the same switch and the same messages; each would change the generated code. Change: routing.Pool.Contended, derived from the published engine figures and the shortest objective of the pool's streams; fields of placement.Need and Choice with their conversion; message fields. Nothing reads them yet.

--- a/core/enginemodel/model.go
+++ b/core/enginemodel/model.go
@@ -7,8 +7,7 @@
 	"wisteriadyke/core/fleet"
 )
 
-// Model holds the published performance figures of one kind of engine. This program does not read Slots, Chunk,
-// MeanPrompt and MeanOutput.
+// Model holds the published performance figures of one kind of engine. This program does not read Chunk.
 type Model struct {
 	// Slots is the number of requests that an engine runs concurrently.
 	Slots int
@@ -46,3 +45,15 @@
 	step := m.Step + time.Duration(decoding)*m.StepPerDecode + time.Duration(float64(context)*m.StepPerContext)
 	return time.Duration(max(1, m.Stride)) * step
 }
+
+// SlotInterval returns the mean time between two ends of answers at an engine whose slots all decode answers of mean
+// length, or 0 if the mean lengths are not published.
+func (m *Model) SlotInterval() time.Duration {
+	if m.Slots <= 0 || m.MeanOutput <= 0 {
+		return 0
+	}
+	context := fleet.Tokens(m.Slots) * (m.MeanPrompt + m.MeanOutput/2)
+	pass := m.PassTime(m.Slots, context)
+	steps := float64(m.MeanOutput) / float64(max(1, m.Stride))
+	return time.Duration(steps * float64(pass) / float64(m.Slots))
+}
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -44,6 +44,17 @@
 	PauseObjective time.Duration
 	// WaitedAfterRefusal reports whether the caller was refused before and has waited since.
 	WaitedAfterRefusal bool
+	// Weight is the fair-share weight of the account relative to others, and Rank the rank of the route; rank 0 is the
+	// most urgent.
+	Weight float64
+	Rank   int
+	// ArrivedAt is when the request arrived at the entry that has its caller, and LatestStart when its first token is due
+	// at the latest; zero means that they are unknown.
+	ArrivedAt, LatestStart time.Time
+	// MayWait reports whether the reply may be that the request has to wait.
+	MayWait bool
+	// ExpectedOutput is the expected length of the answer, or 0 if it is unknown.
+	ExpectedOutput fleet.Tokens
 	// Prefixes holds the prefixes of the prompt, the shortest first.
 	Prefixes []Prefix
 	// DecidedAt is the time for which the endpoints are chosen; zero means now.
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -98,6 +98,9 @@
 	PauseObjective time.Duration
 	// Engine is the published performance model of the pool's engines, or nil for plain services.
 	Engine *enginemodel.Model
+	// Contended reports whether a request that waits at a full engine for a slot likely misses the shortest objective of
+	// the pool's streams.
+	Contended bool
 }
 
 // Account is a client account.
@@ -138,7 +141,12 @@
 	hosts map[string][]*Route
 }
 
-// BuildIndex builds the host index that Match uses, sets the pause objectives of the pools, and returns the table.
+// SafeShare is the share of an objective up to which a predicted time is never counted as late; the rest of the objective
+// covers the prediction error.
+const SafeShare = 0.6
+
+// BuildIndex builds the host index that Match uses, sets the pause objectives of the pools and whether they are contended,
+// and returns the table.
 func (t *Table) BuildIndex() *Table {
 	t.hosts = make(map[string][]*Route)
 	for i := range t.Routes {
@@ -147,6 +155,7 @@
 		t.hosts[host] = append(t.hosts[host], r)
 		t.applyPauseObjective(r)
 	}
+	t.markContended()
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
@@ -167,6 +176,32 @@
 	}
 }
 
+// markContended sets Contended of each pool: whether the time until a full engine has a free slot exceeds the safe share of
+// the shortest objective of the streams that the pool serves.
+func (t *Table) markContended() {
+	for name, pool := range t.Pools {
+		objective := t.shortestObjective(name)
+		if pool.Engine == nil || objective <= 0 {
+			continue
+		}
+		pool.Contended = float64(pool.Engine.SlotInterval()) > SafeShare*float64(objective)
+		t.Pools[name] = pool
+	}
+}
+
+// shortestObjective returns the shortest objective of the streams that a pool serves, or 0 if none has any.
+func (t *Table) shortestObjective(pool fleet.PoolName) time.Duration {
+	var shortest time.Duration
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		serves := slices.ContainsFunc(r.Pools, func(s WeightedPool) bool { return s.Pool == pool })
+		if r.Stream && serves && r.Objective > 0 && (shortest == 0 || r.Objective < shortest) {
+			shortest = r.Objective
+		}
+	}
+	return shortest
+}
+
 // Match returns the route of the host with the longest prefix that path begins with, and whether there is one. It
 // compares the path as sent, without decoding or cleaning it.
 func (t *Table) Match(host, path string) (*Route, bool) {
--- a/core/routing/table_test.go
+++ b/core/routing/table_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"wisteriadyke/core/enginemodel"
 	"wisteriadyke/core/fleet"
 )
 
@@ -85,3 +86,39 @@
 		t.Errorf("got pause objective %v, want 250ms", got)
 	}
 }
+
+// TestContended guards against new scheduling decisions in pools whose engines free their slots quickly enough for the
+// shortest objective.
+func TestContended(t *testing.T) {
+	engine := enginemodel.Model{
+		Slots: 12, Step: time.Millisecond, Stride: 50, MeanPrompt: 14_000, MeanOutput: 1_700, StepPerContext: 2.5,
+	}
+	tests := map[string]struct {
+		objective time.Duration
+		change    func(*enginemodel.Model)
+		call      bool
+		want      bool
+	}{
+		"slots free up slowly":             {objective: 300 * time.Millisecond, want: true},
+		"long objective":                   {objective: 500 * time.Millisecond},
+		"many slots":                       {objective: 300 * time.Millisecond, change: func(m *enginemodel.Model) { m.Slots, m.MeanPrompt = 24, 7_000 }},
+		"mean lengths not published":       {objective: 300 * time.Millisecond, change: func(m *enginemodel.Model) { m.MeanOutput = 0 }},
+		"no objective":                     {},
+		"short objective of another route": {objective: 300 * time.Millisecond, call: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := engine
+			if tc.change != nil {
+				tc.change(&m)
+			}
+			table := (&Table{
+				Routes: []Route{{Stream: !tc.call, Objective: tc.objective, Pools: []WeightedPool{{Pool: "p", Weight: 1}}}},
+				Pools:  map[fleet.PoolName]Pool{"p": {Name: "p", Engine: &m}},
+			}).BuildIndex()
+			if got := table.Pools["p"].Contended; got != tc.want {
+				t.Errorf("got contended %t, want %t; slots free up every %v", got, tc.want, m.SlotInterval())
+			}
+		})
+	}
+}
--- a/core/sharedload/choice.go
+++ b/core/sharedload/choice.go
@@ -53,6 +53,10 @@
 	// Limit is what Endpoint last said of its limit, or nil if it never had one. The entry that sends the request can thus
 	// tell whether the response ends the limit.
 	Limit *ratelimit.Statement
+	// Waiting reports that the request has no endpoint yet and should be asked for again at once; PredictedStart is when
+	// its first token is predicted then, counted from the reply. The other fields are empty.
+	Waiting        bool
+	PredictedStart time.Duration
 }
 
 // prefillUsages returns the usage by endpoint that lasts until the prompt is prefilled.
--- a/core/sharedload/estimate.go
+++ b/core/sharedload/estimate.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// safeShare is the share of an objective up to which a predicted time is never counted as late; the rest of the
-	// objective covers the prediction error.
-	safeShare = 0.6
 	// overloadWait is added to the wait once for each attempt beyond an endpoint's slots, including the arriving one; a
 	// slot becomes free about once in that time.
 	overloadWait = 150 * time.Millisecond
@@ -81,7 +78,7 @@
 
 // lateProbability returns the probability that a predicted time misses its objective.
 func lateProbability(predicted, objective time.Duration) float64 {
-	safe := time.Duration(float64(objective) * safeShare)
+	safe := time.Duration(float64(objective) * routing.SafeShare)
 	switch {
 	case predicted <= safe:
 		return 0
--- a/io/peer/choices.go
+++ b/io/peer/choices.go
@@ -22,6 +22,14 @@
 		ObjectiveUs:      q.Need.Objective.Microseconds(),
 		PauseObjectiveUs: q.Need.PauseObjective.Microseconds(),
 		Returned:         q.Need.WaitedAfterRefusal,
+
+		Account:              string(q.Need.Account),
+		Weight:               q.Need.Weight,
+		Rank:                 int64(q.Need.Rank),
+		WaitedUs:             sinceUs(q.Need.ArrivedAt),
+		StartWithinUs:        untilUs(q.Need.LatestStart),
+		MayWait:              q.Need.MayWait,
+		ExpectedOutputTokens: int64(q.Need.ExpectedOutput),
 	}
 	for id, excluded := range q.Need.Excluded {
 		if excluded {
@@ -33,6 +41,7 @@
 
 // fromChooseRequest converts a message to a choose request.
 func fromChooseRequest(m *ChooseRequest) sharedload.ChooseRequest {
+	now := time.Now()
 	excluded := make(map[fleet.EndpointID]bool, len(m.Excluded))
 	for _, id := range m.Excluded {
 		excluded[fleet.EndpointID(id)] = true
@@ -49,11 +58,42 @@
 			Objective:          microseconds(m.ObjectiveUs),
 			PauseObjective:     microseconds(m.PauseObjectiveUs),
 			WaitedAfterRefusal: m.Returned,
+			Account:            fleet.AccountID(m.Account),
+			Weight:             m.Weight,
+			Rank:               int(m.Rank),
+			ArrivedAt:          now.Add(-microseconds(m.WaitedUs)),
+			LatestStart:        latestStart(m.StartWithinUs, now),
+			MayWait:            m.MayWait,
+			ExpectedOutput:     fleet.Tokens(m.ExpectedOutputTokens),
 			Excluded:           excluded,
 		},
 	}
 }
 
+// sinceUs returns the microseconds since a time, or 0 if the time is zero.
+func sinceUs(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return time.Since(t).Microseconds()
+}
+
+// untilUs returns the microseconds until a time, at least 1, or 0 if the time is zero.
+func untilUs(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return max(1, time.Until(t).Microseconds())
+}
+
+// latestStart returns the time after the given microseconds, or the zero time if they are 0.
+func latestStart(us int64, now time.Time) time.Time {
+	if us == 0 {
+		return time.Time{}
+	}
+	return now.Add(microseconds(us))
+}
+
 // toChooseReply converts a choice to its message.
 func toChooseReply(c sharedload.Choice) *ChooseReply {
 	m := &ChooseReply{
@@ -61,6 +101,9 @@
 		PartUs:      c.PrefillTime.Microseconds(),
 		PredictedUs: c.Predicted.Microseconds(),
 		Work:        toUsages(c.Usages),
+
+		Waiting:          c.Waiting,
+		PredictedStartUs: c.PredictedStart.Microseconds(),
 	}
 	if c.Limit != nil {
 		m.Limit = toEndpointLimit(c.Endpoint, *c.Limit, time.Now())
@@ -82,6 +125,9 @@
 		PrefillTime: microseconds(m.PartUs),
 		Predicted:   microseconds(m.PredictedUs),
 		Usages:      fromUsages(m.Work),
+
+		Waiting:        m.Waiting,
+		PredictedStart: microseconds(m.PredictedStartUs),
 	}
 	if m.Limit != nil {
 		limit := fromEndpointLimit(m.Limit, time.Now())
