Read the parts of the platform's rules in force from the settings

Cause: limits for slow readers act only where the platform's rules call for them, and an entry was not told which parts are in force. Nothing reads it yet. Run: go test ./io/settings ./io/jsonfile ./cmd, passed; the reference page is compared with the code by TestReferencePages of io/jsonfile.

--- a/io/settings/gateway.go
+++ b/io/settings/gateway.go
@@ -48,6 +48,9 @@
 	Processor float64 `json:"processor" check:"default=1,min=0.01,max=1024"`
 	// Memory is the memory of the process in MiB.
 	Memory int `json:"memory_mib" check:"default=256,min=32,max=1048576"`
+	// Contracts holds the names of the optional parts of the platform's rules that are in force. Unknown names are
+	// ignored, since the platform may add parts that don't concern entries.
+	Contracts []string `json:"contracts"`
 	// LogLevel is the lowest level of messages to log.
 	LogLevel string `json:"log_level" check:"default=info,oneof=debug|info|warn|error"`
 }
