Add a bounded buffer between endpoint and caller

Cause: the dispatcher writes each event to the caller before it reads the next one, so a caller that doesn't read holds up its endpoint, and what waits in the kernel has no bound of the entry's own.

--- /dev/null
+++ b/core/dispatch/sink_buffer.go
@@ -0,0 +1,228 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/semaphore"
+
+	"wisteriadyke/core/fleet"
+)
+
+// bufferedPiece is a piece of an answer that waits for the caller.
+type bufferedPiece struct {
+	position fleet.Tokens
+	text     string
+	// room is what the piece takes of the buffer of its request, reserved what it takes of the memory of all buffers.
+	room, reserved int64
+}
+
+// sinkBuffer passes the pieces of one answer on to a sink that may block. Its methods are called by the goroutine that
+// reads from the endpoint, except run.
+type sinkBuffer struct {
+	*BufferedGenerator
+	// ctx ends when the caller has disconnected.
+	ctx     context.Context
+	request fleet.RequestID
+	sink    Sink
+	// begun reports whether a piece was accepted, after which the response header is settled.
+	begun bool
+	// waited is how long the endpoints of the request waited for room.
+	waited time.Duration
+	// room is the free part of the buffer.
+	room *semaphore.Weighted
+	// wake tells run that pieces, closed or err have changed.
+	wake chan struct{}
+
+	mu     sync.Mutex
+	pieces []bufferedPiece
+	closed bool
+	err    error
+}
+
+// SetResponseHeader passes the response header on before the first piece. A later attempt's header comes too late, as it
+// does without a buffer.
+func (b *sinkBuffer) SetResponseHeader(header any) {
+	if sink, ok := b.sink.(ResponseHeaderSink); ok && !b.begun {
+		sink.SetResponseHeader(header)
+	}
+}
+
+// WriteToken adds a piece to the buffer. If there is no room, it waits until callerWaitTimeout is used up, and then ends
+// the request with ErrSlowCaller. A piece that finds no memory waits until all earlier ones are written; it is held
+// once, as without a buffer. A piece longer than the buffer is a complete body whose memory its stream accounts for, so
+// that it is written before WriteToken returns.
+func (b *sinkBuffer) WriteToken(position fleet.Tokens, text string) error {
+	b.begun = true
+	size := int64(len(text) + pieceOverheadBytes)
+	p := bufferedPiece{position: position, text: text, room: min(size, callerBufferBytes)}
+	if err := b.awaitRoom(p.room); err != nil {
+		return err
+	}
+	switch {
+	case size <= callerBufferBytes && b.Memory.TryAcquire(size):
+		p.reserved = size
+		b.buffered.Add(size)
+	case size < callerBufferBytes:
+		if err := b.awaitRoom(callerBufferBytes - size); err != nil {
+			return err
+		}
+		p.room = callerBufferBytes
+	}
+	if err := b.push(p); err != nil {
+		return err
+	}
+	if size <= callerBufferBytes {
+		return nil
+	}
+	// The write has a deadline of its own.
+	if err := b.room.Acquire(context.WithoutCancel(b.ctx), callerBufferBytes); err != nil {
+		return err
+	}
+	b.room.Release(callerBufferBytes)
+	return b.failure()
+}
+
+// awaitRoom takes room in the buffer, and waits for it within callerWaitTimeout.
+func (b *sinkBuffer) awaitRoom(size int64) error {
+	if b.room.TryAcquire(size) {
+		return nil
+	}
+	startedAt := time.Now()
+	ctx, cancel := context.WithTimeout(b.ctx, callerWaitTimeout-b.waited)
+	defer cancel()
+	err := b.room.Acquire(ctx, size)
+	b.waited += time.Since(startedAt)
+	switch {
+	case err == nil:
+		return nil
+	case b.ctx.Err() != nil:
+		b.fail(err)
+		return err
+	}
+	b.endSlowCaller()
+	return ErrSlowCaller
+}
+
+// endSlowCaller drops the pieces and ends the write to the caller.
+func (b *sinkBuffer) endSlowCaller() {
+	buffered := b.fail(ErrSlowCaller)
+	if sink, ok := b.sink.(AbortableSink); ok {
+		sink.Abort()
+	}
+	if b.Metrics != nil {
+		metrics.GetOrRegisterCounter(metricSlowCallers, b.Metrics).Inc(1)
+	}
+	b.Log.Warn().
+		Str("request", string(b.request)).
+		Int64("buffered_bytes", buffered).
+		Dur("waited_ms", b.waited).
+		Msg("dispatch: request ended, since its caller reads too slowly")
+}
+
+// push appends a piece, unless a write has failed.
+func (b *sinkBuffer) push(p bufferedPiece) error {
+	b.mu.Lock()
+	err := b.err
+	if err == nil {
+		b.pieces = append(b.pieces, p)
+	}
+	b.mu.Unlock()
+	if err != nil {
+		b.release(p)
+		return err
+	}
+	b.notify()
+	return nil
+}
+
+// run writes the pieces until the buffer is closed and empty, or a write fails; it returns the error of that write.
+func (b *sinkBuffer) run() error {
+	for {
+		p, ok := b.pop()
+		if !ok {
+			return b.failure()
+		}
+		err := b.sink.WriteToken(p.position, p.text)
+		if err != nil {
+			b.fail(err)
+		}
+		b.release(p)
+	}
+}
+
+// pop waits for the next piece. It reports false if there will be none.
+func (b *sinkBuffer) pop() (bufferedPiece, bool) {
+	for {
+		b.mu.Lock()
+		pieces, ended := b.pieces, b.closed || b.err != nil
+		if len(pieces) > 0 {
+			b.pieces = pieces[1:]
+		}
+		b.mu.Unlock()
+		switch {
+		case len(pieces) > 0:
+			p := pieces[0]
+			// The array behind the slice would keep the text.
+			pieces[0] = bufferedPiece{}
+			return p, true
+		case ended:
+			return bufferedPiece{}, false
+		}
+		<-b.wake
+	}
+}
+
+// close lets run end once all pieces are written.
+func (b *sinkBuffer) close() {
+	b.mu.Lock()
+	b.closed = true
+	b.mu.Unlock()
+	b.notify()
+}
+
+// fail drops all pieces that wait and makes later calls of WriteToken return the error; the first error counts. It
+// returns the number of bytes that waited.
+func (b *sinkBuffer) fail(err error) (dropped int64) {
+	b.mu.Lock()
+	if b.err == nil {
+		b.err = err
+	}
+	pieces := b.pieces
+	b.pieces = nil
+	b.mu.Unlock()
+	for _, p := range pieces {
+		dropped += int64(len(p.text))
+		b.release(p)
+	}
+	b.notify()
+	return dropped
+}
+
+// failure returns the first error.
+func (b *sinkBuffer) failure() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.err
+}
+
+// release frees the room and the memory of a piece.
+func (b *sinkBuffer) release(p bufferedPiece) {
+	b.room.Release(p.room)
+	if p.reserved > 0 {
+		b.Memory.Release(p.reserved)
+		b.buffered.Add(-p.reserved)
+	}
+}
+
+// notify wakes run.
+func (b *sinkBuffer) notify() {
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+var _ ResponseHeaderSink = (*sinkBuffer)(nil)
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -17,6 +17,8 @@
 	// AckTimeout is how long sent bytes may remain unacknowledged (TCP_USER_TIMEOUT), and approximately how long the
 	// peer of an idle connection may be unreachable before the connection fails.
 	AckTimeout time.Duration
+	// Buffers bounds the buffers of the kernel; its zero value leaves them to the kernel.
+	Buffers Buffers
 }
 
 // keepAliveProbes is the number of unanswered keep-alive probes after which a connection fails.
@@ -37,9 +39,12 @@
 	return dialer.DialContext(ctx, network, address)
 }
 
-// control sets TCP_USER_TIMEOUT on a new socket.
-func (d *Dialer) control(_, _ string, raw syscall.RawConn) error {
-	return setAckTimeout(raw, d.AckTimeout)
+// control sets TCP_USER_TIMEOUT and the buffers of a new socket.
+func (d *Dialer) control(network, address string, raw syscall.RawConn) error {
+	if err := setAckTimeout(raw, d.AckTimeout); err != nil {
+		return err
+	}
+	return d.Buffers.Control(network, address, raw)
 }
 
 // setAckTimeout sets TCP_USER_TIMEOUT on a socket.
--- a/io/tcp/tcp_test.go
+++ b/io/tcp/tcp_test.go
@@ -39,3 +39,37 @@
 		t.Fatal(err)
 	}
 }
+
+// TestBuffersAreBounded guards against kernel buffers that grow with what a slow reader leaves unread.
+func TestBuffersAreBounded(t *testing.T) {
+	const size = 32 << 10
+	buffers := Buffers{Read: size, Write: size}
+	listener, err := (&net.ListenConfig{Control: buffers.Control}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	dialed, err := (&Dialer{Timeout: time.Second, AckTimeout: time.Second, Buffers: buffers}).DialContext(t.Context(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = dialed.Close() }()
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = accepted.Close() }()
+	for name, conns := range map[string][2]net.Conn{"dialed": {dialed, accepted}, "accepted": {accepted, dialed}} {
+		written := 0
+		_ = conns[0].SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+		for chunk := make([]byte, 1024); ; written += len(chunk) {
+			if _, err := conns[0].Write(chunk); err != nil {
+				break
+			}
+		}
+		// Each kernel buffer may hold twice its size.
+		if written > 4*size {
+			t.Errorf("%s: %d bytes were accepted that nobody reads, want %d at most", name, written, 4*size)
+		}
+	}
+}
