--- a/e2e/gateway_test.go
+++ b/e2e/gateway_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
 	"os"
@@ -31,8 +32,14 @@
 	log string
 }
 
-// startGateway starts an entry that uses the given store and waits until its readiness check succeeds.
+// startGateway starts an entry in zone "a" that uses the given store and waits until its readiness check succeeds.
 func startGateway(t *testing.T, store *cierzo.Store, name string) *gatewayProcess {
+	t.Helper()
+	return startGatewayOf(t, binary, store, name, nil)
+}
+
+// startGatewayOf is like startGateway with the program at a path and with further settings, which replace the others.
+func startGatewayOf(t *testing.T, program string, store *cierzo.Store, name string, further map[string]any) *gatewayProcess {
 	t.Helper()
 	folder := t.TempDir()
 	g := &gatewayProcess{
@@ -40,10 +47,12 @@
 		ready:  freeAddress(t),
 		log:    filepath.Join(folder, name+".log"),
 	}
-	settings, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"entry": name, "zone": "a", "caller_address": g.caller, "ready_address": g.ready, "peer_address": freeAddress(t),
 		"metrics_address": freeAddress(t), "store": store.Address(), "balancer_delay": "300ms",
-	})
+	}
+	maps.Copy(fields, further)
+	settings, err := json.Marshal(fields)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -55,7 +64,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g.command = exec.CommandContext(context.Background(), binary, "gateway", "--settings", path)
+	g.command = exec.CommandContext(context.Background(), program, "gateway", "--settings", path)
 	g.command.Stdout = out
 	if err := g.command.Start(); err != nil {
 		t.Fatal(err)
--- a/standin/cierzo/endpoint.go
+++ b/standin/cierzo/endpoint.go
@@ -49,6 +49,11 @@
 	Pause time.Duration
 	// Work is the time until the first event or the plain answer.
 	Work time.Duration
+	// TokensPerMs is the number of prompt tokens that the endpoint prefills per millisecond, after Work; 0 means that it
+	// doesn't prefill.
+	TokensPerMs int
+	// Queue makes requests wait while Slots of them run. Otherwise, all run at once.
+	Queue bool
 	// Public is the address that Register states in the registry; the zero value means the listen address.
 	Public netip.AddrPort
 	// CrashPart is the ID of a prompt part. The endpoint crashes when it begins to write the answer to a prompt with this
@@ -64,14 +69,19 @@
 	disconnects int
 	// reservations holds the end of the lease of each memory reservation by its ID.
 	reservations map[string]time.Time
-	server       *httptest.Server
-	startedAtMs  int64
+	// slots holds one element for each running request if Queue is set.
+	slots       chan struct{}
+	server      *httptest.Server
+	startedAtMs int64
 }
 
 // Start listens on a free port of 127.0.0.1 and serves in the background.
 func (k *Endpoint) Start() {
 	k.reservations = make(map[string]time.Time)
 	k.startedAtMs = time.Now().UnixMilli()
+	if k.Queue {
+		k.slots = make(chan struct{}, k.Slots)
+	}
 	k.server = httptest.NewServer(http.HandlerFunc(k.serve))
 }
 
@@ -156,7 +166,7 @@
 	return append([]ReceivedRequest(nil), k.received...)
 }
 
-// Disconnects returns the number of requests whose client disconnected while they ran.
+// Disconnects returns the number of requests whose client disconnected while they ran or waited.
 func (k *Endpoint) Disconnects() int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -217,7 +227,11 @@
 	}
 	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 	w.Header().Set("X-Response-Seal", "seal-"+k.ID)
-	if !k.wait(r, k.Work) {
+	if !k.takeSlot(r) {
+		return
+	}
+	defer k.releaseSlot()
+	if !k.wait(r, k.Work+k.prefillTime(r)) {
 		return
 	}
 	if k.crashesOn(r.Header.Get("X-Prompt-Prefix")) {
@@ -232,6 +246,38 @@
 	k.stream(w, r)
 }
 
+// takeSlot waits until one of Slots is free, if Queue is set. If the client disconnects first, it counts the
+// disconnection and returns false.
+func (k *Endpoint) takeSlot(r *http.Request) bool {
+	if k.slots == nil {
+		return true
+	}
+	select {
+	case k.slots <- struct{}{}:
+		return true
+	case <-r.Context().Done():
+		k.countDisconnect()
+		return false
+	}
+}
+
+// releaseSlot releases the slot of takeSlot.
+func (k *Endpoint) releaseSlot() {
+	if k.slots != nil {
+		<-k.slots
+	}
+}
+
+// prefillTime returns the prefill time of a request by the number of its prompt tokens.
+func (k *Endpoint) prefillTime(r *http.Request) time.Duration {
+	if k.TokensPerMs == 0 {
+		return 0
+	}
+	prompt, _, _ := strings.Cut(r.Header.Get("X-Token-Counts"), ",")
+	tokens, _ := strconv.Atoi(prompt)
+	return time.Duration(tokens) * time.Millisecond / time.Duration(k.TokensPerMs)
+}
+
 // crashesOn reports whether the parts of a prompt, but for the last, contain CrashPart.
 func (k *Endpoint) crashesOn(parts string) bool {
 	shared := parts[:max(0, strings.LastIndex(parts, ","))]
@@ -269,13 +315,18 @@
 	case <-timer.C:
 		return true
 	case <-r.Context().Done():
-		k.mu.Lock()
-		k.disconnects++
-		k.mu.Unlock()
+		k.countDisconnect()
 		return false
 	}
 }
 
+// countDisconnect counts a request whose client disconnected while it ran or waited.
+func (k *Endpoint) countDisconnect() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.disconnects++
+}
+
 // handleOrder executes an order to reserve or release memory.
 func (k *Endpoint) handleOrder(w http.ResponseWriter, r *http.Request) {
 	var body struct {
@@ -301,46 +352,6 @@
 	writeJSON(w, map[string]any{"free": 0})
 }
 
-// Route is the JSON form of a route in a configuration.
-type Route map[string]any
-
-// Configuration writes a configuration to the store, with a pool of engines, a pool of plain services, the given routes
-// and the API keys of each client account.
-func Configuration(s *Store, version int, keys map[string][]string, routes ...Route) {
-	accounts := []map[string]any{}
-	for name, list := range keys {
-		accounts = append(accounts, map[string]any{"name": name, "apiKeys": list, "priority": 1})
-	}
-	engine := map[string]any{
-		"slots": 4, "kvCapacity": 100000, "stride": 51, "step_ms": 0.85, "per_seq_ms": 0.004, "context_per_k": 0.003,
-		"read_per_s": 177000.0, "pairs_per_m": 0.184, "chunk": 2048,
-	}
-	value, _ := json.Marshal(map[string]any{
-		"version": version, "routes": routes, "tenants": accounts,
-		"services": []map[string]any{
-			{"name": "engines", "maxConns": 100, "coldS": 1, "coldPerS": 300, "engine": engine},
-			{"name": "services", "maxConns": 100},
-		},
-		"limits": map[string]any{
-			"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
-		},
-	})
-	s.Put("op", "config", base64.StdEncoding.EncodeToString(value))
-}
-
-// Routes returns one route of each kind for the host "app.example": streams under "/s/", safe calls under "/r/" and
-// unsafe calls under "/u/".
-func Routes() []Route {
-	return []Route{
-		{"name": "s", "host": "app.example", "prefix": "/s/", "kind": "stream", "timeoutMs": 5000, "goalMs": 300, "priority": 1,
-			"service": "engines", "maxAttempts": 2, "sticky": true, "resumable": true, "gapGoalMs": 250},
-		{"name": "r", "host": "app.example", "prefix": "/r/", "kind": "safe", "timeoutMs": 2000, "goalMs": 150, "priority": 2,
-			"service": "services", "maxAttempts": 2},
-		{"name": "u", "host": "app.example", "prefix": "/u/", "kind": "unsafe", "timeoutMs": 2000, "goalMs": 150, "priority": 2,
-			"service": "services", "maxAttempts": 1},
-	}
-}
-
 // Stream returns the wire form of the events from the first given id to the second, both inclusive.
 func Stream(from, to int) string {
 	var text strings.Builder
