Sort short keys instead of endpoint states

Cause: a choice computed rank hashes and costs of both endpoints in each comparison and moved whole endpoint states. Change: hashes and costs are computed once for each endpoint, and only these and an index are sorted. The order is the same. Run: go test ./core/sharedload, passed.

--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -72,10 +72,22 @@
 	if pool.Engine != nil {
 		p.demand.update(pool.Name, states, time.Now())
 	}
-	slices.SortStableFunc(states, func(a, b endpointState) int {
-		return cmp.Compare(quickCost(pool, &a), quickCost(pool, &b))
-	})
-	return states
+	costs := make([]rankedCost, len(states))
+	for i := range states {
+		costs[i] = rankedCost{cost: quickCost(pool, &states[i]), index: i}
+	}
+	slices.SortFunc(costs, func(a, b rankedCost) int { return cmp.Or(cmp.Compare(a.cost, b.cost), a.index-b.index) })
+	ordered := make([]endpointState, len(states))
+	for i, c := range costs {
+		ordered[i] = states[c.index]
+	}
+	return ordered
+}
+
+// rankedCost is the cost of the endpoint with an index; sorting these is cheaper than sorting endpoint states.
+type rankedCost struct {
+	cost  time.Duration
+	index int
 }
 
 // without returns the endpoints that are not to be avoided. If fewer than minHealthyShare are left, it returns all
@@ -153,7 +165,7 @@
 	}
 	totals := p.Usages.Totals(now)
 	pool, _ := p.Pool(need.Pool)
-	var found []endpointState
+	found := make([]endpointState, 0, len(view.Endpoints))
 	for id, endpoint := range view.Endpoints {
 		if endpoint.Pool != need.Pool || need.Excluded[id] || !inService(view, endpoint) || !p.choosable(endpoint, now) {
 			continue
@@ -166,14 +178,26 @@
 			limited:          p.isLimited(endpoint),
 		})
 	}
-	slices.SortFunc(found, func(a, b endpointState) int {
-		return cmp.Or(cmp.Compare(fleet.Rank(a.endpoint.ID), fleet.Rank(b.endpoint.ID)), cmp.Compare(a.endpoint.ID, b.endpoint.ID))
-	})
+	keys := make([]rankKey, len(found))
 	for i := range found {
-		found[i].rank = i
-		found[i].rankCost = time.Duration(i) * min(rankCost, maxRankCost/time.Duration(len(found)))
+		keys[i] = rankKey{hash: fleet.Rank(found[i].endpoint.ID), index: i}
+	}
+	slices.SortFunc(keys, func(a, b rankKey) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(found[a.index].endpoint.ID, found[b.index].endpoint.ID))
+	})
+	ranked := make([]endpointState, len(found))
+	for i, k := range keys {
+		ranked[i] = found[k.index]
+		ranked[i].rank = i
+		ranked[i].rankCost = time.Duration(i) * min(rankCost, maxRankCost/time.Duration(len(found)))
 	}
-	return found
+	return ranked
+}
+
+// rankKey is the rank hash of the endpoint with an index.
+type rankKey struct {
+	hash  uint32
+	index int
 }
 
 // outstandingPrefill returns the time until the outstanding prefill of an endpoint is done. In a pool that is not contended,
