Share lost paths among the entries of a zone

Cause: when a path from a zone to an endpoint is lost, each entry of the zone finds out by itself at the cost of a connection timeout. Change: outlier.PathTable records what entries report of paths. A report takes effect with two witnesses, or with one that reached another endpoint of the zone within the last second and whom no other entry contradicts; it expires after 1.5 s and ends when an entry of the zone reaches the endpoint. Reports travel with usage reports and the replies of choosers, at most 32 in each; a new one makes a usage report due at once. Choosers leave out lost endpoints for the entries of that zone. Two entries of the zone probe a lost endpoint and one a suspect one, every 0.5 s; an entry that is in a back-off probes again when another one reached the endpoint. Only paths to contended pools are recorded. Run: go test ./core/outlier ./core/sharedload ./io/peer ./gateway, passed. TestLostPathSparesOthers and TestThirdOfThePoolSuspect fail without the merge of reports; TestLostPathIsUsedAgain fails without the shared probes.

--- a/core/outlier/detector.go
+++ b/core/outlier/detector.go
@@ -176,6 +176,15 @@
 	delete(d.records, endpoint.ID)
 }
 
+// RecordReachable ends the back-off of an endpoint that is in one because no connection to it could be opened.
+func (d *Detector) RecordReachable(endpoint fleet.Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r := d.records[endpoint.ID]; r.unreachable && r.incarnation == endpoint.Incarnation {
+		delete(d.records, endpoint.ID)
+	}
+}
+
 // Usable reports whether requests may be sent to an endpoint: whether its current incarnation is in no back-off and no
 // pause.
 func (d *Detector) Usable(endpoint fleet.Endpoint, now time.Time) bool {
--- /dev/null
+++ b/core/outlier/paths.go
@@ -0,0 +1,333 @@
+package outlier
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"wisteriadyke/core/clusterstate"
+	"wisteriadyke/core/fleet"
+)
+
+const (
+	// lostPathTTL is how long a report of a lost path is valid unless it is renewed.
+	lostPathTTL = 1500 * time.Millisecond
+	// maxPathReports bounds the reports of paths in one message.
+	maxPathReports = 32
+	// maxPathWitnesses bounds the witnesses that are kept for one path; two of them are enough for a report to take effect.
+	maxPathWitnesses = 4
+	// corroborationTime is how recently a witness must have reached another endpoint of a zone for its report to take
+	// effect alone.
+	corroborationTime = time.Second
+)
+
+// PathReport is the report of one entry that it could not connect to an endpoint, or that it reached it again.
+type PathReport struct {
+	// Endpoint and Incarnation identify the endpoint.
+	Endpoint    fleet.EndpointID
+	Incarnation fleet.Incarnation
+	// Zone is the zone of Witness, the entry that made the report.
+	Zone    fleet.Zone
+	Witness fleet.EntryID
+	// At is when the witness last failed to connect, or reached the endpoint again.
+	At time.Time
+	// Corroborated reports whether the witness reached another endpoint of the endpoint's zone within corroborationTime
+	// before.
+	Corroborated bool
+	// Reached reports that the witness reached the endpoint again, which ends all earlier reports of its zone.
+	Reached bool
+}
+
+// pathKey identifies a path: the zone of the entries and the endpoint.
+type pathKey struct {
+	zone     fleet.Zone
+	endpoint fleet.EndpointID
+}
+
+// pathRecord holds what is known of the path to one incarnation of an endpoint.
+type pathRecord struct {
+	incarnation fleet.Incarnation
+	// endpointZone is the zone of the endpoint.
+	endpointZone fleet.Zone
+	// lost holds the latest report of each witness that lost the path.
+	lost map[fleet.EntryID]PathReport
+	// reached is the latest report of an entry that reached the endpoint after it was lost.
+	reached PathReport
+	// lostSince is when the reports took effect; zero means that they are not in force.
+	lostSince time.Time
+	// probedAt is when this entry last probed the endpoint.
+	probedAt time.Time
+}
+
+// PathTable holds which paths are lost from which zones, as this entry and others report. Its fields must be set before
+// use; it is safe for concurrent use.
+//
+// Load pattern: a zone is partitioned from the others, and each entry would find out by itself, endpoint by endpoint, at
+// the cost of a connection timeout for each.
+type PathTable struct {
+	// Self is this entry.
+	Self fleet.Entry
+	// State holds the listed endpoints and entries.
+	State *clusterstate.State
+	// Contended reports whether a pool is contended; paths to endpoints of other pools are not recorded.
+	Contended func(fleet.PoolName) bool
+	// CutOff reports whether this entry is cut off from a pool, in which case it reports no lost paths to its endpoints.
+	CutOff func(fleet.PoolName) bool
+	// Log receives a message for each path that is lost or works again.
+	Log zerolog.Logger
+
+	mu      sync.Mutex
+	records map[pathKey]*pathRecord
+	// reachedAt holds when this entry last reached each endpoint of a contended pool.
+	reachedAt map[fleet.EndpointID]time.Time
+	// suspicions holds the zones whose endpoints are suspect from a zone of entries.
+	suspicions map[zonePair]suspicion
+	// recheck holds the endpoints that another entry reached while this one is in a back-off from them.
+	recheck map[fleet.EndpointID]bool
+}
+
+// RecordLost records that this entry could not connect to an endpoint.
+func (p *PathTable) RecordLost(endpoint fleet.Endpoint, now time.Time) {
+	if !p.Contended(endpoint.Pool) || p.CutOff(endpoint.Pool) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.apply(endpoint, PathReport{
+		Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation, Zone: p.Self.Zone, Witness: p.Self.ID, At: now,
+		Corroborated: p.reachesZone(endpoint, now),
+	}, now)
+}
+
+// RecordReached records that an endpoint answered this entry or accepted a connection.
+func (p *PathTable) RecordReached(endpoint fleet.Endpoint, now time.Time) {
+	if !p.Contended(endpoint.Pool) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reachedAt == nil {
+		p.reachedAt = make(map[fleet.EndpointID]time.Time)
+	}
+	p.reachedAt[endpoint.ID] = now
+	delete(p.recheck, endpoint.ID)
+	if r, found := p.records[pathKey{p.Self.Zone, endpoint.ID}]; found || p.suspect(endpoint, p.Self.Zone, now) {
+		if found && r.reached.Witness == p.Self.ID && len(r.lost) == 0 && now.Sub(r.reached.At) < lostPathTTL {
+			return
+		}
+		p.apply(endpoint, PathReport{
+			Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation, Zone: p.Self.Zone, Witness: p.Self.ID, At: now,
+			Reached: true,
+		}, now)
+	}
+}
+
+// Merge applies the reports of another entry. A report of an incarnation that is not the listed one has no effect.
+func (p *PathTable) Merge(reports []PathReport, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range reports[:min(len(reports), maxPathReports)] {
+		endpoint, found := p.State.Endpoints.Get(r.Endpoint)
+		if !found || endpoint.Incarnation != r.Incarnation || r.Witness == p.Self.ID || !p.Contended(endpoint.Pool) ||
+			now.Sub(r.At) >= lostPathTTL {
+			continue
+		}
+		p.apply(endpoint, r, now)
+	}
+}
+
+// Withdraw drops the reports of an entry of lost paths to endpoints of pools that it is cut off from.
+func (p *PathTable) Withdraw(witness fleet.EntryID, pools []fleet.PoolName) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, r := range p.records {
+		if endpoint, found := p.State.Endpoints.Get(key.endpoint); found && slices.Contains(pools, endpoint.Pool) {
+			delete(r.lost, witness)
+		}
+	}
+}
+
+// apply applies one report and logs if it takes effect or ends others; the caller holds the lock.
+func (p *PathTable) apply(endpoint fleet.Endpoint, report PathReport, now time.Time) {
+	r := p.record(endpoint, report.Zone)
+	if report.Reached {
+		p.applyReached(r, report, now)
+		return
+	}
+	if known, found := r.lost[report.Witness]; found && !report.At.After(known.At) {
+		return
+	}
+	r.lost[report.Witness] = report
+	r.dropOldest()
+	if !r.inForce(now) {
+		r.lostSince = time.Time{}
+		return
+	}
+	if r.lostSince.IsZero() {
+		r.lostSince = report.At
+		p.logReport(r, report, now, "outlier: path to an endpoint is lost")
+	}
+	p.updateSuspicion(report.Zone, r, report, now)
+}
+
+// record returns the record of the path from a zone to an endpoint and creates it if necessary; the caller holds the lock.
+func (p *PathTable) record(endpoint fleet.Endpoint, from fleet.Zone) *pathRecord {
+	key := pathKey{from, endpoint.ID}
+	r, found := p.records[key]
+	if found && r.incarnation == endpoint.Incarnation {
+		return r
+	}
+	if p.records == nil {
+		p.records = make(map[pathKey]*pathRecord)
+	}
+	r = &pathRecord{
+		incarnation: endpoint.Incarnation, endpointZone: endpoint.Zone, lost: make(map[fleet.EntryID]PathReport),
+	}
+	p.records[key] = r
+	return r
+}
+
+// applyReached records that an endpoint was reached; the caller holds the lock.
+func (p *PathTable) applyReached(r *pathRecord, report PathReport, now time.Time) {
+	if !report.At.After(r.reached.At) {
+		return
+	}
+	wasLost := r.inForce(now)
+	r.reached = report
+	maps.DeleteFunc(r.lost, func(_ fleet.EntryID, lost PathReport) bool { return !lost.At.After(report.At) })
+	if report.Zone == p.Self.Zone && report.Witness != p.Self.ID {
+		if p.recheck == nil {
+			p.recheck = make(map[fleet.EndpointID]bool)
+		}
+		p.recheck[report.Endpoint] = true
+	}
+	if wasLost && !r.inForce(now) {
+		r.lostSince = time.Time{}
+		p.logReport(r, report, now, "outlier: path to an endpoint works again")
+	}
+}
+
+// logReport logs the report because of which a path is lost or works again.
+func (p *PathTable) logReport(r *pathRecord, report PathReport, now time.Time, message string) {
+	p.Log.Info().Str("endpoint", string(report.Endpoint)).Uint64("incarnation", uint64(report.Incarnation)).
+		Str("endpoint_zone", string(r.endpointZone)).Str("from_zone", string(report.Zone)).
+		Str("witness", string(report.Witness)).Dur("age_ms", now.Sub(report.At)).
+		Bool("corroborated", report.Corroborated).Int("witnesses", len(r.lost)).Msg(message)
+}
+
+// dropOldest drops the oldest report if there are more than maxPathWitnesses.
+func (r *pathRecord) dropOldest() {
+	if len(r.lost) <= maxPathWitnesses {
+		return
+	}
+	oldest := slices.MinFunc(slices.Collect(maps.Values(r.lost)), func(a, b PathReport) int { return a.At.Compare(b.At) })
+	delete(r.lost, oldest.Witness)
+}
+
+// inForce reports whether the reports of a lost path are in force: two witnesses made one within lostPathTTL, or one
+// whose report is corroborated. The latter is not enough if another entry reached the endpoint lately, since the fault is
+// then probably the witness's own.
+func (r *pathRecord) inForce(now time.Time) bool {
+	valid, corroborated := 0, false
+	for _, report := range r.lost {
+		if now.Sub(report.At) < lostPathTTL && report.At.After(r.reached.At) {
+			valid++
+			corroborated = corroborated || report.Corroborated
+		}
+	}
+	contradicted := now.Sub(r.reached.At) < lostPathTTL
+	return valid >= 2 || corroborated && !contradicted
+}
+
+// reachesZone reports whether this entry reached another endpoint in the zone of the given one within corroborationTime;
+// the caller holds the lock.
+func (p *PathTable) reachesZone(than fleet.Endpoint, now time.Time) bool {
+	for id, at := range p.reachedAt {
+		if id == than.ID || now.Sub(at) > corroborationTime {
+			continue
+		}
+		if endpoint, found := p.State.Endpoints.Get(id); found && endpoint.Zone == than.Zone {
+			return true
+		}
+	}
+	return false
+}
+
+// Lost reports whether an endpoint counts as lost for the entries of a zone.
+func (p *PathTable) Lost(endpoint fleet.Endpoint, from fleet.Zone, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lost(endpoint, from, now)
+}
+
+// lost is Lost; the caller holds the lock.
+func (p *PathTable) lost(endpoint fleet.Endpoint, from fleet.Zone, now time.Time) bool {
+	r, found := p.records[pathKey{from, endpoint.ID}]
+	return found && r.incarnation == endpoint.Incarnation && r.inForce(now)
+}
+
+// Own returns this entry's valid reports, the newest first, at most maxPathReports. It returns none of lost paths to
+// endpoints of pools that this entry is cut off from.
+func (p *PathTable) Own(now time.Time) []PathReport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var own []PathReport
+	for key, r := range p.records {
+		if key.zone != p.Self.Zone {
+			continue
+		}
+		endpoint, found := p.State.Endpoints.Get(key.endpoint)
+		if !found || endpoint.Incarnation != r.incarnation {
+			continue
+		}
+		if report, found := r.lost[p.Self.ID]; found && now.Sub(report.At) < lostPathTTL && !p.CutOff(endpoint.Pool) {
+			own = append(own, report)
+		}
+		if r.reached.Witness == p.Self.ID && now.Sub(r.reached.At) < lostPathTTL {
+			own = append(own, r.reached)
+		}
+	}
+	return newest(own)
+}
+
+// ForZone returns the reports that entries of a zone need: those because of which paths of the zone are lost, and those
+// of endpoints that were reached again; the newest first, at most maxPathReports.
+func (p *PathTable) ForZone(zone fleet.Zone, now time.Time) []PathReport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var reports []PathReport
+	for key, r := range p.records {
+		if key.zone != zone {
+			continue
+		}
+		if now.Sub(r.reached.At) < lostPathTTL {
+			reports = append(reports, r.reached)
+		}
+		if r.inForce(now) {
+			reports = append(reports, r.decisive(now)...)
+		}
+	}
+	return newest(reports)
+}
+
+// decisive returns the fewest reports because of which a path is lost: the newest corroborated one, or the two newest.
+func (r *pathRecord) decisive(now time.Time) []PathReport {
+	reports := newest(slices.Collect(maps.Values(r.lost)))
+	contradicted := now.Sub(r.reached.At) < lostPathTTL
+	if i := slices.IndexFunc(reports, func(report PathReport) bool { return report.Corroborated }); i >= 0 && !contradicted {
+		return reports[i : i+1]
+	}
+	return reports[:min(len(reports), 2)]
+}
+
+// newest sorts reports by descending time and returns the first maxPathReports.
+func newest(reports []PathReport) []PathReport {
+	slices.SortFunc(reports, func(a, b PathReport) int {
+		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Witness, b.Witness))
+	})
+	return reports[:min(len(reports), maxPathReports)]
+}
--- a/core/outlier/prober.go
+++ b/core/outlier/prober.go
@@ -31,6 +31,8 @@
 	Connect func(ctx context.Context, endpoint fleet.Endpoint) error
 	// Reach is updated before each round of probes; nil disables that.
 	Reach *Reach
+	// Paths holds the paths that entries of this zone lost; nil disables their probes.
+	Paths *PathTable
 
 	mu      sync.Mutex
 	probing map[fleet.EndpointID]bool
@@ -54,28 +56,49 @@
 	}
 }
 
-// startProbes starts the probes that are due. A failed probe starts or extends the back-off of the endpoint; a
-// successful one changes nothing.
+// startProbes starts the probes that are due.
 func (p *Prober) startProbes(ctx context.Context, group *errgroup.Group, now time.Time) {
 	zones := p.Detector.takeUnreachableZones()
 	listed := p.State.Endpoints.Snapshot().Rows
 	p.Detector.dropUnlisted(listed, now)
+	if p.Paths != nil {
+		p.Paths.dropExpired(now)
+	}
 	for _, endpoint := range listed {
-		if !zones[endpoint.Zone] && !p.Detector.probeDue(endpoint, now) || !p.startProbe(endpoint.ID) {
+		due := zones[endpoint.Zone] || p.Detector.probeDue(endpoint, now) || p.Paths != nil && p.Paths.probeDue(endpoint, now)
+		if !due || !p.startProbe(endpoint.ID) {
 			continue
 		}
 		group.Go(func() error {
 			defer p.endProbe(endpoint.ID)
 			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 			defer cancel()
-			if err := p.Connect(ctx, endpoint); err != nil && ctx.Err() != context.Canceled {
-				p.Detector.extendBackoff(endpoint, time.Now())
+			err := p.Connect(ctx, endpoint)
+			if err != nil && ctx.Err() == context.Canceled {
+				return nil
 			}
+			p.recordProbe(endpoint, err == nil, time.Now())
 			return nil
 		})
 	}
 }
 
+// recordProbe records the result of a probe. A failed probe starts or extends the back-off of the endpoint. A successful
+// one ends it in a contended pool, where few endpoints have capacity to spare; in other pools it changes nothing.
+func (p *Prober) recordProbe(endpoint fleet.Endpoint, reached bool, now time.Time) {
+	if !reached {
+		p.Detector.extendBackoff(endpoint, now)
+		if p.Paths != nil {
+			p.Paths.RecordLost(endpoint, now)
+		}
+		return
+	}
+	if p.Paths != nil && p.Paths.Contended(endpoint.Pool) {
+		p.Detector.RecordReachable(endpoint)
+		p.Paths.RecordReached(endpoint, now)
+	}
+}
+
 // startProbe marks an endpoint as being probed; it reports false if it is already.
 func (p *Prober) startProbe(id fleet.EndpointID) bool {
 	p.mu.Lock()
--- /dev/null
+++ b/core/outlier/suspicion.go
@@ -0,0 +1,183 @@
+package outlier
+
+import (
+	"cmp"
+	"maps"
+	"time"
+
+	"wisteriadyke/core/fleet"
+)
+
+const (
+	// correlationTime is the time within which minCorrelatedLosses endpoints of one zone must be lost to make the others of
+	// the zone suspect.
+	correlationTime = 300 * time.Millisecond
+	// minCorrelatedLosses is more than fail by chance within correlationTime.
+	minCorrelatedLosses = 3
+	// sharedProbePeriod is the interval between the probes of a lost or suspect endpoint by one entry.
+	sharedProbePeriod = 500 * time.Millisecond
+	// lostPathProbers is the number of entries of a zone that probe a lost endpoint, as many as must agree to renew the
+	// report if neither reaches another endpoint of the zone. One entry probes a suspect endpoint.
+	lostPathProbers = 2
+)
+
+// zonePair is a zone of entries and a zone of endpoints.
+type zonePair struct {
+	entries, endpoints fleet.Zone
+}
+
+// suspicion is the time during which endpoints of a zone are suspect, unless they are reached after since.
+type suspicion struct {
+	since, until time.Time
+}
+
+// updateSuspicion makes the endpoints of a zone suspect if a report is the minCorrelatedLosses-th within
+// correlationTime, and extends the suspicion with each further report in force; the caller holds the lock.
+//
+// Load pattern: a zone is partitioned, or a rack fails. The first few losses predict those of the endpoints that have not
+// been tried yet.
+func (p *PathTable) updateSuspicion(from fleet.Zone, r *pathRecord, report PathReport, now time.Time) {
+	pair := zonePair{from, r.endpointZone}
+	until := report.At.Add(lostPathTTL)
+	if s, found := p.suspicions[pair]; found && now.Before(s.until) {
+		if until.After(s.until) {
+			p.suspicions[pair] = suspicion{since: s.since, until: until}
+		}
+		return
+	}
+	correlated := 0
+	for key, other := range p.records {
+		if key.zone == from && other.endpointZone == r.endpointZone && other.inForce(now) &&
+			other.lostSince.Sub(r.lostSince).Abs() <= correlationTime {
+			correlated++
+		}
+	}
+	if correlated < minCorrelatedLosses {
+		return
+	}
+	if p.suspicions == nil {
+		p.suspicions = make(map[zonePair]suspicion)
+	}
+	p.suspicions[pair] = suspicion{since: report.At, until: until}
+	p.Log.Warn().Str("endpoint_zone", string(r.endpointZone)).Str("from_zone", string(from)).Int("lost", correlated).
+		Str("witness", string(report.Witness)).Dur("age_ms", now.Sub(report.At)).
+		Msg("outlier: endpoints of a zone are suspect")
+}
+
+// Suspect reports whether an endpoint is suspect for the entries of a zone: other endpoints of its zone were lost at
+// about the same time, and no entry reached it since.
+func (p *PathTable) Suspect(endpoint fleet.Endpoint, from fleet.Zone, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.suspect(endpoint, from, now)
+}
+
+// suspect is Suspect; the caller holds the lock.
+func (p *PathTable) suspect(endpoint fleet.Endpoint, from fleet.Zone, now time.Time) bool {
+	s, found := p.suspicions[zonePair{from, endpoint.Zone}]
+	if !found || !now.Before(s.until) || !p.Contended(endpoint.Pool) {
+		return false
+	}
+	r, found := p.records[pathKey{from, endpoint.ID}]
+	return !found || r.incarnation != endpoint.Incarnation || !r.reached.At.After(s.since)
+}
+
+// Counts returns the number of live endpoints that are lost and of those that are suspect for the entries of this
+// entry's zone.
+func (p *PathTable) Counts(now time.Time) (lost, suspect int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, endpoint := range p.State.Endpoints.Snapshot().Rows {
+		switch {
+		case endpoint.State != fleet.StateLive:
+		case p.lost(endpoint, p.Self.Zone, now):
+			lost++
+		case p.suspect(endpoint, p.Self.Zone, now):
+			suspect++
+		}
+	}
+	return lost, suspect
+}
+
+// probeDue reports whether this entry should probe an endpoint: another one reached it again after this one lost it, or
+// it is lost or suspect for the zone and this entry is among those that probe it for the others.
+func (p *PathTable) probeDue(endpoint fleet.Endpoint, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.recheck[endpoint.ID] {
+		delete(p.recheck, endpoint.ID)
+		return true
+	}
+	if len(p.records) == 0 || endpoint.State != fleet.StateLive {
+		return false
+	}
+	probers := 1
+	switch {
+	case p.lost(endpoint, p.Self.Zone, now):
+		probers = lostPathProbers
+	case !p.suspect(endpoint, p.Self.Zone, now):
+		return false
+	}
+	r := p.record(endpoint, p.Self.Zone)
+	if now.Sub(r.probedAt) < sharedProbePeriod {
+		return false
+	}
+	r.probedAt = now
+	return p.isProber(endpoint.ID, probers)
+}
+
+// isProber reports whether this entry is among the given number of entries that probe an endpoint for their zone. The
+// entries are ranked by rendezvous hashing, so that all entries agree on them.
+func (p *PathTable) isProber(endpoint fleet.EndpointID, probers int) bool {
+	rank := func(entry fleet.EntryID) uint32 { return fleet.Rank(string(endpoint) + "/" + string(entry)) }
+	own, before := rank(p.Self.ID), 0
+	for id, entry := range p.State.Entries.Snapshot().Rows {
+		if id == p.Self.ID || entry.Zone != p.Self.Zone {
+			continue
+		}
+		if cmp.Or(cmp.Compare(rank(id), own), cmp.Compare(id, p.Self.ID)) < 0 {
+			before++
+		}
+	}
+	return before < probers
+}
+
+// dropExpired drops the records and suspicions that have no effect any more.
+func (p *PathTable) dropExpired(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.records, func(_ pathKey, r *pathRecord) bool {
+		maps.DeleteFunc(r.lost, func(_ fleet.EntryID, report PathReport) bool { return now.Sub(report.At) >= lostPathTTL })
+		if !r.inForce(now) {
+			r.lostSince = time.Time{}
+		}
+		return len(r.lost) == 0 && now.Sub(r.reached.At) >= lostPathTTL && now.Sub(r.probedAt) >= lostPathTTL
+	})
+	maps.DeleteFunc(p.suspicions, func(_ zonePair, s suspicion) bool { return !now.Before(s.until) })
+	maps.DeleteFunc(p.reachedAt, func(_ fleet.EndpointID, at time.Time) bool { return now.Sub(at) > corroborationTime })
+	maps.DeleteFunc(p.recheck, func(id fleet.EndpointID, _ bool) bool {
+		_, listed := p.State.Endpoints.Get(id)
+		return !listed
+	})
+}
+
+// SamePaths reports whether the reports of one entry are about the same paths, whatever their times.
+func SamePaths(a, b []PathReport) bool {
+	return maps.Equal(reportKinds(a), reportKinds(b))
+}
+
+// reportKind identifies a report of one entry without its time.
+type reportKind struct {
+	endpoint    fleet.EndpointID
+	incarnation fleet.Incarnation
+	reached     bool
+}
+
+// reportKinds returns the set of the kinds of reports.
+func reportKinds(reports []PathReport) map[reportKind]bool {
+	kinds := make(map[reportKind]bool, len(reports))
+	for _, r := range reports {
+		kinds[reportKind{r.Endpoint, r.Incarnation, r.Reached}] = true
+	}
+	return kinds
+}
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -59,6 +59,8 @@
 	Prefixes []Prefix
 	// DecidedAt is the time for which the endpoints are chosen; zero means now.
 	DecidedAt time.Time
+	// Zone is the zone of the entry that sends the request to its endpoint.
+	Zone fleet.Zone
 	// Excluded holds the endpoints that must not be chosen, such as those that have refused or failed this request.
 	Excluded map[fleet.EndpointID]bool
 }
--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -74,6 +74,8 @@
 	Predicted time.Duration
 	// Helpers are the endpoints that prefill parts of the prompt besides the reserved one.
 	Helpers []Helper
+	// ConnectTimeout is how long to wait for a connection to the endpoint, or 0 for the usual timeout.
+	ConnectTimeout time.Duration
 }
 
 // Helper is an endpoint that prefills a part of a prompt for another endpoint.
--- a/core/sharedload/choice.go
+++ b/core/sharedload/choice.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/outlier"
 	"wisteriadyke/core/ratelimit"
 	"wisteriadyke/core/reservation"
 )
@@ -57,6 +58,11 @@
 	// its first token is predicted then, counted from the reply. The other fields are empty.
 	Waiting        bool
 	PredictedStart time.Duration
+	// LostPaths are reports of paths from the zone of the entry that the choice is for.
+	LostPaths []outlier.PathReport
+
+	// insteadOfLost reports whether a lost endpoint would have been the first choice.
+	insteadOfLost bool
 }
 
 // prefillUsages returns the usage by endpoint that lasts until the prompt is prefilled.
--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -59,6 +60,8 @@
 	mu      sync.Mutex
 	windows map[windowKey]*ratelimit.Window
 	buckets map[windowKey]*rate.Limiter
+	// spared counts the choices instead of a lost endpoint.
+	spared atomic.Int64
 }
 
 // windowKey identifies a rate window or a bucket; choices in different roles have separate rates.
@@ -85,6 +88,9 @@
 			choice.Limit = &statement
 		}
 	}
+	if choice.insteadOfLost {
+		c.spared.Add(1)
+	}
 	record(choice)
 	return choice, nil
 }
@@ -270,7 +276,7 @@
 // quickChoice returns the choice of a single endpoint for a quick request or a call to a plain service.
 func quickChoice(pool routing.Pool, s *endpointState, need placement.Need) Choice {
 	usage := Usage{Running: 1, Memory: need.PromptTokens + need.MaxTokens}
-	choice := Choice{Endpoint: s.endpoint.ID}
+	choice := Choice{Endpoint: s.endpoint.ID, insteadOfLost: s.insteadOfLost}
 	if pool.Engine != nil {
 		choice.PrefillTime = pool.Engine.PrefillTime(need.PromptTokens)
 		choice.Predicted = s.prefillWait(pool) + choice.PrefillTime + s.passTime(pool)
@@ -296,6 +302,8 @@
 		PrefillTime:  plan.prefillTime,
 		Predicted:    plan.firstToken,
 		Usages:       make(map[fleet.EndpointID]Usage),
+
+		insteadOfLost: plan.decoder.insteadOfLost,
 	}
 	for i, s := range plan.helpers {
 		helper := s.endpoint.ID
--- a/core/sharedload/chooser_set.go
+++ b/core/sharedload/chooser_set.go
@@ -12,6 +12,7 @@
 
 	"wisteriadyke/core/clusterstate"
 	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/outlier"
 	"wisteriadyke/core/placement"
 	"wisteriadyke/core/ratelimit"
 	"wisteriadyke/core/reservation"
@@ -41,6 +42,8 @@
 	// CutOff holds the pools most of whose endpoints are unreachable for the entry, in order. What it says about these
 	// endpoints is not used. Unreached holds those of which it reaches no endpoint.
 	CutOff, Unreached []fleet.PoolName
+	// LostPaths holds the paths that the entry lost or found to work again.
+	LostPaths []outlier.PathReport
 }
 
 // LeavingEndpoints holds which endpoints announced that they leave; *discovery.EndpointList implements it.
@@ -79,6 +82,8 @@
 	Zones []fleet.Zone
 	// Alternates are entries that reach the endpoints of the pools that the reporting entry is cut off from.
 	Alternates map[fleet.PoolName][]fleet.EntryID
+	// LostPaths are reports of paths from the zone of the reporting entry.
+	LostPaths []outlier.PathReport
 }
 
 // ChooserSet finds the entries that choose endpoints for others, which are the leader of all entries and the first
@@ -104,6 +109,8 @@
 	Limits *ratelimit.Limits
 	// Paths tells which endpoints this entry reaches; nil means that it reaches all.
 	Paths Paths
+	// LostPaths holds the paths that entries lost; nil disables its exchange.
+	LostPaths *outlier.PathTable
 	// Reach asks other entries about endpoints; it is required by AskOthers.
 	Reach ReachClient
 	// Log receives messages about entries that start or stop choosing or don't answer.
@@ -128,6 +135,7 @@
 // includes the choice or the choice is discarded; an error is a *reservation.Refusal.
 func (p *ChooserSet) Choose(ctx context.Context, need placement.Need) (Choice, func(), error) {
 	number := p.startChoice()
+	need.Zone = p.Self.Zone
 	settle := func() { p.settleChoice(number) }
 	for _, c := range p.roleChoosers() {
 		if c.entry.ID == p.Self.ID {
@@ -138,6 +146,7 @@
 		switch {
 		case err == nil:
 			choice.Chooser = c.entry.ID
+			p.mergePaths(choice.LostPaths, time.Now())
 			if p.Limits != nil && choice.Limit != nil {
 				p.Limits.Merge(choice.Endpoint, *choice.Limit)
 			}
@@ -171,16 +180,23 @@
 	if !slices.Contains(request.Report.CutOff, request.Need.Pool) {
 		p.Usages.RecordExclusions(request.Need.Excluded, now)
 	}
-	return p.Chooser.Choose(request.Need, request.Role, now, func(c Choice) {
+	request.Need.Zone = p.zoneOf(request.Report.Entry)
+	choice, err := p.Chooser.Choose(request.Need, request.Role, now, func(c Choice) {
 		p.Usages.AddPending(request.Report.Entry, request.Number, c.initialUsages(), now)
 	})
+	if err == nil {
+		choice.LostPaths = p.lostPathsFor(request.Report.Entry, now)
+	}
+	return choice, err
 }
 
 // HandleUsage stores the usage report of another entry and returns the reply.
 func (p *ChooserSet) HandleUsage(report UsageReport) UsageReply {
 	now := time.Now()
 	p.recordReport(report, now)
-	reply := UsageReply{Chooses: now.Sub(p.Started) >= startupDelay, Zones: p.reportingZones(now)}
+	reply := UsageReply{
+		Chooses: now.Sub(p.Started) >= startupDelay, Zones: p.reportingZones(now), LostPaths: p.lostPathsFor(report.Entry, now),
+	}
 	if entry, found := p.State.Entries.Get(report.Entry); found && len(report.CutOff) > 0 {
 		reply.Alternates = make(map[fleet.PoolName][]fleet.EntryID)
 		for _, pool := range report.CutOff {
@@ -194,6 +210,7 @@
 func (p *ChooserSet) recordReport(report UsageReport, now time.Time) {
 	p.Usages.UpdatePeer(report.Entry, report.Usages, report.Settled, now)
 	p.recordPaths(report)
+	p.recordLostPaths(report, now)
 	if p.Limits != nil {
 		for id, statement := range report.Limits {
 			p.Limits.Merge(id, statement)
@@ -247,7 +264,7 @@
 // usageReport returns the usage report of this entry. It reads Settled before Usages, so that Usages covers all choices
 // up to Settled.
 func (p *ChooserSet) usageReport() UsageReport {
-	report := UsageReport{Entry: p.Self.ID, Settled: p.lastSettled()}
+	report := UsageReport{Entry: p.Self.ID, Settled: p.lastSettled(), LostPaths: p.ownPaths(time.Now())}
 	report.Usages = p.Usages.Own()
 	if p.Leaving != nil {
 		report.Leaving = p.Leaving.Announced(time.Now())
--- a/core/sharedload/estimate.go
+++ b/core/sharedload/estimate.go
@@ -36,6 +36,11 @@
 	recentlyExcluded bool
 	// limited reports whether the endpoint states a limit.
 	limited bool
+	// lost and suspect report whether the endpoint is lost or suspect for the entry that sends the request; see
+	// outlier.PathTable.
+	lost, suspect bool
+	// insteadOfLost reports whether an endpoint that is lost came before all others.
+	insteadOfLost bool
 }
 
 // passTime returns the duration of one pass of the endpoint's engine without prefill.
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/outlier"
 	"wisteriadyke/core/placement"
 	"wisteriadyke/core/ratelimit"
 	"wisteriadyke/core/routing"
@@ -59,6 +60,8 @@
 	Unreachable func(endpoint fleet.Endpoint, now time.Time) bool
 	// Limits holds the limits that endpoints state; nil means that there are none.
 	Limits *ratelimit.Limits
+	// Paths holds the paths that entries lost; nil means that there are none.
+	Paths *outlier.PathTable
 	// Log receives messages about long prompts that are refused because other requests would lose more value.
 	Log zerolog.Logger
 
@@ -75,7 +78,7 @@
 	slices.SortStableFunc(states, func(a, b endpointState) int {
 		return cmp.Compare(quickCost(pool, &a), quickCost(pool, &b))
 	})
-	return states
+	return suspectLast(withoutLost(states))
 }
 
 // without returns the endpoints that are not to be avoided. If fewer than minHealthyShare are left, it returns all
@@ -108,7 +111,8 @@
 func (p *Policy) planLong(pool routing.Pool, view placement.View, need placement.Need) (prefillPlan, bool) {
 	states := p.endpointStates(view, need)
 	demand := p.demand.update(pool.Name, states, time.Now())
-	preferred := without(without(states, recentlyExcluded), limited)
+	trusted := keepSome(withoutLost(states), func(s endpointState) bool { return !s.suspect })
+	preferred := without(without(trusted, recentlyExcluded), limited)
 	plan, found := planPrefill(pool, preferred, need.PromptTokens, need.MaxTokens, need.Objective)
 	if !found || !p.worthwhile(pool, len(states), need, plan.firstToken, demand) {
 		return prefillPlan{}, false
@@ -157,12 +161,14 @@
 		if endpoint.Pool != need.Pool || need.Excluded[id] || !inService(view, endpoint) || !p.choosable(endpoint, now) {
 			continue
 		}
-		found = append(found, endpointState{
+		state := endpointState{
 			endpoint:         endpoint,
 			usage:            totals[id],
 			recentlyExcluded: p.Usages.RecentlyExcluded(id, now) || p.unreachable(endpoint, now),
 			limited:          p.isLimited(endpoint),
-		})
+		}
+		p.markPaths(&state, need, now)
+		found = append(found, state)
 	}
 	slices.SortFunc(found, func(a, b endpointState) int {
 		return cmp.Or(cmp.Compare(fleet.Rank(a.endpoint.ID), fleet.Rank(b.endpoint.ID)), cmp.Compare(a.endpoint.ID, b.endpoint.ID))
--- a/core/sharedload/report_targets.go
+++ b/core/sharedload/report_targets.go
@@ -92,6 +92,7 @@
 // recordReply records the reply of an entry to a usage report, or that it did not answer.
 func (p *ChooserSet) recordReply(entry fleet.Entry, reply UsageReply, err error) {
 	now := time.Now()
+	p.mergePaths(reply.LostPaths, now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.peer(entry.ID)
--- a/core/sharedload/reporter.go
+++ b/core/sharedload/reporter.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"wisteriadyke/core/outlier"
 )
 
 const (
@@ -25,7 +27,7 @@
 	Choosers *ChooserSet
 
 	// last is the report at the latest check; version counts the checks that found its usage, its leaving endpoints
-	// or its path to the endpoints changed.
+	// or its paths to the endpoints changed.
 	last    UsageReport
 	version uint64
 }
@@ -49,7 +51,8 @@
 func (t *UsageReporter) send(ctx context.Context, group *errgroup.Group, now time.Time) {
 	report := t.Choosers.usageReport()
 	if !maps.Equal(report.Usages, t.last.Usages) || !maps.Equal(report.Leaving, t.last.Leaving) ||
-		!slices.Equal(report.CutOff, t.last.CutOff) || !slices.Equal(report.Unreached, t.last.Unreached) {
+		!slices.Equal(report.CutOff, t.last.CutOff) || !slices.Equal(report.Unreached, t.last.Unreached) ||
+		!outlier.SamePaths(report.LostPaths, t.last.LostPaths) {
 		t.version++
 	}
 	t.last = report
--- a/core/sharedload/reserver.go
+++ b/core/sharedload/reserver.go
@@ -35,6 +35,8 @@
 	Leases *MemoryLeases
 	// Outliers records which endpoints fail.
 	Outliers *outlier.Detector
+	// Paths records which paths are lost; nil disables that.
+	Paths *outlier.PathTable
 
 	mu       sync.Mutex
 	sequence int
@@ -77,6 +79,9 @@
 			continue
 		}
 		granted := g.recordGrant(choice)
+		if pool, found := g.Policy.Pool(request.Pool); found {
+			granted.ConnectTimeout = connectTimeout(pool, need)
+		}
 		settle()
 		return g.leaseHelperMemory(ctx, granted, choice)
 	}
@@ -186,6 +191,9 @@
 	if !progress.Started {
 		return nil
 	}
+	if endpoint, found := g.State.Endpoints.Get(progress.Endpoint); found && g.Paths != nil {
+		g.Paths.RecordReached(endpoint, time.Now())
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if held, found := g.grants[progress.Reservation]; found {
@@ -228,6 +236,7 @@
 	if !found {
 		return
 	}
+	g.recordPath(endpoint, release.Outcome, now)
 	switch release.Outcome {
 	case reservation.OutcomeRefused:
 		g.Outliers.RecordFailure(endpoint, now)
@@ -239,3 +248,17 @@
 		g.Outliers.RecordSuccess(endpoint)
 	}
 }
+
+// recordPath records whether the path to the endpoint of an attempt is lost. An endpoint that refuses or fails an attempt
+// was reached.
+func (g *Reserver) recordPath(endpoint fleet.Endpoint, outcome reservation.Outcome, now time.Time) {
+	if g.Paths == nil {
+		return
+	}
+	switch outcome {
+	case reservation.OutcomeNotRun:
+		g.Paths.RecordLost(endpoint, now)
+	case reservation.OutcomeDone, reservation.OutcomeFailed, reservation.OutcomeRefused:
+		g.Paths.RecordReached(endpoint, now)
+	}
+}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -100,6 +100,7 @@
 	usages         *sharedload.UsageTable
 	outliers       *outlier.Detector
 	reach          *outlier.Reach
+	paths          *outlier.PathTable
 	witness        *outlier.Witness
 	limits         *ratelimit.Limits
 	endpoints      *discovery.EndpointList
@@ -150,8 +151,7 @@
 	p.registerGauge(metricQuarantinedGroups, func() int64 { return int64(len(p.parts.Groups(time.Now()))) })
 	p.buildFeed()
 	p.usages = &sharedload.UsageTable{}
-	p.outliers = &outlier.Detector{}
-	p.reach = &outlier.Reach{State: p.state, Detector: p.outliers, Log: p.Log}
+	p.buildOutlierDetection()
 	p.limits = &ratelimit.Limits{Listed: func(id fleet.EndpointID) bool {
 		_, found := p.state.Endpoints.Get(id)
 		return found
@@ -237,9 +237,8 @@
 		Timeline: p.timeline,
 		Metrics:  p.metrics,
 	}
-	prober := &outlier.Prober{State: p.state, Detector: p.outliers, Connect: p.endpointClient.Connect, Reach: p.reach}
 	return []lifecycle.Component{
-		prober.Run, operatorServer.Run, p.feed.Run, operatorWatcher.Run, registryWatcher.Run, entryDirectory.Run, usageReporter.Run,
+		p.prober().Run, operatorServer.Run, p.feed.Run, operatorWatcher.Run, registryWatcher.Run, entryDirectory.Run, usageReporter.Run,
 		peerServer.Run, p.leases.Run, quarantineTable.Run,
 	}
 }
@@ -274,7 +273,7 @@
 	p.views = &report.ViewCache{State: p.state, Zone: p.Settings.Zone}
 	p.policy = &sharedload.Policy{
 		Usages: p.usages, Pool: p.pool, Usable: p.outliers.Usable, UsableForOthers: p.reach.UsableForOthers,
-		Unreachable: p.outliers.Unreachable, Limits: p.limits, Log: p.Log,
+		Unreachable: p.outliers.Unreachable, Limits: p.limits, Paths: p.paths, Log: p.Log,
 	}
 	p.choosers = &sharedload.ChooserSet{
 		Self:    p.self(),
@@ -290,12 +289,14 @@
 			Parts:          p.partExchange,
 			Freshness:      p.peerExchange,
 		},
-		Leaving: p.endpoints,
-		Limits:  p.limits,
-		Paths:   p.reach,
-		Reach:   p.forwards,
-		Log:     p.Log,
+		Leaving:   p.endpoints,
+		Limits:    p.limits,
+		Paths:     p.reach,
+		LostPaths: p.paths,
+		Reach:     p.forwards,
+		Log:       p.Log,
 	}
+	p.registerPathGauges()
 }
 
 // dispatcher returns the dispatcher that runs the requests of callers.
@@ -313,6 +314,7 @@
 			Choosers: p.choosers,
 			Leases:   p.leases,
 			Outliers: p.outliers,
+			Paths:    p.paths,
 		},
 		Engines:             p.endpointClient,
 		Budget:              p.retryBudget(),
--- a/io/peer/choices.go
+++ b/io/peer/choices.go
@@ -104,6 +104,7 @@
 
 		Waiting:          c.Waiting,
 		PredictedStartUs: c.PredictedStart.Microseconds(),
+		LostPaths:        toLostPaths(c.LostPaths, time.Now()),
 	}
 	if c.Limit != nil {
 		m.Limit = toEndpointLimit(c.Endpoint, *c.Limit, time.Now())
@@ -128,6 +129,7 @@
 
 		Waiting:        m.Waiting,
 		PredictedStart: microseconds(m.PredictedStartUs),
+		LostPaths:      fromLostPaths(m.LostPaths, time.Now()),
 	}
 	if m.Limit != nil {
 		limit := fromEndpointLimit(m.Limit, time.Now())
--- a/io/peer/usages.go
+++ b/io/peer/usages.go
@@ -103,6 +103,7 @@
 	for _, zone := range reply.Zones {
 		answer.Zones = append(answer.Zones, fleet.Zone(zone))
 	}
+	answer.LostPaths = fromLostPaths(reply.LostPaths, time.Now())
 	for _, a := range reply.Alternates {
 		if answer.Alternates == nil {
 			answer.Alternates = make(map[fleet.PoolName][]fleet.EntryID)
@@ -150,6 +151,7 @@
 	for _, zone := range answer.Zones {
 		reply.Zones = append(reply.Zones, string(zone))
 	}
+	reply.LostPaths = toLostPaths(answer.LostPaths, time.Now())
 	for pool, entries := range answer.Alternates {
 		message := &PoolAlternates{Pool: string(pool)}
 		for _, id := range entries {
@@ -195,6 +197,7 @@
 	for id, statement := range report.Limits {
 		m.Limits = append(m.Limits, toEndpointLimit(id, statement, now))
 	}
+	m.LostPaths = toLostPaths(report.LostPaths, now)
 	return m
 }
 
@@ -220,6 +223,7 @@
 	for _, l := range m.GetLimits() {
 		report.Limits[fleet.EndpointID(l.Endpoint)] = fromEndpointLimit(l, now)
 	}
+	report.LostPaths = fromLostPaths(m.GetLostPaths(), now)
 	return report
 }
 
