--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/outlier"
 	"wisteriadyke/core/placement"
 	"wisteriadyke/core/ratelimit"
 	"wisteriadyke/core/routing"
@@ -59,6 +60,8 @@
 	Unreachable func(endpoint fleet.Endpoint, now time.Time) bool
 	// Limits holds the limits that endpoints state; nil means that there are none.
 	Limits *ratelimit.Limits
+	// Paths holds the paths that entries lost; nil means that there are none.
+	Paths *outlier.PathTable
 	// Log receives messages about long prompts that are refused because other requests would lose more value.
 	Log zerolog.Logger
 
@@ -81,7 +84,7 @@
 	for i, c := range costs {
 		ordered[i] = states[c.index]
 	}
-	return ordered
+	return suspectLast(withoutLost(ordered))
 }
 
 // rankedCost is the cost of the endpoint with an index; sorting these is cheaper than sorting endpoint states.
@@ -120,7 +123,8 @@
 func (p *Policy) planLong(pool routing.Pool, view placement.View, need placement.Need) (prefillPlan, bool) {
 	states := p.endpointStates(view, need)
 	demand := p.demand.update(pool.Name, states, time.Now())
-	preferred := without(without(states, recentlyExcluded), limited)
+	trusted := keepSome(withoutLost(states), func(s endpointState) bool { return !s.suspect })
+	preferred := without(without(trusted, recentlyExcluded), limited)
 	plan, found := planPrefill(pool, preferred, need.PromptTokens, need.MaxTokens, need.Objective)
 	if !found || !p.worthwhile(pool, len(states), need, plan.firstToken, demand) {
 		return prefillPlan{}, false
@@ -170,13 +174,15 @@
 		if endpoint.Pool != need.Pool || need.Excluded[id] || !inService(view, endpoint) || !p.choosable(endpoint, now) {
 			continue
 		}
-		found = append(found, endpointState{
+		state := endpointState{
 			endpoint:         endpoint,
 			usage:            totals[id],
 			prefill:          p.outstandingPrefill(pool, id, totals[id], now),
 			recentlyExcluded: p.Usages.RecentlyExcluded(id, now) || p.unreachable(endpoint, now),
 			limited:          p.isLimited(endpoint),
-		})
+		}
+		p.markPaths(&state, need, now)
+		found = append(found, state)
 	}
 	keys := make([]rankKey, len(found))
 	for i := range found {
