End the probes of a path that works again

Cause: each entry that heard that an endpoint was reached again probed it and reported that in turn, so that the entries of a zone made each other probe without end. Change: an entry doesn't report what another one has reported within the lifetime of a report, and probes on such a report only an endpoint that is unreachable for itself.

--- a/core/outlier/paths.go
+++ b/core/outlier/paths.go
@@ -116,7 +116,8 @@
 	p.reachedAt[endpoint.ID] = now
 	delete(p.recheck, endpoint.ID)
 	if r, found := p.records[pathKey{p.Self.Zone, endpoint.ID}]; found || p.suspect(endpoint, p.Self.Zone, now) {
-		if found && r.reached.Witness == p.Self.ID && len(r.lost) == 0 && now.Sub(r.reached.At) < lostPathTTL {
+		// A report that another entry has made already would only make the entries of the zone report in turn.
+		if found && len(r.lost) == 0 && now.Sub(r.reached.At) < lostPathTTL {
 			return
 		}
 		p.apply(endpoint, PathReport{
--- a/core/outlier/paths_test.go
+++ b/core/outlier/paths_test.go
@@ -195,7 +195,7 @@
 		p.Merge(reports, now)
 		for range 4 {
 			for id, endpoint := range p.State.Endpoints.Snapshot().Rows {
-				if p.probeDue(endpoint, now) {
+				if p.probeDue(endpoint, false, now) {
 					probes[id]++
 				}
 			}
@@ -214,3 +214,37 @@
 		}
 	}
 }
+
+// TestRecoveryEndsProbes guards against entries of a zone that make each other probe without end once an endpoint is
+// reached again: each report of it must not lead to a report of the next entry.
+func TestRecoveryEndsProbes(t *testing.T) {
+	const entries, rounds = 10, 50
+	const maxProbes = entries + lostPathProbers
+	now := time.Unix(1000, 0)
+	var tables []*PathTable
+	for i := range entries {
+		tables = append(tables, newPathTable(fleet.EntryID(fmt.Sprintf("e%d", i))))
+	}
+	endpoint := tables[0].endpoint("b1")
+	for _, p := range tables[:2] {
+		p.RecordLost(endpoint, now)
+	}
+	probes := 0
+	for range rounds {
+		var reports []PathReport
+		for _, p := range tables {
+			reports = append(reports, p.Own(now)...)
+		}
+		now = now.Add(100 * time.Millisecond)
+		for _, p := range tables {
+			p.Merge(reports, now)
+			if p.probeDue(endpoint, false, now) {
+				probes++
+				p.RecordReached(endpoint, now)
+			}
+		}
+	}
+	if probes > maxProbes {
+		t.Errorf("%d probes in %d rounds, want at most %d", probes, rounds, maxProbes)
+	}
+}
--- a/core/outlier/prober.go
+++ b/core/outlier/prober.go
@@ -65,7 +65,8 @@
 		p.Paths.dropExpired(now)
 	}
 	for _, endpoint := range listed {
-		due := zones[endpoint.Zone] || p.Detector.probeDue(endpoint, now) || p.Paths != nil && p.Paths.probeDue(endpoint, now)
+		due := zones[endpoint.Zone] || p.Detector.probeDue(endpoint, now) ||
+			p.Paths != nil && p.Paths.probeDue(endpoint, p.Detector.Unreachable(endpoint, now), now)
 		if !due || !p.startProbe(endpoint.ID) {
 			continue
 		}
--- a/core/outlier/suspicion.go
+++ b/core/outlier/suspicion.go
@@ -99,14 +99,16 @@
 	return lost, suspect
 }
 
-// probeDue reports whether this entry should probe an endpoint: another one reached it again after this one lost it, or
-// it is lost or suspect for the zone and this entry is among those that probe it for the others.
-func (p *PathTable) probeDue(endpoint fleet.Endpoint, now time.Time) bool {
+// probeDue reports whether this entry should probe an endpoint: another one reached it while it is unreachable for this
+// one, or it is lost or suspect for the zone and this entry is among those that probe it for the others.
+func (p *PathTable) probeDue(endpoint fleet.Endpoint, unreachable bool, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.recheck[endpoint.ID] {
 		delete(p.recheck, endpoint.ID)
-		return true
+		if unreachable {
+			return true
+		}
 	}
 	if len(p.records) == 0 || endpoint.State != fleet.StateLive {
 		return false
