Bound what slow callers hold

Cause: callers that read a few bytes a second held their endpoints' slots until the deadline; bodies of callers had no common bound, and a body that arrives slowly none in time. Change: where the setting contracts lists pressure, answers pass through dispatch.BufferedGenerator; buffers of callers' and endpoints' connections are bounded; a write that finds no reader for 5 s and a body that does not arrive by the deadline end the request; bodies together take at most a fifth of the memory.

--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -37,6 +37,10 @@
 	entries   []*runningEntry
 	// storeAddresses holds the address of the store for entries that use another one than the rest, by number.
 	storeAddresses map[int]netip.AddrPort
+	// contracts holds the parts of the platform's rules that are in force for entries that start.
+	contracts []string
+	// memory is the memory of entries that start, in MiB.
+	memory int
 }
 
 // entryName returns the ID of the entry that is started as the given one.
@@ -57,7 +61,7 @@
 // newCluster starts a store that holds a configuration. The cluster is stopped when the test ends.
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
-	w := &cluster{t: t, store: &cierzo.Store{}}
+	w := &cluster{t: t, store: &cierzo.Store{}, memory: 256}
 	w.store.Start()
 	t.Cleanup(w.close)
 	cierzo.Configuration(w.store, 1, map[string][]string{"acme": {testKey}}, cierzo.Routes()...)
@@ -124,7 +128,8 @@
 			RetryRatio:      0.2,
 			RetryBurst:      100,
 			ColdFactor:      1.5,
-			Memory:          256,
+			Memory:          w.memory,
+			Contracts:       w.contracts,
 		},
 		stop:  stop,
 		ended: make(chan error, 1),
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -34,7 +34,6 @@
 	"wisteriadyke/io/operator"
 	"wisteriadyke/io/peer"
 	"wisteriadyke/io/settings"
-	"wisteriadyke/io/tcp"
 	"wisteriadyke/platform/endpointclient"
 	"wisteriadyke/platform/ingress"
 	"wisteriadyke/platform/store"
@@ -53,8 +52,6 @@
 	removalGrace = 800 * time.Millisecond
 	// lapseTime is the time after which the registry removes an endpoint that is silent: three of its reports and a margin.
 	lapseTime = 5 * time.Second
-	// bodyMemoryShare is the share of the setting Memory for the bodies of answers that are not streams.
-	bodyMemoryShare = 0.1
 	// forwardMemoryShare is the share of the setting Memory for the payloads of requests that other entries pass on.
 	forwardMemoryShare = 0.1
 	// shutdownMargin is the part of the grace time that is left after requests in flight have been aborted, to flush
@@ -68,9 +65,6 @@
 	// gcPercent is the growth of the heap, in percent, that starts a garbage collection. It is above the default since
 	// memory is plentiful and CPU time is scarce.
 	gcPercent = 300
-	// probeTimeout bounds the opening of a connection that probes whether an endpoint is reachable, and how long bytes
-	// sent on it may remain unacknowledged.
-	probeTimeout = 300 * time.Millisecond
 )
 
 // Process is one entry process. Its fields must be set before Run.
@@ -163,27 +157,14 @@
 		LapseTime:      lapseTime,
 		Log:            p.Log,
 	}
-	dial, dialProbe := p.DialEndpoint, p.DialEndpoint
-	if dial == nil {
-		dial = endpointclient.Dial
-		dialProbe = (&tcp.Dialer{Timeout: probeTimeout, AckTimeout: probeTimeout}).DialContext
-	}
-	p.endpointClient = &endpointclient.Client{
-		PooledHTTP:   endpointclient.NewPooledHTTPClient(dial),
-		UnpooledHTTP: endpointclient.NewUnpooledHTTPClient(dial),
-		Dial:         dialProbe,
-		Notices: &endpointNotices{
-			endpoints: p.endpoints, outliers: p.outliers, limits: p.limits, metrics: p.metrics, log: p.Log,
-		},
-		BodyMemory: semaphore.NewWeighted(p.memoryShare(bodyMemoryShare)),
-	}
+	p.buildEndpointClient()
 	p.witness = &outlier.Witness{State: p.state, Reach: p.reach, Connect: p.endpointClient.Connect}
 	p.forwards = &peer.ForwardTransport{Client: p.peers, Codec: wire.Codec{}}
 	p.buildChoosers()
 	p.leases = &sharedload.MemoryLeases{Entry: p.Settings.Entry, Memory: p.endpointClient, Log: p.Log}
-	dispatcher := p.dispatcher()
+	generator := p.generator()
 	p.receiver = &dispatch.ForwardReceiver{
-		Generator: dispatcher,
+		Generator: generator,
 		Unreached: p.reach.Unreached,
 		Ready:     p.isReady,
 		Memory:    semaphore.NewWeighted(p.memoryShare(forwardMemoryShare)),
@@ -196,12 +177,13 @@
 		ActiveTable:     p.activeTable,
 		Freshness:       p.freshness,
 		MaxKeyStaleness: p.Settings.RevokeTime - keyStalenessMargin,
-		Generator:       dispatcher,
+		Generator:       generator,
 		Ready:           p.isReady,
 		DrainTimeout:    p.Settings.GraceTime - p.Settings.BalancerDelay - shutdownMargin,
 		Metrics:         p.metrics,
 		Log:             p.Log,
 	}
+	p.limitSlowCallers()
 }
 
 // components returns the Run methods of all components except the server for callers.
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -14,6 +14,8 @@
 
 // Names of gauges.
 const (
+	// metricCallerBuffers is the number of bytes of answers that wait for slow callers.
+	metricCallerBuffers = "dispatch.caller_buffer_bytes"
 	// metricLinesDropped is the number of log lines dropped because the output was too slow.
 	metricLinesDropped = "log.lines_dropped"
 	// metricTableReaders is the number of polls of other entries that this entry holds; metricTablesRelayed is 1 if it
