Count outstanding prefill by the passes of an engine

Cause: the time-based backlog let prefill run down continuously. An engine starts prefill at the end of a pass and sends no event before the decode steps of its own pass are done, so that waits were predicted too short. Change: the backlog keeps the two next passes of an endpoint. A prompt joins the pass that starts next; running attempts are interrupted by the prefill of that pass only. Run: go test ./core/sharedload, passed.

--- a/core/sharedload/choice.go
+++ b/core/sharedload/choice.go
@@ -46,8 +46,8 @@
 	HelperMemory []fleet.Tokens
 	// PrefillTime is how long each of the endpoints prefills its part of the prompt.
 	PrefillTime time.Duration
-	// prefillDelay is the usual time until an idle endpoint starts the prefill, half of a pass; it is not sent.
-	prefillDelay time.Duration
+	// passTime is the duration of a pass of Endpoint without prefill; it is not sent.
+	passTime time.Duration
 	// Predicted is the predicted time to the first token, or 0 for a call to a plain service.
 	Predicted time.Duration
 	// Usages is the usage by endpoint that lasts until the attempt ends; it excludes the prefill.
--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -274,7 +274,7 @@
 	choice := Choice{Endpoint: s.endpoint.ID}
 	if pool.Engine != nil {
 		choice.PrefillTime = pool.Engine.PrefillTime(need.PromptTokens)
-		choice.prefillDelay = s.passTime(pool) / 2
+		choice.passTime = s.passTime(pool)
 		choice.Predicted = s.prefillWait(pool) + choice.PrefillTime + s.passTime(pool)
 		usage.Quick = 1
 		usage.ValueByPause = valueByPauseOf(pool, need.PromptTokens, need.PauseObjective)
@@ -296,7 +296,7 @@
 		Endpoint:     decoder,
 		HelperMemory: plan.helperMemory,
 		PrefillTime:  plan.prefillTime,
-		prefillDelay: plan.decoder.passTime(pool) / 2,
+		passTime:     plan.decoder.passTime(pool),
 		Predicted:    plan.firstToken,
 		Usages:       make(map[fleet.EndpointID]Usage),
 	}
--- a/core/sharedload/demand.go
+++ b/core/sharedload/demand.go
@@ -50,7 +50,7 @@
 	for i := range states {
 		u := states[i].usage
 		current.runningValue += float64(u.Quick) + float64(u.Running-u.Quick)*longAttemptValue
-		if states[i].prefill > 0 {
+		if states[i].prefill.shared > 0 {
 			current.prefillShare += 1 / float64(len(states))
 		}
 	}
--- a/core/sharedload/estimate.go
+++ b/core/sharedload/estimate.go
@@ -28,8 +28,8 @@
 type endpointState struct {
 	endpoint fleet.Endpoint
 	usage    Usage
-	// prefill is the time until the outstanding prefill is done.
-	prefill time.Duration
+	// prefill is the prefill that is not finished.
+	prefill outstandingPrefill
 	// rank is the position of the endpoint among the usable ones of its pool, in the order that all entries agree on;
 	// rankCost is the cost of that rank for a quick request.
 	rank     int
@@ -51,7 +51,7 @@
 
 // prefillWait returns the time until the prefill of an attempt that arrives now starts.
 func (s *endpointState) prefillWait(pool routing.Pool) time.Duration {
-	wait := s.prefill + s.passTime(pool)/2
+	wait := s.prefill.wait
 	if excess := s.usage.Running - s.endpoint.Slots; s.endpoint.Slots > 0 && excess >= 0 {
 		wait += time.Duration(excess+1) * slotWait(pool)
 	}
@@ -69,7 +69,7 @@
 // lateValue returns the expected value, in quick requests, of the endpoint's running attempts that miss their pause
 // objectives because of added prefill time. It excludes the value that the outstanding prefill already makes late.
 func (s *endpointState) lateValue(pool routing.Pool, added time.Duration) float64 {
-	pause := s.prefill + s.passTime(pool)
+	pause := s.prefill.shared + s.passTime(pool)
 	return s.usage.ValueByPause.lateValue(pauseObjective(pool), pause, pause+added)
 }
 
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -173,10 +173,11 @@
 		found = append(found, endpointState{
 			endpoint:         endpoint,
 			usage:            totals[id],
-			prefill:          p.outstandingPrefill(pool, id, totals[id], now),
 			recentlyExcluded: p.Usages.RecentlyExcluded(id, now) || p.unreachable(endpoint, now),
 			limited:          p.isLimited(endpoint),
 		})
+		s := &found[len(found)-1]
+		s.prefill = p.outstandingPrefill(pool, s, now)
 	}
 	keys := make([]rankKey, len(found))
 	for i := range found {
@@ -200,13 +201,17 @@
 	index int
 }
 
-// outstandingPrefill returns the time until the outstanding prefill of an endpoint is done. In a pool that is not contended,
-// it counts each prompt in full until its first token.
-func (p *Policy) outstandingPrefill(pool routing.Pool, id fleet.EndpointID, u Usage, now time.Time) time.Duration {
+// outstandingPrefill returns the prefill of an endpoint that is not finished. In a pool that is not contended, it counts
+// each prompt in full until its first token.
+func (p *Policy) outstandingPrefill(pool routing.Pool, s *endpointState, now time.Time) outstandingPrefill {
+	if pool.Engine == nil {
+		return outstandingPrefill{}
+	}
+	pass, total := s.passTime(pool), s.usage.PrefillTime
 	if !pool.Contended {
-		return u.PrefillTime
+		return outstandingPrefill{wait: total + pass/2, shared: total}
 	}
-	return p.Usages.RemainingPrefill(id, u.PrefillTime, now)
+	return p.Usages.outstandingPrefill(s.endpoint.ID, total, pass, now)
 }
 
 // isLimited reports whether an endpoint states a limit.
--- a/core/sharedload/prefill_backlog_test.go
+++ b/core/sharedload/prefill_backlog_test.go
@@ -39,7 +39,8 @@
 	tests := map[string]struct {
 		record func(b *UsageTable)
 		at     time.Duration
-		want   time.Duration
+		// want is the wait until the prefill of another prompt starts; 0 stands for half of a pass.
+		want time.Duration
 	}{
 		"half done": {
 			record: func(b *UsageTable) { choose(b, 1) },
@@ -74,8 +75,12 @@
 			f := newContendedFleet(1)
 			tc.record(f.policy.Usages)
 			states := f.policy.endpointStates(f.View(), placement.Need{Pool: testPool.Name, DecidedAt: now.Add(tc.at)})
-			if got := states[0].prefill; got != tc.want {
-				t.Errorf("remaining prefill = %v, want %v", got, tc.want)
+			want := tc.want
+			if want == 0 {
+				want = states[0].passTime(testPool) / 2
+			}
+			if got := states[0].prefill.wait; got != want {
+				t.Errorf("wait until the prefill starts = %v, want %v", got, want)
 			}
 		})
 	}
