Hold quick requests of contended pools at the chooser

Cause: a quick request of a contended pool was placed at once, also at an engine whose slots are all taken, where it can't be moved; an entry without a chooser placed it without knowing the attempts of others. A wait ends with the caller, the drain, the memory limit and the latest useful first token; after a wait, the key, the route and the time are checked again before the request is sent. Usage reports name the choices that are outstanding (latest, outstanding), since settled stays behind while a request waits, and later choices counted twice.

--- a/core/dispatch/ports.go
+++ b/core/dispatch/ports.go
@@ -199,6 +199,11 @@
 	FirstTokenDeadline time.Time
 	// Deadline is when the whole answer is due.
 	Deadline time.Time
+	// BodyBytes is the size of the request's body, which counts while the request waits for an endpoint.
+	BodyBytes int64
+	// Revalidate checks again, after the request has waited for an endpoint, whether it may be sent, and returns the reason
+	// if not; nil means that it may.
+	Revalidate func() (reason string)
 }
 
 // Sink receives the answer; an error means that the caller has disconnected.
--- a/core/dispatch/refusal.go
+++ b/core/dispatch/refusal.go
@@ -21,6 +21,9 @@
 	if refusal.RetryAfter > 0 && (r.retryAfter == 0 || refusal.RetryAfter < r.retryAfter) {
 		r.retryAfter = refusal.RetryAfter
 	}
+	if refusal.Reason.EndsWait() {
+		return r.newFailure(string(refusal.Reason), refusal.RetryAfter)
+	}
 	if endpoint.ID != "" {
 		r.excluded[endpoint.ID] = true
 	}
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -95,6 +95,10 @@
 			r.releaseUnused(ctx, grant)
 			return err
 		}
+		if err := r.checkWait(ctx, grant); err != nil {
+			r.releaseUnused(ctx, grant)
+			return err
+		}
 		done, err := r.runAttempt(ctx, endpoint, grant)
 		if done || err != nil {
 			return err
@@ -182,6 +186,10 @@
 		PauseObjective:     r.request.PauseObjective,
 		FirstTokenDeadline: r.firstTokenDeadline(),
 		Deadline:           r.request.Deadline,
+		ArrivedAt:          r.arrivedAt,
+		LatestStart:        r.latestStart(),
+		MayWait:            r.mayWait(),
+		BodyBytes:          r.request.BodyBytes,
 		Exclusive:          exclusive,
 	})
 	if err == nil {
--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -48,6 +48,15 @@
 	FirstTokenDeadline time.Time
 	// Deadline is when the whole answer is due.
 	Deadline time.Time
+	// ArrivedAt is when the request arrived at the entry that has its caller, and LatestStart when its first token is of
+	// use at the latest; zero means that they are unknown. Only the entry that runs the attempt uses these two and the next
+	// two fields.
+	ArrivedAt, LatestStart time.Time
+	// MayWait reports whether the request may wait for an endpoint: no attempt of it may have run, and its caller has no
+	// part of the answer.
+	MayWait bool
+	// BodyBytes is the size of the request's body.
+	BodyBytes int64
 	// Exclusive requests that nothing else runs on the endpoint during the attempt; it is set for requests that are
 	// suspected of crashing endpoints.
 	Exclusive bool
@@ -74,6 +83,8 @@
 	Predicted time.Duration
 	// Helpers are the endpoints that prefill parts of the prompt besides the reserved one.
 	Helpers []Helper
+	// Waited is how long the request waited for the endpoint, or 0 if it was not allowed to wait.
+	Waited time.Duration
 }
 
 // Helper is an endpoint that prefills a part of a prompt for another endpoint.
@@ -193,11 +204,31 @@
 	ReasonPaused Reason = "paused"
 	// ReasonRateLimited means that endpoints of the pool state limits that are reached.
 	ReasonRateLimited Reason = "rate_limited"
+	// ReasonWaitTooLong means that the first token of a request that has to wait for an endpoint is predicted after its
+	// caller gives up.
+	ReasonWaitTooLong Reason = "wait_too_long"
+	// ReasonWaitingFull means that as many requests wait for an endpoint as the pool serves while callers wait.
+	ReasonWaitingFull Reason = "waiting_full"
+	// ReasonWaitingMemory means that the bodies of the requests that wait at the entry use all memory set aside for them.
+	ReasonWaitingMemory Reason = "waiting_memory"
+	// ReasonEntryStopping means that the entry at which the request waited stops to serve.
+	ReasonEntryStopping Reason = "entry_stopping"
 	// ReasonCold means that the endpoint is in a cold start and has reached its limit; without endpoint owners, that an
 	// endpoint, which may be warm, has reached its rate limit.
 	ReasonCold Reason = "cold"
 )
 
+// EndsWait reports whether a refusal ends the wait of a request for an endpoint. Its RetryAfter is meant for the caller
+// and has a jitter already.
+func (r Reason) EndsWait() bool {
+	switch r {
+	case ReasonWaitTooLong, ReasonWaitingFull, ReasonWaitingMemory, ReasonEntryStopping:
+		return true
+	default:
+		return false
+	}
+}
+
 // Refusal is the error of a reservation call that the owner refused or that did not reach it.
 type Refusal struct {
 	// Reason is the reason of the refusal.
--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -80,15 +80,21 @@
 	if err != nil {
 		return Choice{}, err
 	}
-	if c.Limits != nil {
-		if statement, found := c.Limits.Known(choice.Endpoint); found {
-			choice.Limit = &statement
-		}
-	}
+	c.addLimit(&choice)
 	record(choice)
 	return choice, nil
 }
 
+// addLimit adds to a choice what its endpoint last said of its limit.
+func (c *Chooser) addLimit(choice *Choice) {
+	if c.Limits == nil {
+		return
+	}
+	if statement, found := c.Limits.Known(choice.Endpoint); found {
+		choice.Limit = &statement
+	}
+}
+
 // choose chooses an endpoint for a request, with its helpers if the prompt is long; the caller holds the lock.
 func (c *Chooser) choose(pool routing.Pool, need placement.Need, role Role, now time.Time) (Choice, error) {
 	if pool.Engine != nil && !isQuick(pool, need.PromptTokens) {
--- a/core/sharedload/chooser_set.go
+++ b/core/sharedload/chooser_set.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"wisteriadyke/core/clusterstate"
@@ -23,6 +24,8 @@
 	// startupDelay is the time from the start of an entry until it chooses for others; by then, entries with running
 	// attempts for which it will choose have normally reported their usage to it.
 	startupDelay = 500 * time.Millisecond
+	// maxWaitChoosers bounds the choosers that a request that may wait asks in a row: those of all roles and two successors.
+	maxWaitChoosers = 4
 )
 
 // UsageReport is the usage of one entry.
@@ -34,6 +37,11 @@
 	// Settled is the largest number up to which all choices of the entry are settled: Usages includes them unless they
 	// failed, were discarded or have been released since.
 	Settled uint64
+	// Latest is the number of the entry's latest choice, and Outstanding holds the numbers up to it that are not settled.
+	// Unlike Settled, they also cover the choices after one whose request waits. Latest is 0 in reports of entries that
+	// don't send it.
+	Latest      uint64
+	Outstanding []uint64
 	// Leaving holds the incarnations of the endpoints that recently announced to the entry that they leave.
 	Leaving map[fleet.EndpointID]fleet.Incarnation
 	// Limits holds what endpoints recently stated to the entry.
@@ -108,7 +116,10 @@
 	Reach ReachClient
 	// Log receives messages about entries that start or stop choosing or don't answer.
 	Log zerolog.Logger
+	// Metrics counts the requests that wait at this entry as the chooser; nil disables that.
+	Metrics metrics.Registry
 
+	waiting waitingCalls
 	ranking clusterstate.Ranking
 	mu      sync.Mutex
 	peers   map[fleet.EntryID]*peerState
@@ -125,11 +136,14 @@
 }
 
 // Choose returns the choice for a request and a function that must be called once the usage table of this entry
-// includes the choice or the choice is discarded; an error is a *reservation.Refusal.
+// includes the choice or the choice is discarded; an error is a *reservation.Refusal. If the request may wait, the choice
+// may be that it has to: the caller then settles it and asks again at once.
 func (p *ChooserSet) Choose(ctx context.Context, need placement.Need) (Choice, func(), error) {
 	number := p.startChoice()
 	settle := func() { p.settleChoice(number) }
-	for _, c := range p.roleChoosers() {
+	choosers := p.roleChoosers()
+	for i := 0; i < len(choosers); i++ {
+		c := choosers[i]
 		if c.entry.ID == p.Self.ID {
 			break
 		}
@@ -150,10 +164,12 @@
 			return Choice{}, nil, &reservation.Refusal{Reason: reservation.ReasonUnreachable}
 		}
 		p.recordFailure(c.entry, err)
+		if need.MayWait && i+1 < maxWaitChoosers {
+			choosers = append(choosers[:i+1], p.choosersExcept(choosers[:i+1])...)
+		}
 	}
-	now := time.Now()
-	choice, err := p.Chooser.Choose(need, p.ownRole(), now, func(c Choice) {
-		p.Usages.AddPending(p.Self.ID, number, c.initialUsages(), now)
+	choice, err := p.choose(ctx, need, p.ownRole(), func(c Choice) {
+		p.Usages.AddPending(p.Self.ID, number, c.initialUsages(), time.Now())
 	})
 	if err != nil {
 		settle()
@@ -164,22 +180,28 @@
 }
 
 // HandleChoose records the usage report and the excluded endpoints in a choose request of another entry and makes the
-// choice; an error is a *reservation.Refusal.
-func (p *ChooserSet) HandleChoose(request ChooseRequest) (Choice, error) {
+// choice, or replies that the request has to wait; an error is a *reservation.Refusal. If ctx ends first, the other entry
+// has gone or asks another chooser, and a choice that was just made is dropped.
+func (p *ChooserSet) HandleChoose(ctx context.Context, request ChooseRequest) (Choice, error) {
 	now := time.Now()
 	p.recordReport(request.Report, now)
 	if !slices.Contains(request.Report.CutOff, request.Need.Pool) {
 		p.Usages.RecordExclusions(request.Need.Excluded, now)
 	}
-	return p.Chooser.Choose(request.Need, request.Role, now, func(c Choice) {
-		p.Usages.AddPending(request.Report.Entry, request.Number, c.initialUsages(), now)
+	choice, err := p.choose(ctx, request.Need, request.Role, func(c Choice) {
+		p.Usages.AddPending(request.Report.Entry, request.Number, c.initialUsages(), time.Now())
 	})
+	if ctx.Err() != nil {
+		p.Usages.RemovePending(request.Report.Entry, request.Number)
+	}
+	return choice, err
 }
 
 // HandleUsage stores the usage report of another entry and returns the reply.
 func (p *ChooserSet) HandleUsage(report UsageReport) UsageReply {
 	now := time.Now()
 	p.recordReport(report, now)
+	p.placeWaiting(now)
 	reply := UsageReply{Chooses: now.Sub(p.Started) >= startupDelay, Zones: p.reportingZones(now)}
 	if entry, found := p.State.Entries.Get(report.Entry); found && len(report.CutOff) > 0 {
 		reply.Alternates = make(map[fleet.PoolName][]fleet.EntryID)
@@ -193,6 +215,7 @@
 // recordReport stores the usage of another entry and what endpoints stated to it: that they leave, and their limits.
 func (p *ChooserSet) recordReport(report UsageReport, now time.Time) {
 	p.Usages.UpdatePeer(report.Entry, report.Usages, report.Settled, now)
+	p.Usages.DropSettled(report.Entry, report.Latest, report.Outstanding)
 	p.recordPaths(report)
 	if p.Limits != nil {
 		for id, statement := range report.Limits {
@@ -244,10 +267,11 @@
 	})
 }
 
-// usageReport returns the usage report of this entry. It reads Settled before Usages, so that Usages covers all choices
-// up to Settled.
+// usageReport returns the usage report of this entry. It reads the numbers of the settled choices before Usages, so that
+// Usages covers them.
 func (p *ChooserSet) usageReport() UsageReport {
 	report := UsageReport{Entry: p.Self.ID, Settled: p.lastSettled()}
+	report.Latest, report.Outstanding = p.outstandingChoices()
 	report.Usages = p.Usages.Own()
 	if p.Leaving != nil {
 		report.Leaving = p.Leaving.Announced(time.Now())
@@ -271,38 +295,6 @@
 	return p.Paths != nil && p.Paths.Unreached(pool)
 }
 
-// startChoice returns the number of a new choice, which is outstanding until it is settled.
-func (p *ChooserSet) startChoice() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.lastNumber++
-	if p.outstanding == nil {
-		p.outstanding = make(map[uint64]bool)
-	}
-	p.outstanding[p.lastNumber] = true
-	return p.lastNumber
-}
-
-// settleChoice removes a choice from the outstanding ones and drops its pending usage. It is called once the usage
-// table includes the choice, or if the choice failed or was discarded.
-func (p *ChooserSet) settleChoice(number uint64) {
-	p.mu.Lock()
-	delete(p.outstanding, number)
-	p.mu.Unlock()
-	p.Usages.RemovePending(p.Self.ID, number)
-}
-
-// lastSettled returns the largest number up to which all choices are settled.
-func (p *ChooserSet) lastSettled() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	settled := p.lastNumber
-	for number := range p.outstanding {
-		settled = min(settled, number-1)
-	}
-	return settled
-}
-
 // roleChooser is an entry that chooses for this entry, and the role in which it does.
 type roleChooser struct {
 	entry fleet.Entry
@@ -325,6 +317,17 @@
 	return choosers
 }
 
+// choosersExcept returns the entries that choose for this one now, except those that were asked already. After a chooser has
+// failed, its successor is among them.
+//
+// Load pattern: a chooser fails while requests wait. An entry that chooses for itself knows nothing of the attempts of
+// others, so that it would place its waiting requests at once, at engines without free slots.
+func (p *ChooserSet) choosersExcept(asked []roleChooser) []roleChooser {
+	return slices.DeleteFunc(p.roleChoosers(), func(c roleChooser) bool {
+		return slices.ContainsFunc(asked, func(a roleChooser) bool { return a.entry.ID == c.entry.ID })
+	})
+}
+
 // ownRole returns the role in which this entry chooses for itself: RoleAlone if it is not a chooser for others.
 func (p *ChooserSet) ownRole() Role {
 	for _, c := range p.roleChoosers() {
--- a/core/sharedload/reporter_test.go
+++ b/core/sharedload/reporter_test.go
@@ -57,12 +57,12 @@
 }
 
 // Choose delivers a choose request.
-func (n *testNetwork) Choose(_ context.Context, to netip.AddrPort, request ChooseRequest) (Choice, error) {
+func (n *testNetwork) Choose(ctx context.Context, to netip.AddrPort, request ChooseRequest) (Choice, error) {
 	p, err := n.deliver(to, n.chooseRequests)
 	if err != nil {
 		return Choice{}, err
 	}
-	return p.HandleChoose(request)
+	return p.HandleChoose(ctx, request)
 }
 
 // newChooserSets returns the chooser sets of a number of entries in two zones; all know the same idle engines.
@@ -302,7 +302,7 @@
 			for _, id := range excluded {
 				need.Excluded[id] = true
 			}
-			choice, err := p.HandleChoose(ChooseRequest{Report: UsageReport{Entry: entry, Settled: 9}, Number: 1, Need: need})
+			choice, err := p.HandleChoose(t.Context(), ChooseRequest{Report: UsageReport{Entry: entry, Settled: 9}, Number: 1, Need: need})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/core/sharedload/reserver.go
+++ b/core/sharedload/reserver.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"wisteriadyke/core/clusterstate"
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/outlier"
@@ -35,6 +37,11 @@
 	Leases *MemoryLeases
 	// Outliers records which endpoints fail.
 	Outliers *outlier.Detector
+	// Draining ends when this entry stops to serve, which refuses the requests that wait at it; nil means that it never
+	// does.
+	Draining context.Context
+	// WaitMemory bounds the bodies of the requests that wait at this entry, in bytes; nil means that there is no limit.
+	WaitMemory *semaphore.Weighted
 
 	mu       sync.Mutex
 	sequence int
@@ -63,11 +70,19 @@
 		WaitedAfterRefusal: request.WaitedAfterRefusal,
 		Excluded:           g.excluded(request, time.Now()),
 	}
+	g.addQueueOrder(&need, request)
 	if refusal := g.refusePaused(request.Pool, time.Now()); refusal != nil {
 		return reservation.Grant{}, refusal
 	}
+	startedAt := time.Now()
+	choose := g.Choosers.Choose
+	if need.MayWait {
+		choose = func(ctx context.Context, need placement.Need) (Choice, func(), error) {
+			return g.await(ctx, request, need)
+		}
+	}
 	for range maxChoices {
-		choice, settle, err := g.Choosers.Choose(ctx, need)
+		choice, settle, err := choose(ctx, need)
 		if err != nil {
 			return reservation.Grant{}, err
 		}
@@ -78,11 +93,28 @@
 		}
 		granted := g.recordGrant(choice)
 		settle()
+		if need.MayWait {
+			granted.Waited = time.Since(startedAt)
+		}
 		return g.leaseHelperMemory(ctx, granted, choice)
 	}
 	return reservation.Grant{}, &reservation.Refusal{Reason: reservation.ReasonLeaving, RetryAfter: fullRetryAfter}
 }
 
+// addQueueOrder adds to a need what determines its order among requests that wait; it does so in contended pools only. A
+// request without a latest start, and one that arrives while this entry stops, doesn't wait.
+func (g *Reserver) addQueueOrder(need *placement.Need, request reservation.Request) {
+	pool, found := g.Policy.Pool(request.Pool)
+	if !found || !pool.Contended {
+		return
+	}
+	need.Weight = request.Weight
+	need.Rank = max(0, -request.Priority)
+	need.ArrivedAt = request.ArrivedAt
+	need.LatestStart = request.LatestStart
+	need.MayWait = request.MayWait && !request.LatestStart.IsZero() && !g.isDraining() && isQuick(pool, request.PromptTokens)
+}
+
 // refusePaused returns a refusal with the time until the first endpoint of a pool is usable if all endpoints in service
 // are unusable and one of them asked for a pause, else nil.
 //
--- a/core/waiting/predict.go
+++ b/core/waiting/predict.go
@@ -14,6 +14,8 @@
 	minThroughputShare = 0.05
 	// lateShare is the share of the placements that late requests get at least.
 	lateShare = 1.0 / (maxPassedOver + 1)
+	// initialLateShare is the share that they are assumed to get before it was measured: between the least and all.
+	initialLateShare = 0.5
 	// retryJitter is the largest relative deviation of the retry delay, so that refused callers don't return together.
 	retryJitter = 0.25
 	// minRetryAfter is the shortest retry delay; an earlier return would find the same queue.
@@ -39,7 +41,7 @@
 	elapsed := now.Sub(t.at)
 	switch {
 	case t.busyAt.IsZero() || now.Sub(t.busyAt) > throughputTime:
-		t.total, t.late = capacity, capacity*lateShare
+		t.total, t.late = capacity, capacity*initialLateShare
 	case waiting && elapsed > 0:
 		decay := math.Exp(-float64(elapsed) / float64(throughputTime))
 		t.total = decay*t.total + (1-decay)*float64(t.placed)/elapsed.Seconds()
@@ -107,17 +109,22 @@
 	}
 	inTime += min(sameInTime, rank.queue.WorkAhead(r.Account, laneNew, r.weight(), r.work())/r.work())
 	late += min(float64(rank.lengths[laneLate]), rank.queue.WorkAhead(r.Account, laneLate, r.weight(), r.work())/r.work())
-	turn := now.Add(seconds(inTime / q.throughput.inTimePerSecond(q.lateWaiting() > 0)))
+	inTimePerSecond := q.throughput.inTimePerSecond(q.lateWaiting() > 0)
+	turn := now.Add(seconds(inTime / inTimePerSecond))
 	latest := r.latestInTime(q.overhead)
 	if lane != laneLate && !turn.After(latest) {
 		return Prediction{Position: int(inTime), Start: turn.Add(r.PrefillTime + q.overhead)}
 	}
-	// The request becomes late before its turn, and then waits behind the late requests.
+	// The request becomes late before its turn, and then waits behind the late requests and those that become late with
+	// it.
 	if latest.Before(now) {
 		latest = now
 	}
+	if lane != laneLate {
+		late += max(0, inTime-inTimePerSecond*latest.Sub(now).Seconds())
+	}
 	turn = latest.Add(seconds(late / q.throughput.latePerSecond()))
-	return Prediction{Position: int(inTime + late), Start: turn.Add(r.PrefillTime + q.overhead)}
+	return Prediction{Position: int(max(inTime, late)), Start: turn.Add(r.PrefillTime + q.overhead)}
 }
 
 // Full reports whether as many requests wait as the pool serves within the time that a request can wait.
--- a/core/waiting/queue.go
+++ b/core/waiting/queue.go
@@ -21,6 +21,9 @@
 	// about two quick requests, so that the milliseconds between two calls for one request don't cost its account its
 	// place.
 	accountCredit = 20_000
+	// hopelessMargin is the factor by which the throughput may exceed the measured one before a request that waits is
+	// refused for it: the refusal is final, and the measurement reacts to each short standstill.
+	hopelessMargin = 2
 	// maxSkips bounds the requests of a pass that fit no endpoint although others may, so that a pass stays cheap.
 	maxSkips = 16
 )
@@ -104,12 +107,12 @@
 }
 
 // Refresh moves requests that can't meet their objective any more to the late ones, and returns those whose first token
-// would come too late even at once. overhead is the shortest time from a placement to the first token without the
+// would come too late even at once, or whose turn among the late ones comes too late. overhead is the shortest time from a placement to the first token without the
 // prefill; capacity is the number of requests per second that the pool serves as published.
 func (q *Queue[T]) Refresh(now time.Time, overhead time.Duration, capacity float64) []*Item[T] {
 	q.overhead = overhead
 	q.throughput.update(now, capacity, len(q.items) > 0)
-	var hopeless []*Item[T]
+	var hopeless, late []*Item[T]
 	for _, i := range q.items {
 		if i.latestPlacement(overhead).Before(now) {
 			hopeless = append(hopeless, i)
@@ -120,8 +123,18 @@
 			i.queued.Band = lane
 			q.push(i)
 		}
+		if i.Late() {
+			late = append(late, i)
+		}
+	}
+	slices.SortFunc(late, func(a, b *Item[T]) int {
+		return cmp.Or(a.LatestStart.Compare(b.LatestStart), cmp.Compare(a.queued.Ticket, b.queued.Ticket))
+	})
+	for position, i := range late {
+		if turn := now.Add(seconds(float64(position) / (hopelessMargin * q.throughput.latePerSecond()))); turn.After(i.latestPlacement(overhead)) {
+			hopeless = append(hopeless, i)
+		}
 	}
-	slices.SortFunc(hopeless, func(a, b *Item[T]) int { return cmp.Compare(a.queued.Ticket, b.queued.Ticket) })
 	return hopeless
 }
 
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -57,6 +57,8 @@
 	bodyMemoryShare = 0.1
 	// forwardMemoryShare is the share of the setting Memory for the payloads of requests that other entries pass on.
 	forwardMemoryShare = 0.1
+	// waitMemoryShare is the share of the setting Memory for the bodies of requests that wait for an endpoint.
+	waitMemoryShare = 0.1
 	// shutdownMargin is the part of the grace time that is left after requests in flight have been aborted, to flush
 	// logs.
 	shutdownMargin = 300 * time.Millisecond
@@ -112,6 +114,9 @@
 	receiver       *dispatch.ForwardReceiver
 	ingress        *ingress.Server
 	shuttingDown   atomic.Bool
+	// draining ends when the process begins to shut down; startDraining ends it.
+	draining      context.Context
+	startDraining context.CancelFunc
 }
 
 // Run serves until ctx ends, then shuts down gracefully. It returns the first error of a component.
@@ -135,6 +140,7 @@
 
 // buildComponents creates the components that others depend on.
 func (p *Process) buildComponents() {
+	p.draining, p.startDraining = context.WithCancel(context.Background())
 	p.state = &clusterstate.State{}
 	p.activeTable = &routing.ActiveTable{}
 	p.freshness = &freshness.Tracker{Clock: boottime.Now}
@@ -244,15 +250,6 @@
 	}
 }
 
-// retryBudget returns the retry budget of this entry, which holds an equal share of the burst of all entries.
-func (p *Process) retryBudget() *retry.Budget {
-	return &retry.Budget{
-		Ratio:      p.Settings.RetryRatio * retryBudgetShare,
-		Burst:      p.Settings.RetryBurst * retryBudgetShare,
-		EntryCount: p.entryCount,
-	}
-}
-
 // self returns the description of this entry that is announced to other entries.
 func (p *Process) self() fleet.Entry {
 	address := p.Settings.PeerAddress
@@ -295,6 +292,7 @@
 		Paths:   p.reach,
 		Reach:   p.forwards,
 		Log:     p.Log,
+		Metrics: p.metrics,
 	}
 }
 
@@ -313,6 +311,9 @@
 			Choosers: p.choosers,
 			Leases:   p.leases,
 			Outliers: p.outliers,
+
+			Draining:   p.draining,
+			WaitMemory: semaphore.NewWeighted(p.memoryShare(waitMemoryShare)),
 		},
 		Engines:             p.endpointClient,
 		Budget:              p.retryBudget(),
@@ -384,6 +385,7 @@
 		}
 		p.Log.Info().Msg("gateway: shutting down gracefully")
 		p.shuttingDown.Store(true)
+		p.startDraining()
 		p.ingress.SetDraining()
 		timer := time.NewTimer(p.Settings.BalancerDelay)
 		defer timer.Stop()
--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/retry"
 	"wisteriadyke/core/sharedload"
 )
 
@@ -72,3 +73,12 @@
 func (p *Process) entryCount() int {
 	return max(1, len(p.state.Entries.Snapshot().Rows))
 }
+
+// retryBudget returns the retry budget of this entry, which holds an equal share of the burst of all entries.
+func (p *Process) retryBudget() *retry.Budget {
+	return &retry.Budget{
+		Ratio:      p.Settings.RetryRatio * retryBudgetShare,
+		Burst:      p.Settings.RetryBurst * retryBudgetShare,
+		EntryCount: p.entryCount,
+	}
+}
--- a/io/peer/usages.go
+++ b/io/peer/usages.go
@@ -19,8 +19,9 @@
 type Choosers interface {
 	// HandleUsage stores the usage report of another entry and returns the reply.
 	HandleUsage(report sharedload.UsageReport) sharedload.UsageReply
-	// HandleChoose returns the best endpoint for a request, with its helpers; errors are *reservation.Refusal.
-	HandleChoose(request sharedload.ChooseRequest) (sharedload.Choice, error)
+	// HandleChoose returns the best endpoint for a request, with its helpers, or that the request has to wait; errors are
+	// *reservation.Refusal.
+	HandleChoose(ctx context.Context, request sharedload.ChooseRequest) (sharedload.Choice, error)
 }
 
 // SuspectRecords holds the records of requests that may crash endpoints; *retry.Suspects implements it.
@@ -119,7 +120,11 @@
 func (t *UsageTransport) Choose(
 	ctx context.Context, to netip.AddrPort, request sharedload.ChooseRequest,
 ) (sharedload.Choice, error) {
-	reply, err := NewDRPCUsageClient(t.Client.shortCallConn(ctx, to)).Choose(ctx, toChooseRequest(request))
+	conn := t.Client.shortCallConn
+	if request.Need.MayWait {
+		conn = t.Client.blockingCallConn
+	}
+	reply, err := NewDRPCUsageClient(conn(ctx, to)).Choose(ctx, toChooseRequest(request))
 	if err != nil {
 		return sharedload.Choice{}, errors.Wrapf(err, "request a choice from %s", to)
 	}
@@ -170,8 +175,8 @@
 }
 
 // Choose returns the best endpoint for a request, with its helpers.
-func (h *usageHandler) Choose(_ context.Context, m *ChooseRequest) (*ChooseReply, error) {
-	choice, err := h.choosers.HandleChoose(fromChooseRequest(m))
+func (h *usageHandler) Choose(ctx context.Context, m *ChooseRequest) (*ChooseReply, error) {
+	choice, err := h.choosers.HandleChoose(ctx, fromChooseRequest(m))
 	if err != nil {
 		refusal, err := refusalMessage(err)
 		return &ChooseReply{Refusal: refusal}, err
@@ -181,7 +186,10 @@
 
 // toUsageSet converts a usage report to its message, without the suspect records (Deaths), which ReportUsage adds.
 func toUsageSet(report sharedload.UsageReport) *UsageSet {
-	m := &UsageSet{Entry: string(report.Entry), Usages: toUsages(report.Usages), Settled: report.Settled}
+	m := &UsageSet{
+		Entry: string(report.Entry), Usages: toUsages(report.Usages), Settled: report.Settled,
+		Latest: report.Latest, Outstanding: report.Outstanding,
+	}
 	for _, pool := range report.CutOff {
 		m.CutOff = append(m.CutOff, string(pool))
 	}
@@ -204,6 +212,10 @@
 		Entry:   fleet.EntryID(m.GetEntry()),
 		Usages:  fromUsages(m.GetUsages()),
 		Settled: m.GetSettled(),
+
+		Latest:      m.GetLatest(),
+		Outstanding: m.GetOutstanding(),
+
 		Leaving: make(map[fleet.EndpointID]fleet.Incarnation, len(m.GetLeaving())),
 		Limits:  make(map[fleet.EndpointID]ratelimit.Statement, len(m.GetLimits())),
 	}
