--- a/gateway/process.go
+++ b/gateway/process.go
@@ -54,6 +54,8 @@
 	lapseTime = 5 * time.Second
 	// forwardMemoryShare is the share of the setting Memory for the payloads of requests that other entries pass on.
 	forwardMemoryShare = 0.1
+	// waitMemoryShare is the share of the setting Memory for the bodies of requests that wait for an endpoint.
+	waitMemoryShare = 0.1
 	// shutdownMargin is the part of the grace time that is left after requests in flight have been aborted, to flush
 	// logs.
 	shutdownMargin = 300 * time.Millisecond
@@ -107,6 +109,9 @@
 	receiver       *dispatch.ForwardReceiver
 	ingress        *ingress.Server
 	shuttingDown   atomic.Bool
+	// draining ends when the process begins to shut down; startDraining ends it.
+	draining      context.Context
+	startDraining context.CancelFunc
 }
 
 // Run serves until ctx ends, then shuts down gracefully. It returns the first error of a component.
@@ -130,6 +135,7 @@
 
 // buildComponents creates the components that others depend on.
 func (p *Process) buildComponents() {
+	p.draining, p.startDraining = context.WithCancel(context.Background())
 	p.state = &clusterstate.State{}
 	p.activeTable = &routing.ActiveTable{}
 	p.freshness = &freshness.Tracker{Clock: boottime.Now}
@@ -225,15 +231,6 @@
 	}
 }
 
-// retryBudget returns the retry budget of this entry, which holds an equal share of the burst of all entries.
-func (p *Process) retryBudget() *retry.Budget {
-	return &retry.Budget{
-		Ratio:      p.Settings.RetryRatio * retryBudgetShare,
-		Burst:      p.Settings.RetryBurst * retryBudgetShare,
-		EntryCount: p.entryCount,
-	}
-}
-
 // self returns the description of this entry that is announced to other entries.
 func (p *Process) self() fleet.Entry {
 	address := p.Settings.PeerAddress
@@ -277,6 +274,7 @@
 		LostPaths: p.paths,
 		Reach:     p.forwards,
 		Log:       p.Log,
+		Metrics:   p.metrics,
 	}
 	p.registerPathGauges()
 }
@@ -297,6 +295,9 @@
 			Leases:   p.leases,
 			Outliers: p.outliers,
 			Paths:    p.paths,
+
+			Draining:   p.draining,
+			WaitMemory: semaphore.NewWeighted(p.memoryShare(waitMemoryShare)),
 		},
 		Engines:             p.endpointClient,
 		Budget:              p.retryBudget(),
@@ -368,6 +369,7 @@
 		}
 		p.Log.Info().Msg("gateway: shutting down gracefully")
 		p.shuttingDown.Store(true)
+		p.startDraining()
 		p.ingress.SetDraining()
 		timer := time.NewTimer(p.Settings.BalancerDelay)
 		defer timer.Stop()
