Plan long prompts by slack in contended pools

Callers saw: quick requests were late while 66 to 73 of 78 endpoints prefilled parts of long prompts, also of prompts that were answered in 1.1 s with an objective of 8 s. Change: in contended pools, the number and the choice of endpoints follow from what running attempts lose, from the endpoints that quick requests use now or would use at twice their demand, and from the risk that one endpoint is slow.

--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -105,6 +105,9 @@
 			refusal = preferRateRefusal(refusal, refused)
 			continue
 		}
+		if pool.Contended {
+			c.Policy.demand.countQuick(pool.Name, now)
+		}
 		return quickChoice(pool, &states[i], need), nil
 	}
 	return Choice{}, refusal
--- a/core/sharedload/demand.go
+++ b/core/sharedload/demand.go
@@ -26,12 +26,20 @@
 	// maxUtilization bounds the prefill share in the formula for the catch-up time, which would be infinite while all
 	// endpoints prefill.
 	maxUtilization = 0.9
+	// burstFactor is the demand of quick requests for which endpoints are kept free of long prefill, relative to the current
+	// one: quick requests burst at 1.5 to 2.5 times their usual rate.
+	burstFactor = 2
+	// maxReservedShare bounds the share of a pool that is kept free of long prefill, so that long prompts always find
+	// endpoints.
+	maxReservedShare = 0.6
 )
 
 // demandAverage is the average demand of one pool.
 type demandAverage struct {
 	// at is the time of the last update.
 	at time.Time
+	// quickRunning is the number of running and waiting quick attempts.
+	quickRunning float64
 	// prefillShare is the share of endpoints with outstanding prefill.
 	prefillShare float64
 	// runningValue is the value of the running and waiting attempts, in quick requests.
@@ -42,6 +50,14 @@
 type Demand struct {
 	mu    sync.Mutex
 	pools map[fleet.PoolName]demandAverage
+	// quick holds the rates of the quick requests that were placed.
+	quick map[fleet.PoolName]quickRate
+}
+
+// quickRate is a moving average of the quick requests per second, as of a time.
+type quickRate struct {
+	perSecond float64
+	at        time.Time
 }
 
 // update updates the averages of a pool with the current usage of its endpoints and returns the new averages.
@@ -49,6 +65,7 @@
 	current := demandAverage{at: now}
 	for i := range states {
 		u := states[i].usage
+		current.quickRunning += float64(u.Quick)
 		current.runningValue += float64(u.Quick) + float64(u.Running-u.Quick)*longAttemptValue
 		if states[i].prefill.shared > 0 {
 			current.prefillShare += 1 / float64(len(states))
@@ -69,11 +86,47 @@
 	}
 	decay := math.Exp(-float64(now.Sub(previous.at)) / float64(demandAverageTime))
 	current.prefillShare = decay*previous.prefillShare + (1-decay)*current.prefillShare
+	current.quickRunning = decay*previous.quickRunning + (1-decay)*current.quickRunning
 	current.runningValue = decay*previous.runningValue + (1-decay)*current.runningValue
 	d.pools[pool] = current
 	return current
 }
 
+// countQuick counts a quick request that was placed.
+func (d *Demand) countQuick(pool fleet.PoolName, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.quick == nil {
+		d.quick = make(map[fleet.PoolName]quickRate)
+	}
+	d.quick[pool] = quickRate{perSecond: d.quick[pool].after(now) + 1/demandAverageTime.Seconds(), at: now}
+}
+
+// after returns the rate at a later time if no request was placed since.
+func (r quickRate) after(now time.Time) float64 {
+	return r.perSecond * math.Exp(-float64(now.Sub(r.at))/float64(demandAverageTime))
+}
+
+// reserve returns the endpoints that stay free of long prefill, by the slots that quick requests use or will use at their
+// rate.
+func (d *Demand) reserve(pool routing.Pool, endpoints int, average demandAverage, now time.Time) quickReserve {
+	slots := float64(pool.Engine.Slots)
+	if slots <= 0 {
+		return quickReserve{}
+	}
+	d.mu.Lock()
+	perSecond := d.quick[pool.Name].after(now)
+	d.mu.Unlock()
+	residence := pool.Engine.SlotInterval().Seconds() * slots
+	needed := max(average.quickRunning, perSecond*residence) / slots
+	most := maxReservedShare * float64(endpoints)
+	return quickReserve{
+		needed:    int(math.Ceil(min(needed, most))),
+		burst:     int(math.Ceil(min(burstFactor*needed, most))),
+		perSecond: perSecond / max(1, needed),
+	}
+}
+
 // displacedValue returns the value, in quick requests, that other requests lose while the pool catches up with a
 // prefill that would occupy a single endpoint for the given time. It returns 0 if the delay of the whole pool, which is
 // that time divided by the number of endpoints, is less than half of the shortest pause objective.
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -121,13 +121,24 @@
 	states := p.endpointStates(view, need)
 	demand := p.demand.update(pool.Name, states, time.Now())
 	preferred := without(without(states, recentlyExcluded), limited)
-	plan, found := planPrefill(pool, preferred, need.PromptTokens, need.MaxTokens, need.Objective)
+	plan, found := p.plan(pool, preferred, need, demand)
 	if !found || !p.worthwhile(pool, len(states), need, plan.firstToken, demand) {
 		return prefillPlan{}, false
 	}
 	return plan, true
 }
 
+// plan returns the plan for a long prompt. In a contended pool, the first endpoints by rank stay free of long prefill as
+// long as quick requests need them.
+func (p *Policy) plan(
+	pool routing.Pool, states []endpointState, need placement.Need, demand demandAverage,
+) (prefillPlan, bool) {
+	if !pool.Contended {
+		return planPrefill(pool, states, need.PromptTokens, need.MaxTokens, need.Objective)
+	}
+	return planBySlack(pool, states, need, p.demand.reserve(pool, len(states), demand, time.Now()))
+}
+
 // worthwhile reports whether a long prompt gains at least the value that other requests lose by its prefill; if not, it
 // logs both values.
 func (p *Policy) worthwhile(
--- a/core/sharedload/prefill_plan.go
+++ b/core/sharedload/prefill_plan.go
@@ -53,7 +53,8 @@
 		sorted := slices.Clone(states)
 		slices.SortStableFunc(sorted, order)
 		for count := 1; count <= min(len(sorted), maxHelpers+1); count++ {
-			plan, ok := planWith(pool, sorted[:count], total, prompt, output, objective)
+			decoder := mostFreeMemory(pool, sorted[:count])
+			plan, ok := planWith(pool, sorted[:count], decoder, total, prompt, output, objective)
 			if !ok || fitsOne && plan.helperMemory != nil {
 				continue
 			}
@@ -89,22 +90,29 @@
 	}
 }
 
-// planWith returns the plan for a prefill by all of the given endpoints, of which the one with the most free memory is
-// the decoder. It reports false if they lack the memory. The cost of the plan does not include lostValue yet.
+// mostFreeMemory returns the index of the endpoint with the most free memory.
+func mostFreeMemory(pool routing.Pool, states []endpointState) int {
+	most := 0
+	for i := range states {
+		if states[i].freeMemory(pool) > states[most].freeMemory(pool) {
+			most = i
+		}
+	}
+	return most
+}
+
+// planWith returns the plan for a prefill by all of the given endpoints, of which decoder is an index. It reports false if they lack the memory. The cost of the plan does not include lostValue yet.
 func planWith(
-	pool routing.Pool, states []endpointState, total time.Duration, prompt, output fleet.Tokens, objective time.Duration,
+	pool routing.Pool, states []endpointState, decoder int, total time.Duration, prompt, output fleet.Tokens,
+	objective time.Duration,
 ) (prefillPlan, bool) {
 	prefillTime := total / time.Duration(len(states))
-	decoder := 0
 	var start time.Duration
 	var cost, lostValue float64
 	for i := range states {
 		s := &states[i]
 		start = max(start, s.prefillWait(pool))
 		lostValue += lateLoss * s.lateValue(pool, prefillTime)
-		if s.freeMemory(pool) > states[decoder].freeMemory(pool) {
-			decoder = i
-		}
 	}
 	var helperMemory []fleet.Tokens
 	if states[decoder].freeMemory(pool) < prompt+output {
