Count running prefill passes in the demand of a pool

Cause: the share of endpoints with outstanding prefill, by which long prompts are refused in a busy pool, counted only the pass that starts next. More long prompts were accepted than the pool could prefill. Change: an endpoint counts as long as one of its two passes prefills. Run: go test ./core/sharedload, passed.

--- a/core/sharedload/demand.go
+++ b/core/sharedload/demand.go
@@ -67,7 +67,7 @@
 		u := states[i].usage
 		current.quickRunning += float64(u.Quick)
 		current.runningValue += float64(u.Quick) + float64(u.Running-u.Quick)*longAttemptValue
-		if states[i].prefill.shared > 0 {
+		if states[i].prefill.busy {
 			current.prefillShare += 1 / float64(len(states))
 		}
 	}
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -220,7 +220,7 @@
 	}
 	pass, total := s.passTime(pool), s.usage.PrefillTime
 	if !pool.Contended {
-		return outstandingPrefill{wait: total + pass/2, shared: total}
+		return outstandingPrefill{wait: total + pass/2, shared: total, busy: total > 0}
 	}
 	return p.Usages.outstandingPrefill(s.endpoint.ID, total, pass, now)
 }
--- a/core/sharedload/prefill_backlog.go
+++ b/core/sharedload/prefill_backlog.go
@@ -26,6 +26,8 @@
 	wait time.Duration
 	// shared is the part of it that is in the same pass; running attempts get no event before both are done.
 	shared time.Duration
+	// busy reports whether there is any, in the running pass or in the next one.
+	busy bool
 }
 
 // prefillBacklog holds, by endpoint, the passes that prefill the prompts that were chosen, in the order of choice: the
@@ -85,7 +87,7 @@
 		next = passes[1]
 		next.startsAt = passes[0].endsAt()
 	}
-	return outstandingPrefill{wait: next.startsAt.Sub(now) + next.prefill, shared: next.prefill}, true
+	return outstandingPrefill{wait: next.startsAt.Sub(now) + next.prefill, shared: next.prefill, busy: true}, true
 }
 
 // addUnexpected adds the prefill in a new usage report of an entry that neither its previous report nor its pending
@@ -135,5 +137,7 @@
 	if !found {
 		return idle
 	}
-	return outstandingPrefill{wait: min(outstanding.wait, total+pass), shared: min(outstanding.shared, total)}
+	outstanding.wait = min(outstanding.wait, total+pass)
+	outstanding.shared = min(outstanding.shared, total)
+	return outstanding
 }
