--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -125,13 +125,24 @@
 	demand := p.demand.update(pool.Name, states, time.Now())
 	trusted := keepSome(withoutLost(states), func(s endpointState) bool { return !s.suspect })
 	preferred := without(without(trusted, recentlyExcluded), limited)
-	plan, found := planPrefill(pool, preferred, need.PromptTokens, need.MaxTokens, need.Objective)
+	plan, found := p.plan(pool, preferred, need, demand)
 	if !found || !p.worthwhile(pool, len(states), need, plan.firstToken, demand) {
 		return prefillPlan{}, false
 	}
 	return plan, true
 }
 
+// plan returns the plan for a long prompt. In a contended pool, the first endpoints by rank stay free of long prefill as
+// long as quick requests need them.
+func (p *Policy) plan(
+	pool routing.Pool, states []endpointState, need placement.Need, demand demandAverage,
+) (prefillPlan, bool) {
+	if !pool.Contended {
+		return planPrefill(pool, states, need.PromptTokens, need.MaxTokens, need.Objective)
+	}
+	return planBySlack(pool, states, need, p.demand.reserve(pool, len(states), demand, time.Now()))
+}
+
 // worthwhile reports whether a long prompt gains at least the value that other requests lose by its prefill; if not, it
 // logs both values.
 func (p *Policy) worthwhile(
@@ -214,7 +225,7 @@
 	}
 	pass, total := s.passTime(pool), s.usage.PrefillTime
 	if !pool.Contended {
-		return outstandingPrefill{wait: total + pass/2, shared: total}
+		return outstandingPrefill{wait: total + pass/2, shared: total, busy: total > 0}
 	}
 	return p.Usages.outstandingPrefill(s.endpoint.ID, total, pass, now)
 }
