--- a/core/waiting/item.go
+++ b/core/waiting/item.go
@@ -13,8 +13,8 @@
 // as the prefill of one token.
 const outputWork = 10
 
-// The lanes of one rank, each with its own order by account. They use the bands of admission.Queue, where Long counts as
-// work ahead of Long items only.
+// The lanes of one rank, each with its own order by account. They use the bands of admission.Queue, where Long counts
+// as work ahead of Long items only.
 const (
 	// laneReturned holds requests that can meet their objective and whose caller was refused before.
 	laneReturned = admission.Quick
@@ -61,7 +61,8 @@
 }
 
 // latestInTime returns the latest time at which the request can be placed and still meet its objective: overhead is the
-// shortest time from the placement to the first token without the prefill. A request without an objective is never late.
+// shortest time from the placement to the first token without the prefill. A request without an objective is never
+// late.
 func (r *Request) latestInTime(overhead time.Duration) time.Time {
 	if r.Objective <= 0 {
 		return r.LatestStart
--- a/core/waiting/load_test.go
+++ b/core/waiting/load_test.go
@@ -76,8 +76,8 @@
 	checkRefusals(t, p)
 }
 
-// TestZoneBackColdInFlood guards against a queue that trusts the published capacity: two thirds of the pool come back cold
-// while requests arrive at more than the capacity of the rest.
+// TestZoneBackColdInFlood guards against a queue that trusts the published capacity: two thirds of the pool come back
+// cold while requests arrive at more than the capacity of the rest.
 func TestZoneBackColdInFlood(t *testing.T) {
 	p := newPool(2)
 	p.run(15*time.Second, false, func(at time.Duration) []fleet.AccountID {
@@ -138,7 +138,7 @@
 	isNew := func(c *callerState) bool { return !c.Returned && c.arrivedAt.Sub(p.started) < 9*time.Second }
 	gotReturned, gotNew := p.share(returned, served), p.share(isNew, served)
 	if gotReturned <= gotNew {
-		t.Errorf("%.3f of the returned and %.3f of the new requests are served, want more of the returned", gotReturned, gotNew)
+		t.Errorf("%.3f of the returned and %.3f of the new requests are served, want more returned", gotReturned, gotNew)
 	}
 	if all := p.share(every, served); gotNew < all/4 {
 		t.Errorf("%.3f of the new requests are served, of all %.3f; want at least a quarter as often", gotNew, all)
--- a/core/waiting/queue.go
+++ b/core/waiting/queue.go
@@ -107,8 +107,9 @@
 }
 
 // Refresh moves requests that can't meet their objective any more to the late ones, and returns those whose first token
-// would come too late even at once, or whose turn among the late ones comes too late. overhead is the shortest time from a placement to the first token without the
-// prefill; capacity is the number of requests per second that the pool serves as published.
+// would come too late even at once, or whose turn among the late ones comes too late. overhead is the shortest time from
+// a placement to the first token without the prefill; capacity is the number of requests per second that the pool serves
+// as published.
 func (q *Queue[T]) Refresh(now time.Time, overhead time.Duration, capacity float64) []*Item[T] {
 	q.overhead = overhead
 	q.throughput.update(now, capacity, len(q.items) > 0)
@@ -130,8 +131,9 @@
 	slices.SortFunc(late, func(a, b *Item[T]) int {
 		return cmp.Or(a.LatestStart.Compare(b.LatestStart), cmp.Compare(a.queued.Ticket, b.queued.Ticket))
 	})
+	perSecond := hopelessMargin * q.throughput.latePerSecond()
 	for position, i := range late {
-		if turn := now.Add(seconds(float64(position) / (hopelessMargin * q.throughput.latePerSecond()))); turn.After(i.latestPlacement(overhead)) {
+		if now.Add(seconds(float64(position) / perSecond)).After(i.latestPlacement(overhead)) {
 			hopeless = append(hopeless, i)
 		}
 	}
@@ -233,7 +235,9 @@
 
 // rankQueue returns the queue of a rank, which it adds if there is none.
 func (q *Queue[T]) rankQueue(rank int) *rankQueue {
-	index, found := slices.BinarySearchFunc(q.ranks, rank, func(r *rankQueue, rank int) int { return cmp.Compare(r.rank, rank) })
+	index, found := slices.BinarySearchFunc(q.ranks, rank, func(r *rankQueue, rank int) int {
+		return cmp.Compare(r.rank, rank)
+	})
 	if !found {
 		added := &rankQueue{rank: rank, queue: admission.NewQueue(accountCredit, math.MaxInt, math.MaxInt)}
 		q.ranks = slices.Insert(q.ranks, index, added)
