Count the usage of a zone behind a partition until its attempts end

Cause: a second after a zone is partitioned, the chooser on this side drops the usage of its entries, although endpoints that this side reaches still run their attempts. Change: UsageTable.Held keeps the expired reports of entries whose whole zone is silent for the mean duration of an answer; the usage decreases with time. It ends when an entry of the zone reports again, so that nothing is counted twice. A single silent entry has probably ended and is dropped as before. Only endpoints of contended pools count. Rates of cold endpoints are unchanged: two leaders of half the rate each stay within it.

--- a/core/enginemodel/model.go
+++ b/core/enginemodel/model.go
@@ -46,6 +46,12 @@
 	return time.Duration(max(1, m.Stride)) * step
 }
 
+// AnswerTime returns the mean time that an answer of mean length decodes at an engine whose slots all decode such answers,
+// or 0 if the mean lengths are not published.
+func (m *Model) AnswerTime() time.Duration {
+	return time.Duration(m.Slots) * m.SlotInterval()
+}
+
 // SlotInterval returns the mean time between two ends of answers at an engine whose slots all decode answers of mean
 // length, or 0 if the mean lengths are not published.
 func (m *Model) SlotInterval() time.Duration {
--- a/core/sharedload/usage_table.go
+++ b/core/sharedload/usage_table.go
@@ -69,6 +69,9 @@
 // UsageTable holds the usage of each endpoint: that of this entry, which is exact, and that of the other entries, which
 // consists of their last reports and of the choices made for them since. Its zero value is ready to use.
 type UsageTable struct {
+	// Held specifies how the usage of a silent zone counts; nil means that it does not. It is set before use.
+	Held *HeldUsage
+
 	mu    sync.Mutex
 	own   map[fleet.EndpointID]Usage
 	peers map[fleet.EntryID]peerReport
@@ -190,21 +193,26 @@
 	return found && now.Sub(t.at) <= peerTTL
 }
 
-// Totals returns the usage of all entries by endpoint; it drops expired reports and pending choices.
+// Totals returns the usage of all entries by endpoint; it drops expired reports, unless Held keeps them, and pending
+// choices.
 func (b *UsageTable) Totals(now time.Time) map[fleet.EndpointID]Usage {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	totals := make(map[fleet.EndpointID]Usage, len(b.own))
 	maps.Copy(totals, b.own)
+	var expired []fleet.EntryID
 	for entry, t := range b.peers {
 		if now.Sub(t.at) > peerTTL {
-			delete(b.peers, entry)
+			expired = append(expired, entry)
 			continue
 		}
 		for id, u := range t.usages {
 			totals[id] = totals[id].add(u)
 		}
 	}
+	if len(expired) > 0 {
+		b.addHeldUsages(totals, expired, now)
+	}
 	b.addPendingUsages(totals, now)
 	return totals
 }
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -5,6 +5,7 @@
 
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/outlier"
+	"wisteriadyke/core/sharedload"
 )
 
 // Names of gauges about paths from this entry's zone.
@@ -50,3 +51,26 @@
 	pool, found := p.pool(name)
 	return found && pool.Contended
 }
+
+// usageTable returns an empty table of the usage of all entries.
+func (p *Process) usageTable() *sharedload.UsageTable {
+	return &sharedload.UsageTable{
+		Held: &sharedload.HeldUsage{Own: p.Settings.Zone, Time: p.heldTime, Zone: p.zoneOf},
+	}
+}
+
+// heldTime returns how long attempts at an endpoint of a contended pool count after their entries fell silent, or 0 for
+// other endpoints.
+func (p *Process) heldTime(id fleet.EndpointID) time.Duration {
+	endpoint, _ := p.state.Endpoints.Get(id)
+	if pool, found := p.pool(endpoint.Pool); found && pool.Contended {
+		return pool.Engine.AnswerTime()
+	}
+	return 0
+}
+
+// zoneOf returns the zone of an entry; it reports false if the entry is not listed.
+func (p *Process) zoneOf(id fleet.EntryID) (fleet.Zone, bool) {
+	entry, found := p.state.Entries.Get(id)
+	return entry.Zone, found
+}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -150,7 +150,7 @@
 	p.partExchange = &quarantine.Exchange{Parts: p.parts, Run: rand.Uint64() | 1}
 	p.registerGauge(metricQuarantinedGroups, func() int64 { return int64(len(p.parts.Groups(time.Now()))) })
 	p.buildFeed()
-	p.usages = &sharedload.UsageTable{}
+	p.usages = p.usageTable()
 	p.buildOutlierDetection()
 	p.limits = &ratelimit.Limits{Listed: func(id fleet.EndpointID) bool {
 		_, found := p.state.Endpoints.Get(id)
