--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -309,9 +309,14 @@
 
 // release releases the reservation with the outcome and measurements of the attempt, even if ctx has ended.
 func (a *attemptRun) release(ctx context.Context, res attemptResult) {
+	callerLeft := ctx.Err() != nil
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
 	release := res.release
+	if callerLeft && a.grant.ConnectTimeout > 0 && release.Outcome == reservation.OutcomeNotRun {
+		// A connection that was not awaited says nothing about the endpoint.
+		release.Outcome = reservation.OutcomeCanceled
+	}
 	release.Endpoint = a.grant.Endpoint
 	release.Owner = a.grant.Owner
 	release.Reservation = a.grant.Reservation
