Bound request bodies on their way to an endpoint

Cause: an endpoint that stops reading held every body that was sent to it, each until the kernel gave up or the request's deadline passed.

--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -41,6 +41,8 @@
 	contracts []string
 	// memory is the memory of entries that start, in MiB.
 	memory int
+	// direct makes entries that start connect to endpoints as in a deployment, instead of by their path.
+	direct bool
 }
 
 // entryName returns the ID of the entry that is started as the given one.
@@ -136,6 +138,9 @@
 	}
 	e.path = &faultproxy.Path{}
 	e.process = &Process{Settings: e.settings, DialEndpoint: e.path.Dial, Log: zerolog.New(zerolog.NewTestWriter(w.t)).Level(zerolog.InfoLevel)}
+	if w.direct {
+		e.process.DialEndpoint = nil
+	}
 	w.entries = append(w.entries, e)
 	var group errgroup.Group
 	group.Go(func() error {
--- a/gateway/endpoint_client.go
+++ b/gateway/endpoint_client.go
@@ -5,6 +5,7 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"wisteriadyke/core/fleet"
 	"wisteriadyke/io/tcp"
 	"wisteriadyke/platform/endpointclient"
 )
@@ -15,6 +16,11 @@
 	// probeTimeout bounds the opening of a connection that probes whether an endpoint is reachable, and how long bytes
 	// sent on it may remain unacknowledged.
 	probeTimeout = 300 * time.Millisecond
+	// bytesPerToken is the usual length of a token of text.
+	bytesPerToken = 4
+	// maxServiceUpload is the most bytes of request bodies that are on their way to an endpoint that publishes no memory. Calls
+	// to plain services have some kilobytes, so that it is beyond what an endpoint that reads ever has outstanding.
+	maxServiceUpload = 1 << 20
 )
 
 // buildEndpointClient creates the client that runs attempts on endpoints.
@@ -36,4 +42,16 @@
 		},
 		BodyMemory: semaphore.NewWeighted(p.memoryShare(bodyMemoryShare)),
 	}
+	if p.limitsSlowReaders() {
+		p.endpointClient.Uploads = &endpointclient.Uploads{MaxBytes: p.maxUpload}
+	}
+}
+
+// maxUpload returns the most bytes of request bodies that may be on their way to an endpoint: what its published memory
+// holds, else maxServiceUpload.
+func (p *Process) maxUpload(endpoint fleet.Endpoint) int64 {
+	if pool, found := p.pool(endpoint.Pool); found && pool.Engine != nil && pool.Engine.Memory > 0 {
+		return int64(pool.Engine.Memory) * bytesPerToken
+	}
+	return maxServiceUpload
 }
