--- a/cmd/root.go
+++ b/cmd/root.go
@@ -19,6 +19,8 @@
 	ExitConflict = 3
 	// ExitUnknown means the change may or may not have been made.
 	ExitUnknown = 4
+	// ExitWarnings means the files are valid, but there are warnings and the command was asked to fail for them.
+	ExitWarnings = 5
 )
 
 // Main runs the command line in args and returns the exit code.
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -31,13 +31,18 @@
 func (b *Budget) TryRetry() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	burst := b.Burst
+	entries := 1
 	if b.EntryCount != nil {
-		burst /= float64(max(1, b.EntryCount()))
+		entries = b.EntryCount()
 	}
-	if b.spent+1 > max(1, burst) {
+	if b.spent+1 > Capacity(b.Burst, entries) {
 		return false
 	}
 	b.spent++
 	return true
 }
+
+// Capacity returns the number of retries that can accumulate at each of the given number of entries.
+func Capacity(burst float64, entries int) float64 {
+	return max(1, burst/float64(max(1, entries)))
+}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -62,9 +62,9 @@
 	shutdownMargin = 300 * time.Millisecond
 	// memoryLimitShare is the share of the setting Memory that is set as the soft memory limit of the Go runtime.
 	memoryLimitShare = 0.7
-	// retryBudgetShare is the factor by which the settings RetryRatio and RetryBurst are multiplied. The entries thus use
+	// RetryBudgetShare is the factor by which the settings RetryRatio and RetryBurst are multiplied. The entries thus use
 	// only part of the allowed retries, since the windows of the entries are not aligned.
-	retryBudgetShare = 0.75
+	RetryBudgetShare = 0.75
 	// gcPercent is the growth of the heap, in percent, that starts a garbage collection. It is above the default since
 	// memory is plentiful and CPU time is scarce.
 	gcPercent = 300
@@ -247,8 +247,8 @@
 // retryBudget returns the retry budget of this entry, which holds an equal share of the burst of all entries.
 func (p *Process) retryBudget() *retry.Budget {
 	return &retry.Budget{
-		Ratio:      p.Settings.RetryRatio * retryBudgetShare,
-		Burst:      p.Settings.RetryBurst * retryBudgetShare,
+		Ratio:      p.Settings.RetryRatio * RetryBudgetShare,
+		Burst:      p.Settings.RetryBurst * RetryBudgetShare,
 		EntryCount: p.entryCount,
 	}
 }
--- a/io/jsonfile/decode.go
+++ b/io/jsonfile/decode.go
@@ -33,6 +33,13 @@
 // are checked for arrays and literals only.
 func (d *decoder) decode(path string, value hujson.Value, into reflect.Value, r rules) {
 	d.file.recordLine(path, value.StartOffset)
+	if literal, ok := value.Value.(hujson.Literal); ok && d.file.foreign && literal.Kind() == 'n' {
+		return
+	}
+	if into.Kind() == reflect.Pointer {
+		into.Set(reflect.New(into.Type().Elem()))
+		into = into.Elem()
+	}
 	if text, ok := into.Addr().Interface().(encoding.TextUnmarshaler); ok {
 		d.decodeText(path, value, text)
 		return
@@ -75,6 +82,9 @@
 		at := join(path, name)
 		field, known := fields[name]
 		switch {
+		case !known && d.file.foreign:
+			d.file.recordLine(at, member.Name.StartOffset)
+			d.file.unknown = append(d.file.unknown, at)
 		case !known:
 			d.file.recordLine(at, member.Name.StartOffset)
 			d.file.Addf(at, "unknown field")
--- a/io/jsonfile/jsonfile.go
+++ b/io/jsonfile/jsonfile.go
@@ -6,6 +6,8 @@
 package jsonfile
 
 import (
+	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"reflect"
@@ -30,6 +32,9 @@
 	newlines []int
 	lines    map[string]int
 	faults   Faults
+	// foreign reports whether another system owns the format; unknown then holds the fields that the struct lacks.
+	foreign bool
+	unknown []string
 }
 
 // Read decodes the file at path into the struct that into points to. The error is of type Faults. Unlike ReadFile, it
@@ -47,21 +52,51 @@
 // ReadFile decodes the file at path into the struct that into points to, and returns the file with its faults, to which
 // the caller can add more. A file that can't be read is a fault as well.
 func ReadFile(path string, into any) *File {
+	data, problem := readLimited(path)
+	if problem != "" {
+		return newFailedFile(path, problem)
+	}
+	return Parse(path, data, into)
+}
+
+// readLimited returns the content of the file at path, or why it can't be read.
+func readLimited(path string) (data []byte, problem string) {
 	info, err := os.Stat(path)
 	if err == nil && info.Size() > maxFileBytes {
-		return newFailedFile(path, fmt.Sprintf("has %d bytes; want at most %d", info.Size(), maxFileBytes))
+		return nil, fmt.Sprintf("has %d bytes; want at most %d", info.Size(), maxFileBytes)
 	}
-	data, err := os.ReadFile(path)
+	data, err = os.ReadFile(path)
 	if err != nil {
-		return newFailedFile(path, "cannot be read: "+errorCause(err))
+		return nil, "cannot be read: " + errorCause(err)
 	}
-	return Parse(path, data, into)
+	return data, ""
 }
 
 // Parse decodes data, the content of the file called name, into the struct that into points to, and returns the file
 // with its faults, to which the caller can add more. It reads no file.
 func Parse(name string, data []byte, into any) *File {
-	f := &File{Name: name, lines: make(map[string]int), newlines: newlines(data)}
+	return parse(&File{Name: name}, data, into)
+}
+
+// ReadForeign is like ReadFile for a file whose format another system owns: it must be plain JSON without comments,
+// fields that the struct lacks are no faults, but returned by Unknown, and null counts as absent.
+func ReadForeign(path string, into any) *File {
+	data, problem := readLimited(path)
+	if problem != "" {
+		return newFailedFile(path, problem)
+	}
+	f := parse(&File{Name: path, foreign: true}, data, into)
+	var syntax *json.SyntaxError
+	if err := json.Unmarshal(data, new(any)); errors.As(err, &syntax) && len(f.faults) == 0 {
+		line := 1 + sort.SearchInts(f.newlines, int(syntax.Offset)-1)
+		f.faults = append(f.faults, Fault{File: path, Line: line, Problem: "is not plain JSON: " + syntax.Error()})
+	}
+	return f
+}
+
+// parse decodes data into the struct that into points to, and returns the file f, which has a name only.
+func parse(f *File, data []byte, into any) *File {
+	f.lines, f.newlines = make(map[string]int), newlines(data)
 	if nestingDepth(data) > maxDepth {
 		f.Addf("", "arrays and objects are nested more than %d levels deep", maxDepth)
 		return f
@@ -109,6 +144,12 @@
 	return found
 }
 
+// Unknown returns the paths of the fields that the struct lacks, in the order of the file, if the file was read by
+// ReadForeign.
+func (f *File) Unknown() []string {
+	return f.unknown
+}
+
 // newFailedFile returns a file that cannot be read, with the reason as its only fault.
 func newFailedFile(name, problem string) *File {
 	return &File{Name: name, faults: Faults{{File: name, Problem: problem}}}
--- a/io/jsonfile/jsonfile_test.go
+++ b/io/jsonfile/jsonfile_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"os"
 	"testing"
 	"time"
 
@@ -94,3 +95,41 @@
 		})
 	}
 }
+
+// TestReadForeign guards against files of another system that are rejected for what that system permits, or accepted
+// with what it rejects.
+func TestReadForeign(t *testing.T) {
+	type foreign struct {
+		Name  string `json:"name"`
+		Inner *part  `json:"inner"`
+		Other *part  `json:"other"`
+	}
+	tests := map[string]struct {
+		data, faults string
+		unknown      []string
+	}{
+		"null, object and unknown fields": {
+			data:    `{"name": null, "inner": {"name": "p", "more": [1]}, "other": null, "color": {"x": 1}}`,
+			unknown: []string{"inner.more", "color"},
+		},
+		"wrong type":     {data: "{\n\"inner\": 3}", faults: "f:2: inner: is 3; want an object"},
+		"comment":        {data: "{\n// Why.\n}", faults: "f:2: is not plain JSON: invalid character '/' looking for beginning of object key string"},
+		"trailing comma": {data: "{\"name\": \"x\",\n\n}", faults: "f:3: is not plain JSON: invalid character '}' looking for beginning of object key string"},
+		"cut":            {data: "{\n", faults: "f:2: column 1: parsing value: unexpected EOF"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Chdir(t.TempDir())
+			if err := os.WriteFile("f", []byte(tc.data), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			file := jsonfile.ReadForeign("f", &foreign{})
+			if got := file.Faults().Error(); got != tc.faults {
+				t.Errorf("got faults %q, want %q", got, tc.faults)
+			}
+			if diff := cmp.Diff(tc.unknown, file.Unknown()); diff != "" {
+				t.Errorf("unknown fields differ (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
