Build the program under test without its folder in the result

Cause: the earlier version in TestMixedVersions is built in another folder, so that nothing of the program under test could be reused (36 s at first, on a busy machine). Change: both are built with -trimpath and share what they have in common.

--- a/e2e/mixed_test.go
+++ b/e2e/mixed_test.go
@@ -58,7 +58,7 @@
 	if err := os.CopyFS(source, files); err != nil {
 		t.Fatal(err)
 	}
-	// Without the folder's path in the result, the build cache serves all later runs.
+	// Like the program under test, so that the build cache serves the packages that both have in common, and later runs.
 	if err := run(source, "go", "build", "-trimpath", "-o", path, "wisteriadyke"); err != nil {
 		t.Fatal("the earlier version cannot be built offline")
 	}
--- a/standin/program/program.go
+++ b/standin/program/program.go
@@ -19,7 +19,8 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	binary := filepath.Join(dir, "wisteriadyke")
-	build := exec.CommandContext(context.Background(), "go", "build", "-o", binary, "wisteriadyke")
+	// Without the folder in the result, the build cache also serves builds of the same packages in other folders.
+	build := exec.CommandContext(context.Background(), "go", "build", "-trimpath", "-o", binary, "wisteriadyke")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		return 1, errors.Wrap(err, "program under test")
