--- a/gateway/process.go
+++ b/gateway/process.go
@@ -61,9 +61,9 @@
 	shutdownMargin = 300 * time.Millisecond
 	// memoryLimitShare is the share of the setting Memory that is set as the soft memory limit of the Go runtime.
 	memoryLimitShare = 0.7
-	// retryBudgetShare is the factor by which the settings RetryRatio and RetryBurst are multiplied. The entries thus use
+	// RetryBudgetShare is the factor by which the settings RetryRatio and RetryBurst are multiplied. The entries thus use
 	// only part of the allowed retries, since the windows of the entries are not aligned.
-	retryBudgetShare = 0.75
+	RetryBudgetShare = 0.75
 	// gcPercent is the growth of the heap, in percent, that starts a garbage collection. It is above the default since
 	// memory is plentiful and CPU time is scarce.
 	gcPercent = 300
--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -77,8 +77,8 @@
 // retryBudget returns the retry budget of this entry, which holds an equal share of the burst of all entries.
 func (p *Process) retryBudget() *retry.Budget {
 	return &retry.Budget{
-		Ratio:      p.Settings.RetryRatio * retryBudgetShare,
-		Burst:      p.Settings.RetryBurst * retryBudgetShare,
+		Ratio:      p.Settings.RetryRatio * RetryBudgetShare,
+		Burst:      p.Settings.RetryBurst * RetryBudgetShare,
 		EntryCount: p.entryCount,
 	}
 }
