--- a/core/configcheck/configcheck_test.go
+++ b/core/configcheck/configcheck_test.go
@@ -33,8 +33,8 @@
 	}
 }
 
-// TestCheck guards against mistakes that an operator is not told of, or not with the right severity or place, and against
-// findings about a configuration without mistakes.
+// TestCheck guards against mistakes that an operator is not told of, or not with the right severity or place, and
+// against findings about a configuration without mistakes.
 func TestCheck(t *testing.T) {
 	route := func(index int, field Field) Place { return Place{Subject: SubjectRoute, Index: index, Field: field} }
 	tests := map[string]struct {
--- a/e2e/mixed_test.go
+++ b/e2e/mixed_test.go
@@ -155,9 +155,9 @@
 
 // TestMixedVersions guards against entries of two versions that break each other's requests during an upgrade or a
 // downgrade: it replaces the entries of the earlier version one after the other by the current one, and back, while
-// callers send requests of all kinds to a contended pool. Entries of both versions have to choose for those of the other
-// one; no request may be refused or broken in calm moments, none of a burst may be broken, and no request may run that
-// was refused, or twice if it may run only once.
+// callers send requests of all kinds to a contended pool. Entries of both versions have to choose for those of the
+// other one; no request may be refused or broken in calm moments, none of a burst may be broken, and no request may run
+// that was refused, or twice if it may run only once.
 func TestMixedVersions(t *testing.T) {
 	earlier := buildEarlier(t)
 	store := &cierzo.Store{}
