Learn the paces of endpoints

Cause: an endpoint that becomes 4 to 7.5 times slower than published, without announcing it, looks no busier than others. Change: core/cost keeps the latest samples of each incarnation: the ratio of the time to the first token to the predicted one, times the pace by which it was predicted. The pace is their lower quartile relative to the average of all endpoints, so that neither a delayed answer nor a busy pool makes an endpoint slow; it is used from 1.6 on, with 3 samples, and decays after 5 s. A first token that is missing after 2.5 times the prediction is a sample too, since engines that prefill parts of several prompts would be known only after seconds. Entries report their samples of the last second, at most 16. All of it in contended pools. A debug line per choice has pace, samples, wait and prediction; the gauge endpoints.slow counts slow endpoints. Run: go test ./core/... ./io/peer, passed; a part of ./gateway, passed.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -261,12 +261,14 @@
 	a.record(timeline.Event{Kind: timeline.KindFirstToken, Attempt: a.id, Endpoint: a.endpoint.ID, Duration: took})
 }
 
-// renew reports progress to the owner until ctx ends: periodically, and at once when the attempt starts and when its
-// first token arrives. It cancels the attempt when its reservation has lapsed, when its answer stalls, or when an
+// renew reports progress to the owner until ctx ends: periodically, and at once when the attempt starts, when its
+// first token arrives and when that is overdue. It cancels the attempt when its reservation has lapsed, when its answer stalls, or when an
 // endpoint has died while it ran another copy of the request.
 func (a *attemptRun) renew(ctx context.Context, suspected <-chan struct{}, cancel context.CancelCauseFunc) {
 	ticker := time.NewTicker(a.renewInterval())
 	defer ticker.Stop()
+	overdue, stopOverdue := startTimer(a.grant.OverdueAfter)
+	defer stopOverdue()
 	for {
 		select {
 		case <-ctx.Done():
@@ -274,6 +276,7 @@
 		case <-suspected:
 			cancel(errSuspected)
 			return
+		case <-overdue:
 		case <-a.renewNow:
 		case <-ticker.C:
 		}
@@ -291,6 +294,15 @@
 	}
 }
 
+// startTimer returns a channel that receives after d, or never if d is 0, and a function that stops the timer.
+func startTimer(d time.Duration) (<-chan time.Time, func()) {
+	if d <= 0 {
+		return nil, func() {}
+	}
+	timer := time.NewTimer(d)
+	return timer.C, func() { timer.Stop() }
+}
+
 // renewInterval returns the time between two renewals.
 func (a *attemptRun) renewInterval() time.Duration {
 	lease := a.grant.Lease
--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -72,6 +72,8 @@
 	Lease time.Duration
 	// Predicted is the predicted time to the first token, or 0.
 	Predicted time.Duration
+	// OverdueAfter is the time without a first token after which the progress is reported once, or 0.
+	OverdueAfter time.Duration
 	// Helpers are the endpoints that prefill parts of the prompt besides the reserved one.
 	Helpers []Helper
 }
--- a/core/sharedload/choice.go
+++ b/core/sharedload/choice.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wisteriadyke/core/cost"
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/ratelimit"
 	"wisteriadyke/core/reservation"
@@ -48,6 +49,9 @@
 	PrefillTime time.Duration
 	// passTime is the duration of a pass of Endpoint without prefill; it is not sent.
 	passTime time.Duration
+	// pace and prefillWait are what the chooser assumed of Endpoint, for the log; they are not sent.
+	pace        cost.Estimate
+	prefillWait time.Duration
 	// Predicted is the predicted time to the first token, or 0 for a call to a plain service.
 	Predicted time.Duration
 	// Usages is the usage by endpoint that lasts until the attempt ends; it excludes the prefill.
--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -87,6 +87,10 @@
 	}
 	record(choice)
 	c.Policy.Usages.StartPrefill(choice, now)
+	if pool.Contended {
+		c.Policy.markTried(choice, now)
+		c.Policy.logChoice(need, choice)
+	}
 	return choice, nil
 }
 
@@ -276,8 +280,8 @@
 	usage := Usage{Running: 1, Memory: need.PromptTokens + need.MaxTokens}
 	choice := Choice{Endpoint: s.endpoint.ID}
 	if pool.Engine != nil {
-		choice.PrefillTime = pool.Engine.PrefillTime(need.PromptTokens)
-		choice.passTime = s.passTime(pool)
+		choice.PrefillTime = s.atPace(pool.Engine.PrefillTime(need.PromptTokens))
+		choice.passTime, choice.pace, choice.prefillWait = s.passTime(pool), s.pace, s.prefill.wait
 		choice.Predicted = s.prefillWait(pool) + choice.PrefillTime + s.passTime(pool)
 		usage.Quick = 1
 		usage.ValueByPause = valueByPauseOf(pool, need.PromptTokens, need.PauseObjective)
@@ -300,6 +304,8 @@
 		HelperMemory: plan.helperMemory,
 		PrefillTime:  plan.prefillTime,
 		passTime:     plan.decoder.passTime(pool),
+		pace:         plan.decoder.pace,
+		prefillWait:  plan.decoder.prefill.wait,
 		Predicted:    plan.firstToken,
 		Usages:       make(map[fleet.EndpointID]Usage),
 	}
--- a/core/sharedload/chooser_set.go
+++ b/core/sharedload/chooser_set.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"wisteriadyke/core/clusterstate"
+	"wisteriadyke/core/cost"
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/placement"
 	"wisteriadyke/core/ratelimit"
@@ -41,6 +42,8 @@
 	// CutOff holds the pools most of whose endpoints are unreachable for the entry, in order. What it says about these
 	// endpoints is not used. Unreached holds those of which it reaches no endpoint.
 	CutOff, Unreached []fleet.PoolName
+	// Paces holds the paces of endpoints that the entry has measured lately.
+	Paces []cost.PaceSample
 }
 
 // LeavingEndpoints holds which endpoints announced that they leave; *discovery.EndpointList implements it.
@@ -102,6 +105,8 @@
 	Leaving LeavingEndpoints
 	// Limits holds the limits that endpoints state; nil leaves them out of the reports.
 	Limits *ratelimit.Limits
+	// Paces holds the paces of endpoints; nil leaves them out of the reports.
+	Paces *cost.Paces
 	// Paths tells which endpoints this entry reaches; nil means that it reaches all.
 	Paths Paths
 	// Reach asks other entries about endpoints; it is required by AskOthers.
@@ -194,6 +199,12 @@
 func (p *ChooserSet) recordReport(report UsageReport, now time.Time) {
 	p.Usages.UpdatePeer(report.Entry, report.Usages, report.Settled, now)
 	p.recordPaths(report)
+	if p.Paces != nil {
+		for _, s := range report.Paces {
+			s.Entry = report.Entry
+			p.Paces.Merge(s)
+		}
+	}
 	if p.Limits != nil {
 		for id, statement := range report.Limits {
 			p.Limits.Merge(id, statement)
@@ -255,6 +266,9 @@
 	if p.Limits != nil {
 		report.Limits = p.Limits.Own(time.Now())
 	}
+	if p.Paces != nil {
+		report.Paces = p.Paces.Own(time.Now())
+	}
 	if p.Paths != nil {
 		report.CutOff, report.Unreached = p.Paths.CutOffPools(), p.Paths.UnreachedPools()
 	}
--- a/core/sharedload/estimate.go
+++ b/core/sharedload/estimate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wisteriadyke/core/cost"
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/routing"
 )
@@ -30,6 +31,8 @@
 	usage    Usage
 	// prefill is the prefill that is not finished.
 	prefill outstandingPrefill
+	// pace is what is known about the pace of the endpoint; the zero value stands for the published times.
+	pace cost.Estimate
 	// rank is the position of the endpoint among the usable ones of its pool, in the order that all entries agree on;
 	// rankCost is the cost of that rank for a quick request.
 	rank     int
@@ -46,14 +49,27 @@
 	if s.endpoint.Slots > 0 {
 		streams = min(streams, s.endpoint.Slots)
 	}
-	return pool.Engine.PassTime(streams, s.usage.Memory)
+	return s.atPace(pool.Engine.PassTime(streams, s.usage.Memory))
+}
+
+// atPace returns how long the endpoint takes for what takes a published time.
+func (s *endpointState) atPace(published time.Duration) time.Duration {
+	if s.pace.Pace <= 1 {
+		return published
+	}
+	return time.Duration(float64(published) * s.pace.Pace)
+}
+
+// slow reports whether the endpoint is known to take longer than published.
+func (s *endpointState) slow() bool {
+	return s.pace.Pace > 1
 }
 
 // prefillWait returns the time until the prefill of an attempt that arrives now starts.
 func (s *endpointState) prefillWait(pool routing.Pool) time.Duration {
 	wait := s.prefill.wait
 	if excess := s.usage.Running - s.endpoint.Slots; s.endpoint.Slots > 0 && excess >= 0 {
-		wait += time.Duration(excess+1) * slotWait(pool)
+		wait += s.atPace(time.Duration(excess+1) * slotWait(pool))
 	}
 	return wait
 }
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"wisteriadyke/core/cost"
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/placement"
 	"wisteriadyke/core/ratelimit"
@@ -59,6 +60,8 @@
 	Unreachable func(endpoint fleet.Endpoint, now time.Time) bool
 	// Limits holds the limits that endpoints state; nil means that there are none.
 	Limits *ratelimit.Limits
+	// Paces holds the paces of endpoints; nil means that all keep their published times.
+	Paces *cost.Paces
 	// Log receives messages about long prompts that are refused because other requests would lose more value.
 	Log zerolog.Logger
 
@@ -74,13 +77,16 @@
 	}
 	costs := make([]rankedCost, len(states))
 	for i := range states {
-		costs[i] = rankedCost{cost: quickCost(pool, &states[i]), index: i}
+		costs[i] = rankedCost{cost: quickCost(pool, &states[i], need), index: i}
 	}
 	slices.SortFunc(costs, func(a, b rankedCost) int { return cmp.Or(cmp.Compare(a.cost, b.cost), a.index-b.index) })
 	ordered := make([]endpointState, len(states))
 	for i, c := range costs {
 		ordered[i] = states[c.index]
 	}
+	if pool.Contended {
+		moveTrialFirst(ordered, need)
+	}
 	return ordered
 }
 
@@ -115,12 +121,20 @@
 	return s.limited
 }
 
+// isSlow reports whether an endpoint is known to be slow: the slowest part of a prompt delays the whole.
+func isSlow(s endpointState) bool {
+	return s.slow()
+}
+
 // planLong returns the plan for the prefill of a long prompt and updates the demand averages of the pool. It reports
 // false if the prompt fits nowhere, or if other requests would lose more value by its prefill than it gains.
 func (p *Policy) planLong(pool routing.Pool, view placement.View, need placement.Need) (prefillPlan, bool) {
 	states := p.endpointStates(view, need)
 	demand := p.demand.update(pool.Name, states, time.Now())
-	preferred := without(without(states, recentlyExcluded), limited)
+	if plan, found := planTrial(pool, states, need); found {
+		return plan, true
+	}
+	preferred := without(without(without(states, recentlyExcluded), limited), isSlow)
 	plan, found := p.plan(pool, preferred, need, demand)
 	if !found || !p.worthwhile(pool, len(states), need, plan.firstToken, demand) {
 		return prefillPlan{}, false
@@ -188,6 +202,9 @@
 			limited:          p.isLimited(endpoint),
 		})
 		s := &found[len(found)-1]
+		if pool.Contended && p.Paces != nil {
+			s.pace = p.Paces.Estimate(endpoint, now)
+		}
 		s.prefill = p.outstandingPrefill(pool, s, now)
 	}
 	keys := make([]rankKey, len(found))
@@ -267,12 +284,12 @@
 
 // quickCost returns the cost of placing a quick request at an endpoint. At an engine, it is the wait until the prefill
 // starts and the duration of a pass, plus the costs of long attempts, a nearly full endpoint, the rank and a recent
-// exclusion by another entry. It does not include the request's own prefill, which takes equally long at all engines.
+// exclusion by another entry. It includes only what the request's own prefill takes longer than published.
 // At a plain service, the cost grows with the number of running calls.
 //
 // Load pattern: quick requests burst while long prompts are prefilled. Quick requests avoid prefilling endpoints and
 // fill endpoints from the front of a fixed order, while long prompts are placed from its end.
-func quickCost(pool routing.Pool, s *endpointState) time.Duration {
+func quickCost(pool routing.Pool, s *endpointState, need placement.Need) time.Duration {
 	if pool.Engine == nil {
 		cost := time.Duration(s.usage.Running) * runningCallCost
 		if excess := s.usage.Running - s.endpoint.Slots; s.endpoint.Slots > 0 && excess >= 0 {
@@ -285,6 +302,10 @@
 		surcharge += time.Duration(excess) * nearFullCost
 	}
 	cost := s.prefillWait(pool) + s.passTime(pool) + surcharge + s.rankCost
+	if s.slow() {
+		published := pool.Engine.PrefillTime(need.PromptTokens)
+		cost += s.atPace(published) - published
+	}
 	if s.recentlyExcluded {
 		cost += recentExclusionCost
 	}
--- a/core/sharedload/prefill_plan.go
+++ b/core/sharedload/prefill_plan.go
@@ -109,8 +109,10 @@
 	prefillTime := total / time.Duration(len(states))
 	var start time.Duration
 	var cost, lostValue float64
+	slowest := prefillTime
 	for i := range states {
 		s := &states[i]
+		slowest = max(slowest, s.atPace(prefillTime))
 		start = max(start, s.prefillWait(pool))
 		lostValue += lateLoss * s.lateValue(pool, prefillTime)
 	}
@@ -122,7 +124,7 @@
 		}
 		helperMemory = slices.Concat(sizes[:decoder], sizes[decoder+1:])
 	}
-	firstToken := start + prefillTime + states[decoder].passTime(pool)
+	firstToken := start + slowest + states[decoder].passTime(pool)
 	cost += helperRiskCost * float64(len(states)-1)
 	if objective > 0 {
 		cost += requestValue(prompt) *
@@ -133,7 +135,7 @@
 		decoder:      states[decoder],
 		helpers:      helpers,
 		helperMemory: helperMemory,
-		prefillTime:  prefillTime,
+		prefillTime:  slowest,
 		firstToken:   firstToken,
 		lostValue:    lostValue,
 		cost:         cost,
--- a/core/sharedload/reserver.go
+++ b/core/sharedload/reserver.go
@@ -47,6 +47,8 @@
 	usage   map[fleet.EndpointID]Usage
 	prefill map[fleet.EndpointID]Usage
 	helpers []reservation.Helper
+	// estimate is what was predicted for the first token.
+	estimate firstTokenEstimate
 }
 
 // Reserve reserves the endpoint and the helpers that are chosen for an attempt and leases the memory at the helpers; an
@@ -76,7 +78,7 @@
 			maps.Copy(need.Excluded, unusable)
 			continue
 		}
-		granted := g.recordGrant(choice)
+		granted := g.recordGrant(choice, need)
 		settle()
 		return g.leaseHelperMemory(ctx, granted, choice)
 	}
@@ -160,7 +162,7 @@
 }
 
 // recordGrant adds the usage of an attempt to the usage table and returns its grant.
-func (g *Reserver) recordGrant(choice Choice) reservation.Grant {
+func (g *Reserver) recordGrant(choice Choice, need placement.Need) reservation.Grant {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sequence++
@@ -168,7 +170,10 @@
 	if g.grants == nil {
 		g.grants = make(map[fleet.ReservationID]*grant)
 	}
-	held := &grant{usage: choice.Usages, prefill: choice.prefillUsages(), helpers: choice.Helpers}
+	held := &grant{
+		usage: choice.Usages, prefill: choice.prefillUsages(), helpers: choice.Helpers,
+		estimate: g.firstTokenEstimate(choice, need),
+	}
 	g.grants[id] = held
 	g.Policy.Usages.AddOwn(held.usage)
 	g.Policy.Usages.AddOwn(held.prefill)
@@ -181,19 +186,25 @@
 		Owner:       choice.Chooser,
 		Predicted:   choice.Predicted,
 		Helpers:     choice.Helpers,
+
+		OverdueAfter: held.estimate.overdueAfter(),
 	}
 }
 
-// Renew removes the prefill usage of an attempt once its first token has arrived. It returns no error.
+// Renew removes the prefill usage of an attempt once its first token has arrived, and records how late that is. It returns no error.
 func (g *Reserver) Renew(_ context.Context, progress reservation.Progress) error {
-	if !progress.Started {
-		return nil
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if held, found := g.grants[progress.Reservation]; found {
+	held, found := g.grants[progress.Reservation]
+	switch {
+	case !found:
+	case !progress.Started:
+		g.recordOverdue(held, time.Now())
+	default:
 		g.Policy.Usages.RemoveOwn(held.prefill)
 		held.prefill = nil
+		g.recordPace(held.estimate, progress.TimeToFirstToken, time.Now())
+		held.estimate = firstTokenEstimate{}
 	}
 	return nil
 }
--- a/core/sharedload/slack_plan.go
+++ b/core/sharedload/slack_plan.go
@@ -76,7 +76,7 @@
 		part := total / time.Duration(count)
 		for i := range candidates {
 			c := &candidates[i]
-			c.cost = lateLoss*c.state.partHarm(pool, c.pass, part) + reserve.price(c.state.rank, part)
+			c.cost = lateLoss*c.state.partHarm(pool, c.pass, c.state.atPace(part)) + reserve.price(c.state.rank, part)
 		}
 		for _, order := range []func(a, b partCandidate) int{cheapest(need.Objective, part), earliest} {
 			slices.SortFunc(candidates, order)
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -272,9 +272,10 @@
 // buildChoosers creates the components that choose endpoints.
 func (p *Process) buildChoosers() {
 	p.views = &report.ViewCache{State: p.state, Zone: p.Settings.Zone}
+	paces := p.newPaces()
 	p.policy = &sharedload.Policy{
 		Usages: p.usages, Pool: p.pool, Usable: p.outliers.Usable, UsableForOthers: p.reach.UsableForOthers,
-		Unreachable: p.outliers.Unreachable, Limits: p.limits, Log: p.Log,
+		Unreachable: p.outliers.Unreachable, Limits: p.limits, Paces: paces, Log: p.Log,
 	}
 	p.choosers = &sharedload.ChooserSet{
 		Self:    p.self(),
@@ -292,6 +293,7 @@
 		},
 		Leaving: p.endpoints,
 		Limits:  p.limits,
+		Paces:   paces,
 		Paths:   p.reach,
 		Reach:   p.forwards,
 		Log:     p.Log,
--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wisteriadyke/core/cost"
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/sharedload"
 )
@@ -72,3 +73,10 @@
 func (p *Process) entryCount() int {
 	return max(1, len(p.state.Entries.Snapshot().Rows))
 }
+
+// newPaces returns the paces of endpoints, of which none is known yet.
+func (p *Process) newPaces() *cost.Paces {
+	paces := &cost.Paces{Listed: p.limits.Listed}
+	p.registerGauge(metricSlowEndpoints, func() int64 { return int64(paces.Slow()) })
+	return paces
+}
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -20,6 +20,8 @@
 	// reads through another entry itself, else 0.
 	metricTableReaders  = "mirror.readers"
 	metricTablesRelayed = "mirror.relayed"
+	// metricSlowEndpoints is the number of endpoints that are known to take longer than published.
+	metricSlowEndpoints = "endpoints.slow"
 	// metricQuarantinedGroups is the number of quarantined groups of prompt parts.
 	metricQuarantinedGroups = "quarantine.groups"
 	// metricStoreEra is the latest era of the store.
--- a/io/peer/usages.go
+++ b/io/peer/usages.go
@@ -192,6 +192,7 @@
 		m.Leaving = append(m.Leaving, &LeavingEndpoint{Endpoint: string(id), Incarnation: uint64(incarnation)})
 	}
 	now := time.Now()
+	m.Paces = toEndpointPaces(report.Paces, now)
 	for id, statement := range report.Limits {
 		m.Limits = append(m.Limits, toEndpointLimit(id, statement, now))
 	}
@@ -217,6 +218,7 @@
 		report.Leaving[fleet.EndpointID(l.Endpoint)] = fleet.Incarnation(l.Incarnation)
 	}
 	now := time.Now()
+	report.Paces = fromEndpointPaces(m.GetPaces(), now)
 	for _, l := range m.GetLimits() {
 		report.Limits[fleet.EndpointID(l.Endpoint)] = fromEndpointLimit(l, now)
 	}
