Learn the lengths of answers

Cause: the time that a request holds its slot was a constant of 2.5 s, although answers differ by route and account. The entry sends the estimate with the choose request. In contended pools the chooser derives the mean residence from it, in place of meanResidence, for the value that a long prompt displaces and for the endpoints that quick requests need.

--- a/core/dispatch/ports.go
+++ b/core/dispatch/ports.go
@@ -189,6 +189,8 @@
 	PromptTokens fleet.Tokens
 	// MaxTokens is the maximum length of the answer.
 	MaxTokens fleet.Tokens
+	// LengthHint is the caller's estimate of the length of the answer, or 0.
+	LengthHint fleet.Tokens
 	// Objective is the caller's target for the time to the first token, or 0.
 	Objective time.Duration
 	// PauseObjective is the caller's target for the longest pause within the answer, or 0.
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -177,6 +177,8 @@
 		Priority:           r.request.Priority,
 		PromptTokens:       r.request.PromptTokens,
 		MaxTokens:          r.request.MaxTokens,
+		LengthHint:         r.request.LengthHint,
+		Received:           r.position,
 		CachedTokens:       r.cachedTokens(endpoint),
 		Objective:          r.request.Objective,
 		PauseObjective:     r.request.PauseObjective,
--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -38,6 +38,9 @@
 	PromptTokens fleet.Tokens
 	// MaxTokens is the maximum number of tokens to generate.
 	MaxTokens fleet.Tokens
+	// LengthHint is the caller's estimate of the length of the answer, or 0, and Received the part of the answer that the
+	// caller already has.
+	LengthHint, Received fleet.Tokens
 	// CachedTokens is the estimated number of leading prompt tokens that the endpoint has cached.
 	CachedTokens fleet.Tokens
 	// Objective is the caller's target for the time to the first token, or 0.
--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -88,6 +88,8 @@
 	record(choice)
 	c.Policy.Usages.StartPrefill(choice, now)
 	if pool.Contended {
+		expected := residence(pool.Engine, choice, need.ExpectedOutput)
+		c.Policy.demand.countPlaced(pool.Name, isQuick(pool, need.PromptTokens), expected)
 		c.Policy.markTried(choice, now)
 		c.Policy.logChoice(need, choice)
 	}
--- a/core/sharedload/demand.go
+++ b/core/sharedload/demand.go
@@ -12,9 +12,11 @@
 const (
 	// demandAverageTime is the time constant of the averages: a few times the duration of the longest prefills.
 	demandAverageTime = 2 * time.Second
-	// meanResidence is the usual time that an attempt spends at its engine; it converts the value of the running
-	// attempts into a value per second.
+	// meanResidence is the usual time that an attempt spends at its engine, where the lengths of answers are not learned; it
+	// converts the value of the running attempts into a value per second.
 	meanResidence = 2500 * time.Millisecond
+	// residenceWeight is the weight of a choice in the averages of the residence, about a second's worth of choices.
+	residenceWeight = 0.01
 	// longAttemptValue is the assumed value of a long attempt, in quick requests: that of the usual long prompt.
 	longAttemptValue = 10
 	// allLateDelay is the delay of a whole pool that makes nearly every request late.
@@ -44,14 +46,24 @@
 	prefillShare float64
 	// runningValue is the value of the running and waiting attempts, in quick requests.
 	runningValue float64
+	// residence is the mean expected residence of an attempt.
+	residence time.Duration
 }
 
 // Demand holds exponential moving averages of the demand of each pool. Its zero value is ready to use.
 type Demand struct {
 	mu    sync.Mutex
 	pools map[fleet.PoolName]demandAverage
-	// quick holds the rates of the quick requests that were placed.
-	quick map[fleet.PoolName]quickRate
+	// quick holds the rates of the quick requests that were placed, and residences how long requests are expected to hold
+	// their slots.
+	quick      map[fleet.PoolName]quickRate
+	residences map[fleet.PoolName]residences
+}
+
+// residences are averages of the expected residence of the requests of a pool and of the quick ones, or 0 if there were
+// none.
+type residences struct {
+	all, quick time.Duration
 }
 
 // quickRate is a moving average of the quick requests per second, as of a time.
@@ -89,9 +101,34 @@
 	current.quickRunning = decay*previous.quickRunning + (1-decay)*current.quickRunning
 	current.runningValue = decay*previous.runningValue + (1-decay)*current.runningValue
 	d.pools[pool] = current
+	current.residence = meanResidence
+	if r := d.residences[pool]; r.all > 0 {
+		current.residence = r.all
+	}
 	return current
 }
 
+// countPlaced adds the expected residence of a request that was placed to the averages.
+func (d *Demand) countPlaced(pool fleet.PoolName, quick bool, expected time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.residences == nil {
+		d.residences = make(map[fleet.PoolName]residences)
+	}
+	r := d.residences[pool]
+	average := func(mean *time.Duration) {
+		if *mean == 0 {
+			*mean = expected
+		}
+		*mean += time.Duration(float64(expected-*mean) * residenceWeight)
+	}
+	average(&r.all)
+	if quick {
+		average(&r.quick)
+	}
+	d.residences[pool] = r
+}
+
 // countQuick counts a quick request that was placed.
 func (d *Demand) countQuick(pool fleet.PoolName, now time.Time) {
 	d.mu.Lock()
@@ -116,9 +153,9 @@
 	}
 	d.mu.Lock()
 	perSecond := d.quick[pool.Name].after(now)
+	residence := d.residences[pool.Name].quick
 	d.mu.Unlock()
-	residence := pool.Engine.SlotInterval().Seconds() * slots
-	needed := max(average.quickRunning, perSecond*residence) / slots
+	needed := max(average.quickRunning, perSecond*residence.Seconds()) / slots
 	most := maxReservedShare * float64(endpoints)
 	return quickReserve{
 		needed:    int(math.Ceil(min(needed, most))),
@@ -141,7 +178,7 @@
 	if delay < pauseObjective(pool)/2 {
 		return 0
 	}
-	rate := a.runningValue / meanResidence.Seconds()
+	rate := a.runningValue / a.residence.Seconds()
 	catchUp := delay.Seconds() / (1 - min(a.prefillShare, maxUtilization))
 	return lateLoss * rate * catchUp * min(1, float64(delay)/float64(allLateDelay))
 }
--- a/core/sharedload/reserver.go
+++ b/core/sharedload/reserver.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wisteriadyke/core/clusterstate"
+	"wisteriadyke/core/cost"
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/outlier"
 	"wisteriadyke/core/placement"
@@ -36,6 +37,9 @@
 	// Outliers records which endpoints fail.
 	Outliers *outlier.Detector
 
+	// lengths learns the lengths of answers.
+	lengths cost.Lengths
+
 	mu       sync.Mutex
 	sequence int
 	// grants holds the running attempts by reservation.
@@ -49,6 +53,8 @@
 	helpers []reservation.Helper
 	// estimate is what was predicted for the first token.
 	estimate firstTokenEstimate
+	// request is what was requested.
+	request reservation.Request
 }
 
 // Reserve reserves the endpoint and the helpers that are chosen for an attempt and leases the memory at the helpers; an
@@ -65,6 +71,7 @@
 		WaitedAfterRefusal: request.WaitedAfterRefusal,
 		Excluded:           g.excluded(request, time.Now()),
 	}
+	need.ExpectedOutput = g.expectedOutput(request)
 	if refusal := g.refusePaused(request.Pool, time.Now()); refusal != nil {
 		return reservation.Grant{}, refusal
 	}
@@ -78,7 +85,7 @@
 			maps.Copy(need.Excluded, unusable)
 			continue
 		}
-		granted := g.recordGrant(choice, need)
+		granted := g.recordGrant(choice, need, request)
 		settle()
 		return g.leaseHelperMemory(ctx, granted, choice)
 	}
@@ -162,7 +169,9 @@
 }
 
 // recordGrant adds the usage of an attempt to the usage table and returns its grant.
-func (g *Reserver) recordGrant(choice Choice, need placement.Need) reservation.Grant {
+func (g *Reserver) recordGrant(
+	choice Choice, need placement.Need, request reservation.Request,
+) reservation.Grant {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sequence++
@@ -173,6 +182,7 @@
 	held := &grant{
 		usage: choice.Usages, prefill: choice.prefillUsages(), helpers: choice.Helpers,
 		estimate: g.firstTokenEstimate(choice, need),
+		request:  request,
 	}
 	g.grants[id] = held
 	g.Policy.Usages.AddOwn(held.usage)
@@ -211,23 +221,27 @@
 
 // Release releases the reservation of an attempt and records its outcome for outlier detection. It returns no error.
 func (g *Reserver) Release(_ context.Context, release reservation.Release) error {
-	g.releaseGrant(release.Reservation)
+	if held := g.releaseGrant(release.Reservation); held != nil {
+		g.recordLength(held.request, release, time.Now())
+	}
 	g.recordOutcome(release, time.Now())
 	return nil
 }
 
-// releaseGrant removes the usage and the memory leases of an attempt, unless it was released before.
-func (g *Reserver) releaseGrant(id fleet.ReservationID) {
+// releaseGrant removes the usage and the memory leases of an attempt and returns its grant, or nil if it was released
+// before.
+func (g *Reserver) releaseGrant(id fleet.ReservationID) *grant {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	held, found := g.grants[id]
 	if !found {
-		return
+		return nil
 	}
 	delete(g.grants, id)
 	g.Policy.Usages.RemoveOwn(held.prefill)
 	g.Policy.Usages.RemoveOwn(held.usage)
 	g.Leases.Release(held.helpers)
+	return held
 }
 
 // recordOutcome records the outcome of an attempt for outlier detection: as a failure of the helper that failed, if
