--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -38,6 +38,9 @@
 	PromptTokens fleet.Tokens
 	// MaxTokens is the maximum number of tokens to generate.
 	MaxTokens fleet.Tokens
+	// LengthHint is the caller's estimate of the length of the answer, or 0, and Received the part of the answer that the
+	// caller already has.
+	LengthHint, Received fleet.Tokens
 	// CachedTokens is the estimated number of leading prompt tokens that the endpoint has cached.
 	CachedTokens fleet.Tokens
 	// Objective is the caller's target for the time to the first token, or 0.
@@ -81,6 +84,8 @@
 	Lease time.Duration
 	// Predicted is the predicted time to the first token, or 0.
 	Predicted time.Duration
+	// OverdueAfter is the time without a first token after which the progress is reported once, or 0.
+	OverdueAfter time.Duration
 	// Helpers are the endpoints that prefill parts of the prompt besides the reserved one.
 	Helpers []Helper
 	// ConnectTimeout is how long to wait for a connection to the endpoint, or 0 for the usual timeout.
--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -88,7 +88,7 @@
 		c.spared.Add(1)
 	}
 	record(choice)
-	c.Policy.Usages.StartPrefill(choice, now)
+	c.Policy.recordChoice(pool, need, choice, now)
 	return choice, nil
 }
 
@@ -117,9 +117,6 @@
 			refusal = preferRateRefusal(refusal, refused)
 			continue
 		}
-		if pool.Contended {
-			c.Policy.demand.countQuick(pool.Name, now)
-		}
 		return quickChoice(pool, &states[i], need), nil
 	}
 	return Choice{}, refusal
@@ -288,8 +285,8 @@
 	usage := Usage{Running: 1, Memory: need.PromptTokens + need.MaxTokens}
 	choice := Choice{Endpoint: s.endpoint.ID, insteadOfLost: s.insteadOfLost}
 	if pool.Engine != nil {
-		choice.PrefillTime = pool.Engine.PrefillTime(need.PromptTokens)
-		choice.passTime = s.passTime(pool)
+		choice.PrefillTime = s.atPace(pool.Engine.PrefillTime(need.PromptTokens))
+		choice.passTime, choice.pace, choice.prefillWait = s.passTime(pool), s.pace, s.prefill.wait
 		choice.Predicted = s.prefillWait(pool) + choice.PrefillTime + s.passTime(pool)
 		usage.Quick = 1
 		usage.ValueByPause = valueByPauseOf(pool, need.PromptTokens, need.PauseObjective)
@@ -312,6 +309,8 @@
 		HelperMemory: plan.helperMemory,
 		PrefillTime:  plan.prefillTime,
 		passTime:     plan.decoder.passTime(pool),
+		pace:         plan.decoder.pace,
+		prefillWait:  plan.decoder.prefill.wait,
 		Predicted:    plan.firstToken,
 		Usages:       make(map[fleet.EndpointID]Usage),
 
--- a/core/sharedload/chooser_set.go
+++ b/core/sharedload/chooser_set.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"wisteriadyke/core/clusterstate"
+	"wisteriadyke/core/cost"
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/outlier"
 	"wisteriadyke/core/placement"
@@ -52,6 +53,8 @@
 	CutOff, Unreached []fleet.PoolName
 	// LostPaths holds the paths that the entry lost or found to work again.
 	LostPaths []outlier.PathReport
+	// Paces holds the paces of endpoints that the entry has measured lately.
+	Paces []cost.PaceSample
 }
 
 // LeavingEndpoints holds which endpoints announced that they leave; *discovery.EndpointList implements it.
@@ -115,6 +118,8 @@
 	Leaving LeavingEndpoints
 	// Limits holds the limits that endpoints state; nil leaves them out of the reports.
 	Limits *ratelimit.Limits
+	// Paces holds the paces of endpoints; nil leaves them out of the reports.
+	Paces *cost.Paces
 	// Paths tells which endpoints this entry reaches; nil means that it reaches all.
 	Paths Paths
 	// LostPaths holds the paths that entries lost; nil disables its exchange.
@@ -233,6 +238,12 @@
 	p.Usages.DropSettled(report.Entry, report.Latest, report.Outstanding)
 	p.recordPaths(report)
 	p.recordLostPaths(report, now)
+	if p.Paces != nil {
+		for _, s := range report.Paces {
+			s.Entry = report.Entry
+			p.Paces.Merge(s)
+		}
+	}
 	if p.Limits != nil {
 		for id, statement := range report.Limits {
 			p.Limits.Merge(id, statement)
@@ -295,6 +306,9 @@
 	if p.Limits != nil {
 		report.Limits = p.Limits.Own(time.Now())
 	}
+	if p.Paces != nil {
+		report.Paces = p.Paces.Own(time.Now())
+	}
 	if p.Paths != nil {
 		report.CutOff, report.Unreached = p.Paths.CutOffPools(), p.Paths.UnreachedPools()
 	}
--- a/core/sharedload/evaluation.go
+++ b/core/sharedload/evaluation.go
@@ -92,7 +92,7 @@
 		e.chooser.Policy.markPaths(s, need, e.now)
 		othersLeft = othersLeft || !s.lost
 		switch {
-		case !isSlotFree(s) || !accept(s, s.prefillWait(e.pool)+prefill+s.passTime(e.pool)):
+		case !isSlotFree(s) || !accept(s, s.prefillWait(e.pool)+s.atPace(prefill)+s.passTime(e.pool)):
 		case s.lost:
 			lost = append(lost, i)
 		case s.suspect:
@@ -122,12 +122,12 @@
 	choice := quickChoice(e.pool, &e.states[index], need)
 	e.chooser.addLimit(&choice)
 	record(choice)
-	e.chooser.Policy.Usages.StartPrefill(choice, e.now)
+	e.chooser.Policy.recordChoice(e.pool, need, choice, e.now)
 	s := &e.states[index]
 	s.usage = s.usage.add(choice.initialUsages()[choice.Endpoint])
 	s.prefill = e.chooser.Policy.outstandingPrefill(e.pool, s, e.now)
-	cost := quickCost(e.pool, s)
-	for ; index+1 < len(e.states) && quickCost(e.pool, &e.states[index+1]) < cost; index++ {
+	cost := quickCost(e.pool, s, placement.Need{})
+	for ; index+1 < len(e.states) && quickCost(e.pool, &e.states[index+1], placement.Need{}) < cost; index++ {
 		e.states[index], e.states[index+1] = e.states[index+1], e.states[index]
 	}
 	return choice
--- a/core/sharedload/reserver.go
+++ b/core/sharedload/reserver.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"wisteriadyke/core/clusterstate"
+	"wisteriadyke/core/cost"
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/outlier"
 	"wisteriadyke/core/placement"
@@ -45,6 +46,9 @@
 	// WaitMemory bounds the bodies of the requests that wait at this entry, in bytes; nil means that there is no limit.
 	WaitMemory *semaphore.Weighted
 
+	// lengths learns the lengths of answers.
+	lengths cost.Lengths
+
 	mu       sync.Mutex
 	sequence int
 	// grants holds the running attempts by reservation.
@@ -56,6 +60,10 @@
 	usage   map[fleet.EndpointID]Usage
 	prefill map[fleet.EndpointID]Usage
 	helpers []reservation.Helper
+	// estimate is what was predicted for the first token.
+	estimate firstTokenEstimate
+	// request is what was requested.
+	request reservation.Request
 }
 
 // Reserve reserves the endpoint and the helpers that are chosen for an attempt and leases the memory at the helpers; an
@@ -73,6 +81,7 @@
 		Excluded:           g.excluded(request, time.Now()),
 	}
 	g.addQueueOrder(&need, request)
+	need.ExpectedOutput = g.expectedOutput(request)
 	if refusal := g.refusePaused(request.Pool, time.Now()); refusal != nil {
 		return reservation.Grant{}, refusal
 	}
@@ -93,7 +102,7 @@
 			maps.Copy(need.Excluded, unusable)
 			continue
 		}
-		granted := g.recordGrant(choice)
+		granted := g.recordGrant(choice, need, request)
 		if pool, found := g.Policy.Pool(request.Pool); found {
 			granted.ConnectTimeout = connectTimeout(pool, need)
 		}
@@ -197,7 +206,9 @@
 }
 
 // recordGrant adds the usage of an attempt to the usage table and returns its grant.
-func (g *Reserver) recordGrant(choice Choice) reservation.Grant {
+func (g *Reserver) recordGrant(
+	choice Choice, need placement.Need, request reservation.Request,
+) reservation.Grant {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sequence++
@@ -205,7 +216,11 @@
 	if g.grants == nil {
 		g.grants = make(map[fleet.ReservationID]*grant)
 	}
-	held := &grant{usage: choice.Usages, prefill: choice.prefillUsages(), helpers: choice.Helpers}
+	held := &grant{
+		usage: choice.Usages, prefill: choice.prefillUsages(), helpers: choice.Helpers,
+		estimate: g.firstTokenEstimate(choice, need),
+		request:  request,
+	}
 	g.grants[id] = held
 	g.Policy.Usages.AddOwn(held.usage)
 	g.Policy.Usages.AddOwn(held.prefill)
@@ -218,45 +233,55 @@
 		Owner:       choice.Chooser,
 		Predicted:   choice.Predicted,
 		Helpers:     choice.Helpers,
+
+		OverdueAfter: held.estimate.overdueAfter(),
 	}
 }
 
-// Renew removes the prefill usage of an attempt once its first token has arrived. It returns no error.
+// Renew removes the prefill usage of an attempt once its first token has arrived, and records how late that is. It returns no error.
 func (g *Reserver) Renew(_ context.Context, progress reservation.Progress) error {
-	if !progress.Started {
-		return nil
-	}
-	if endpoint, found := g.State.Endpoints.Get(progress.Endpoint); found && g.Paths != nil {
+	if endpoint, found := g.State.Endpoints.Get(progress.Endpoint); progress.Started && found && g.Paths != nil {
 		g.Paths.RecordReached(endpoint, time.Now())
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if held, found := g.grants[progress.Reservation]; found {
+	held, found := g.grants[progress.Reservation]
+	switch {
+	case !found:
+	case !progress.Started:
+		g.recordOverdue(held, time.Now())
+	default:
 		g.Policy.Usages.RemoveOwn(held.prefill)
 		held.prefill = nil
+		g.recordPace(held.estimate, progress.TimeToFirstToken, time.Now())
+		held.estimate = firstTokenEstimate{}
 	}
 	return nil
 }
 
 // Release releases the reservation of an attempt and records its outcome for outlier detection. It returns no error.
 func (g *Reserver) Release(_ context.Context, release reservation.Release) error {
-	g.releaseGrant(release.Reservation)
+	if held := g.releaseGrant(release.Reservation); held != nil {
+		g.recordLength(held.request, release, time.Now())
+	}
 	g.recordOutcome(release, time.Now())
 	return nil
 }
 
-// releaseGrant removes the usage and the memory leases of an attempt, unless it was released before.
-func (g *Reserver) releaseGrant(id fleet.ReservationID) {
+// releaseGrant removes the usage and the memory leases of an attempt and returns its grant, or nil if it was released
+// before.
+func (g *Reserver) releaseGrant(id fleet.ReservationID) *grant {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	held, found := g.grants[id]
 	if !found {
-		return
+		return nil
 	}
 	delete(g.grants, id)
 	g.Policy.Usages.RemoveOwn(held.prefill)
 	g.Policy.Usages.RemoveOwn(held.usage)
 	g.Leases.Release(held.helpers)
+	return held
 }
 
 // recordOutcome records the outcome of an attempt for outlier detection: as a failure of the helper that failed, if
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -250,9 +250,10 @@
 // buildChoosers creates the components that choose endpoints.
 func (p *Process) buildChoosers() {
 	p.views = &report.ViewCache{State: p.state, Zone: p.Settings.Zone}
+	paces := p.newPaces()
 	p.policy = &sharedload.Policy{
 		Usages: p.usages, Pool: p.pool, Usable: p.outliers.Usable, UsableForOthers: p.reach.UsableForOthers,
-		Unreachable: p.outliers.Unreachable, Limits: p.limits, Paths: p.paths, Log: p.Log,
+		Unreachable: p.outliers.Unreachable, Limits: p.limits, Paths: p.paths, Paces: paces, Log: p.Log,
 	}
 	p.choosers = &sharedload.ChooserSet{
 		Self:    p.self(),
@@ -275,6 +276,7 @@
 		Reach:     p.forwards,
 		Log:       p.Log,
 		Metrics:   p.metrics,
+		Paces:     paces,
 	}
 	p.registerPathGauges()
 }
--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wisteriadyke/core/cost"
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/retry"
 	"wisteriadyke/core/sharedload"
@@ -82,3 +83,10 @@
 		EntryCount: p.entryCount,
 	}
 }
+
+// newPaces returns the paces of endpoints, of which none is known yet.
+func (p *Process) newPaces() *cost.Paces {
+	paces := &cost.Paces{Listed: p.limits.Listed}
+	p.registerGauge(metricSlowEndpoints, func() int64 { return int64(paces.Slow()) })
+	return paces
+}
