Refuse hopeless requests when they become late

Change: a request that joins the late ones is measured against the throughput without that margin. Run: go test ./core/waiting passes; without the change TestZoneBackColdInFlood fails.

--- a/core/waiting/item.go
+++ b/core/waiting/item.go
@@ -83,6 +83,8 @@
 
 	queued *admission.Item
 	rank   *rankQueue
+	// lateSince is when the request was moved to the late ones while it waited, or zero.
+	lateSince time.Time
 	// out reports that the item is not in the queue of its rank: it was skipped in the current pass, or removed.
 	out bool
 }
--- a/core/waiting/queue.go
+++ b/core/waiting/queue.go
@@ -21,8 +21,9 @@
 	// about two quick requests, so that the milliseconds between two calls for one request don't cost its account its
 	// place.
 	accountCredit = 20_000
-	// hopelessMargin is the factor by which the throughput may exceed the measured one before a request that waits is
-	// refused for it: the refusal is final, and the measurement reacts to each short standstill.
+	// hopelessMargin is the factor by which the throughput may exceed the measured one before a request that waits among
+	// the late ones is refused for it: the refusal is final, and the measurement reacts to each short standstill. It does
+	// not apply when a request joins them, since a refused request is better off the less it was held.
 	hopelessMargin = 2
 	// maxSkips bounds the requests of a pass that fit no endpoint although others may, so that a pass stays cheap.
 	maxSkips = 16
@@ -122,6 +123,7 @@
 		if lane := laneOf(&i.Request, overhead, now); lane != i.queued.Band {
 			q.pull(i)
 			i.queued.Band = lane
+			i.lateSince = now
 			q.push(i)
 		}
 		if i.Late() {
@@ -131,8 +133,11 @@
 	slices.SortFunc(late, func(a, b *Item[T]) int {
 		return cmp.Or(a.LatestStart.Compare(b.LatestStart), cmp.Compare(a.queued.Ticket, b.queued.Ticket))
 	})
-	perSecond := hopelessMargin * q.throughput.latePerSecond()
 	for position, i := range late {
+		perSecond := q.throughput.latePerSecond()
+		if !i.lateSince.Equal(now) {
+			perSecond *= hopelessMargin
+		}
 		if now.Add(seconds(float64(position) / perSecond)).After(i.latestPlacement(overhead)) {
 			hopeless = append(hopeless, i)
 		}
