--- a/core/outlier/paths.go
+++ b/core/outlier/paths.go
@@ -82,6 +82,8 @@
 
 	mu      sync.Mutex
 	records map[pathKey]*pathRecord
+	// changed receives a value when this entry has a report about another path than before.
+	changed chan struct{}
 	// reachedAt holds when this entry last reached each endpoint of a contended pool.
 	reachedAt map[fleet.EndpointID]time.Time
 	// suspicions holds the zones whose endpoints are suspect from a zone of entries.
@@ -151,6 +153,32 @@
 	}
 }
 
+// Changed returns a channel that receives a value when Own has a report about another path than before.
+func (p *PathTable) Changed() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changes()
+}
+
+// changes returns the channel of Changed; the caller holds the lock.
+func (p *PathTable) changes() chan struct{} {
+	if p.changed == nil {
+		p.changed = make(chan struct{}, 1)
+	}
+	return p.changed
+}
+
+// notify announces a new report if it is this entry's own; the caller holds the lock.
+func (p *PathTable) notify(report PathReport) {
+	if report.Witness != p.Self.ID {
+		return
+	}
+	select {
+	case p.changes() <- struct{}{}:
+	default:
+	}
+}
+
 // apply applies one report and logs if it takes effect or ends others; the caller holds the lock.
 func (p *PathTable) apply(endpoint fleet.Endpoint, report PathReport, now time.Time) {
 	r := p.record(endpoint, report.Zone)
@@ -158,9 +186,13 @@
 		p.applyReached(r, report, now)
 		return
 	}
-	if known, found := r.lost[report.Witness]; found && !report.At.After(known.At) {
+	known, found := r.lost[report.Witness]
+	if found && !report.At.After(known.At) {
 		return
 	}
+	if !found {
+		p.notify(report)
+	}
 	r.lost[report.Witness] = report
 	r.dropOldest()
 	if !r.inForce(now) {
@@ -196,6 +228,7 @@
 	if !report.At.After(r.reached.At) {
 		return
 	}
+	p.notify(report)
 	wasLost := r.inForce(now)
 	r.reached = report
 	maps.DeleteFunc(r.lost, func(_ fleet.EntryID, lost PathReport) bool { return !lost.At.After(report.At) })
--- a/core/sharedload/reporter.go
+++ b/core/sharedload/reporter.go
@@ -37,12 +37,17 @@
 	var group errgroup.Group
 	ticker := time.NewTicker(reportPeriod)
 	defer ticker.Stop()
+	var lostPaths <-chan struct{}
+	if t.Choosers.LostPaths != nil {
+		lostPaths = t.Choosers.LostPaths.Changed()
+	}
 	for {
 		t.send(ctx, &group, time.Now())
 		select {
 		case <-ctx.Done():
 			return group.Wait()
 		case <-ticker.C:
+		case <-lostPaths:
 		}
 	}
 }
--- a/standin/faultproxy/path.go
+++ b/standin/faultproxy/path.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"os"
 	"sync"
 	"syscall"
@@ -39,34 +40,47 @@
 	mu    sync.Mutex
 	cut   Cut
 	since time.Time
+	// only holds the addresses that the cut is limited to; nil means all.
+	only  map[string]bool
 	conns map[*pathConn]bool
 	// changed is closed and replaced at each change of the cut.
 	changed chan struct{}
 }
 
-// SetCut cuts the path off, or ends the cut.
-func (p *Path) SetCut(cut Cut) {
+// SetCut cuts the path off from some servers, or from all if none is given, or ends the cut.
+func (p *Path) SetCut(cut Cut, from ...netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cut, p.since = cut, time.Now()
+	p.cut, p.since, p.only = cut, time.Now(), nil
+	for _, address := range from {
+		if p.only == nil {
+			p.only = make(map[string]bool)
+		}
+		p.only[address.String()] = true
+	}
 	if p.changed != nil {
 		close(p.changed)
 	}
 	p.changed = make(chan struct{})
 	if cut == CutReset {
 		for conn := range p.conns {
-			reset(conn.Conn)
+			if p.only == nil || p.only[conn.address] {
+				reset(conn.Conn)
+			}
 		}
 	}
 }
 
-// state returns the cut, when it was set, and a channel that is closed at the next change.
-func (p *Path) state() (Cut, time.Time, <-chan struct{}) {
+// state returns the cut from a server, when it was set, and a channel that is closed at the next change.
+func (p *Path) state(address string) (Cut, time.Time, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.changed == nil {
 		p.changed = make(chan struct{})
 	}
+	if p.only != nil && !p.only[address] {
+		return CutNone, p.since, p.changed
+	}
 	return p.cut, p.since, p.changed
 }
 
@@ -74,7 +88,7 @@
 func (p *Path) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, pathDialTimeout)
 	defer cancel()
-	switch cut, _, _ := p.state(); cut {
+	switch cut, _, _ := p.state(address); cut {
 	case CutSilent:
 		<-ctx.Done()
 		return nil, &net.OpError{Op: "dial", Net: network, Err: os.ErrDeadlineExceeded}
@@ -86,7 +100,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "path")
 	}
-	opened := &pathConn{Conn: conn, path: p, closed: make(chan struct{})}
+	opened := &pathConn{Conn: conn, path: p, address: address, closed: make(chan struct{})}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conns == nil {
@@ -99,9 +113,10 @@
 // pathConn is a connection whose data is held back while its path is silent.
 type pathConn struct {
 	net.Conn
-	path   *Path
-	once   sync.Once
-	closed chan struct{}
+	path    *Path
+	address string
+	once    sync.Once
+	closed  chan struct{}
 }
 
 // Read reads once the path is not silent.
@@ -134,7 +149,7 @@
 // connection is closed.
 func (c *pathConn) await() error {
 	for {
-		cut, since, changed := c.path.state()
+		cut, since, changed := c.path.state(c.address)
 		if cut != CutSilent {
 			return nil
 		}
