--- a/standin/cierzo/configuration.go
+++ b/standin/cierzo/configuration.go
@@ -17,14 +17,18 @@
 	configurationWith(s, version, keys, figures(4), routes)
 }
 
-// ContendedConfiguration is like Configuration with ContendedRoutes, but the pool of engines is contended: it publishes
-// 12 slots and mean lengths with which a full engine frees a slot more slowly than the quick streams can wait for.
-func ContendedConfiguration(s *Store, version int, keys map[string][]string) {
+// ContendedConfiguration is like Configuration, with ContendedRoutes if no routes are given, but the pool of engines is
+// contended: it publishes 12 slots and mean lengths with which a full engine frees a slot more slowly than the quick
+// streams can wait for.
+func ContendedConfiguration(s *Store, version int, keys map[string][]string, routes ...Route) {
+	if len(routes) == 0 {
+		routes = ContendedRoutes()
+	}
 	engine := figures(12)
 	engine["kvCapacity"] = 267_750
 	engine["step_ms"] = 1.0
 	engine["usual"] = map[string]any{"prompt": 14_000, "answer": 1_700}
-	configurationWith(s, version, keys, engine, ContendedRoutes())
+	configurationWith(s, version, keys, engine, routes)
 }
 
 // configurationWith writes a configuration to the store.
