Move attempts whose first token is well past the prediction

Cause: a request at an endpoint that became slow waits there until its deadline, while other endpoints are free. Change: in contended pools, a resumable request without a first token after three times the prediction, and at least its objective, continues on another endpoint, once, if the attempts of its route, the retry budget and the time left allow that. The endpoint is not diagnosed for it. One log line and the counter dispatch.stalled for each move.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -44,6 +44,8 @@
 	settled bool
 	// renewNow triggers an immediate renewal.
 	renewNow chan struct{}
+	// moved reports whether the attempt was ended so that the request continues on another endpoint.
+	moved bool
 
 	mu        sync.Mutex
 	progress  reservation.Progress
@@ -269,6 +271,8 @@
 	defer ticker.Stop()
 	overdue, stopOverdue := startTimer(a.grant.OverdueAfter)
 	defer stopOverdue()
+	stalled, stopStalled := startTimer(a.grant.StallAfter)
+	defer stopStalled()
 	for {
 		select {
 		case <-ctx.Done():
@@ -276,6 +280,12 @@
 		case <-suspected:
 			cancel(errSuspected)
 			return
+		case <-stalled:
+			if a.moveStalled(time.Now()) {
+				cancel(errNoFirstToken)
+				return
+			}
+			continue
 		case <-overdue:
 		case <-a.renewNow:
 		case <-ticker.C:
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -23,6 +23,8 @@
 	metricDone = "dispatch.done"
 	// metricFailed counts requests that failed.
 	metricFailed = "dispatch.failed"
+	// metricStalled counts attempts that were ended since their first token was late.
+	metricStalled = "dispatch.stalled"
 	// metricRetries counts retries after attempts that ran or may have run.
 	metricRetries = "dispatch.retries"
 	// metricTokensDropped counts received tokens that were dropped because the caller already had them.
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -52,6 +52,8 @@
 	connectFailures int
 	forwardedTo     map[fleet.EntryID]bool
 	backoffs        int
+	// movedStalled reports whether an attempt was ended since its first token was late.
+	movedStalled bool
 	// transientRefusal reports whether a refusal since the latest back-off was transient.
 	transientRefusal bool
 	// position is the number of tokens of the answer that the caller has.
@@ -268,6 +270,9 @@
 		r.excluded[result.release.FailedHelper] = true
 	}
 	switch {
+	case a.moved:
+		r.increment(metricRetries)
+		return nil
 	case certainlyNotRun(result.release.Outcome):
 		return r.handleNotRun(ctx, result)
 	case result.errorAnswer != nil:
--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -77,6 +77,8 @@
 	Predicted time.Duration
 	// OverdueAfter is the time without a first token after which the progress is reported once, or 0.
 	OverdueAfter time.Duration
+	// StallAfter is the time without a first token after which the request may be moved to another endpoint, or 0.
+	StallAfter time.Duration
 	// Helpers are the endpoints that prefill parts of the prompt besides the reserved one.
 	Helpers []Helper
 }
--- a/core/sharedload/pace.go
+++ b/core/sharedload/pace.go
@@ -54,6 +54,19 @@
 	}
 }
 
+// stallAfter returns the time without a first token after which a request may be moved to another endpoint, or 0 without
+// an estimate: three times the prediction, and at least the objective.
+func (e firstTokenEstimate) stallAfter(objective time.Duration) time.Duration {
+	if e.predicted <= 0 {
+		return 0
+	}
+	return max(stallFactor*e.predicted, objective)
+}
+
+// stallFactor is the multiple of the prediction after which an attempt without a first token counts as stalled; a part of
+// the answers of an endpoint that keeps its published times would be moved with a smaller one.
+const stallFactor = 3
+
 // logChoice logs the costs by which a choice was made, at the debug level.
 func (p *Policy) logChoice(need placement.Need, c Choice) {
 	p.Log.Debug().
--- a/core/sharedload/reserver.go
+++ b/core/sharedload/reserver.go
@@ -198,6 +198,7 @@
 		Helpers:     choice.Helpers,
 
 		OverdueAfter: held.estimate.overdueAfter(),
+		StallAfter:   held.estimate.stallAfter(need.Objective),
 	}
 }
 
