Derive the value of requests from rank and size in contended pools

Cause: the value of a request was a table of one customer's payments: prompt tokens over 9,000, at most 60, of which a late one loses 0.75. Change: in contended pools, the value is the time that a request takes of an engine (prefill and its share of the decode steps, by the expected length of the answer) over that of a request of the published mean lengths, divided by 1 + 0.25 x rank; a late one loses all of it. The objective counts by the probability to miss it. The value of the running attempts is the reported one, not an assumed one of each long attempt. The tests of ValueByPause pass the value instead of the prompt; what they expect is unchanged. Run: go test ./core/sharedload ./core/dispatch, passed.

--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -286,7 +286,7 @@
 		choice.passTime, choice.pace, choice.prefillWait = s.passTime(pool), s.pace, s.prefill.wait
 		choice.Predicted = s.prefillWait(pool) + choice.PrefillTime + s.passTime(pool)
 		usage.Quick = 1
-		usage.ValueByPause = valueByPauseOf(pool, need.PromptTokens, need.PauseObjective)
+		usage.ValueByPause = valueByPauseOf(pool, valueOf(pool, need), need.PauseObjective)
 	}
 	choice.Usages = map[fleet.EndpointID]Usage{s.endpoint.ID: usage}
 	return choice
@@ -299,7 +299,7 @@
 	usage := Usage{
 		Running:      1,
 		Memory:       need.PromptTokens + need.MaxTokens,
-		ValueByPause: valueByPauseOf(pool, need.PromptTokens, need.PauseObjective),
+		ValueByPause: valueByPauseOf(pool, valueOf(pool, need), need.PauseObjective),
 	}
 	choice := Choice{
 		Endpoint:     decoder,
--- a/core/sharedload/demand.go
+++ b/core/sharedload/demand.go
@@ -73,12 +73,16 @@
 }
 
 // update updates the averages of a pool with the current usage of its endpoints and returns the new averages.
-func (d *Demand) update(pool fleet.PoolName, states []endpointState, now time.Time) demandAverage {
+func (d *Demand) update(pool routing.Pool, states []endpointState, now time.Time) demandAverage {
 	current := demandAverage{at: now}
 	for i := range states {
 		u := states[i].usage
 		current.quickRunning += float64(u.Quick)
-		current.runningValue += float64(u.Quick) + float64(u.Running-u.Quick)*longAttemptValue
+		if pool.Contended {
+			current.runningValue += u.ValueByPause.sum()
+		} else {
+			current.runningValue += float64(u.Quick) + float64(u.Running-u.Quick)*longAttemptValue
+		}
 		if states[i].prefill.busy {
 			current.prefillShare += 1 / float64(len(states))
 		}
@@ -88,7 +92,7 @@
 	if d.pools == nil {
 		d.pools = make(map[fleet.PoolName]demandAverage)
 	}
-	previous, found := d.pools[pool]
+	previous, found := d.pools[pool.Name]
 	if !found {
 		previous = demandAverage{
 			at:           now,
@@ -100,9 +104,9 @@
 	current.prefillShare = decay*previous.prefillShare + (1-decay)*current.prefillShare
 	current.quickRunning = decay*previous.quickRunning + (1-decay)*current.quickRunning
 	current.runningValue = decay*previous.runningValue + (1-decay)*current.runningValue
-	d.pools[pool] = current
+	d.pools[pool.Name] = current
 	current.residence = meanResidence
-	if r := d.residences[pool]; r.all > 0 {
+	if r := d.residences[pool.Name]; r.all > 0 {
 		current.residence = r.all
 	}
 	return current
@@ -180,5 +184,5 @@
 	}
 	rate := a.runningValue / a.residence.Seconds()
 	catchUp := delay.Seconds() / (1 - min(a.prefillShare, maxUtilization))
-	return lateLoss * rate * catchUp * min(1, float64(delay)/float64(allLateDelay))
+	return lossIfLate(pool) * rate * catchUp * min(1, float64(delay)/float64(allLateDelay))
 }
--- a/core/sharedload/estimate.go
+++ b/core/sharedload/estimate.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"wisteriadyke/core/cost"
+	"wisteriadyke/core/enginemodel"
 	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/placement"
 	"wisteriadyke/core/routing"
 )
 
@@ -21,6 +23,9 @@
 	// lateLoss is the share of a request's value that is lost when it misses an objective, as in the users'
 	// requirements: a late request counts a quarter of its value.
 	lateLoss = 0.75
+	// rankDiscount is the discount of the value for each rank, so that of two requests of equal work the one of the more
+	// important route goes first.
+	rankDiscount = 0.25
 	// defaultPauseObjective applies to pools whose routes have no pause objective.
 	defaultPauseObjective = 250 * time.Millisecond
 )
@@ -119,3 +124,37 @@
 func requestValue(prompt fleet.Tokens) float64 {
 	return min(max(1, float64(prompt)/tokensPerQuickValue), maxValue)
 }
+
+// valueOf returns the value of a request, in mean requests of its pool if that is contended, else in quick requests. In a
+// contended pool it is the time that the request takes of an engine over that of a request of the published mean lengths,
+// so that no size is worth less than what it displaces, and it falls with the rank of the route. The objective counts by
+// the probability to miss it.
+func valueOf(pool routing.Pool, need placement.Need) float64 {
+	if !pool.Contended {
+		return requestValue(need.PromptTokens)
+	}
+	expected := need.ExpectedOutput
+	if expected <= 0 {
+		expected = pool.Engine.MeanOutput
+	}
+	mean := engineTime(pool.Engine, pool.Engine.MeanPrompt, pool.Engine.MeanOutput)
+	size := float64(engineTime(pool.Engine, need.PromptTokens, expected)) / float64(max(1, mean))
+	return size / (1 + rankDiscount*float64(max(0, need.Rank)))
+}
+
+// engineTime returns the time that a request takes of an engine: its prefill, and its share of the decode steps while all
+// slots are taken.
+func engineTime(model *enginemodel.Model, prompt, output fleet.Tokens) time.Duration {
+	steps := float64(output) / float64(max(1, model.Stride))
+	pass := model.PassTime(model.Slots, fleet.Tokens(model.Slots)*prompt)
+	return model.PrefillTime(prompt) + time.Duration(steps*float64(pass)/float64(max(1, model.Slots)))
+}
+
+// lossIfLate returns the share of a request's value that is lost when it misses an objective. In a contended pool, it is
+// the whole value.
+func lossIfLate(pool routing.Pool) float64 {
+	if pool.Contended {
+		return 1
+	}
+	return lateLoss
+}
--- a/core/sharedload/fleet_test.go
+++ b/core/sharedload/fleet_test.go
@@ -78,7 +78,7 @@
 		Outliers: outliers,
 	}
 	// Start the demand averages an hour ago, so that their initial values have decayed by the first choice.
-	f.policy.demand.update(testPool.Name, f.endpointStates(), time.Now().Add(-time.Hour))
+	f.policy.demand.update(testPool, f.endpointStates(), time.Now().Add(-time.Hour))
 	return f
 }
 
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -73,7 +73,7 @@
 func (p *Policy) orderQuick(pool routing.Pool, view placement.View, need placement.Need) []endpointState {
 	states := p.endpointStates(view, need)
 	if pool.Engine != nil {
-		p.demand.update(pool.Name, states, time.Now())
+		p.demand.update(pool, states, time.Now())
 	}
 	costs := make([]rankedCost, len(states))
 	for i := range states {
@@ -130,7 +130,7 @@
 // false if the prompt fits nowhere, or if other requests would lose more value by its prefill than it gains.
 func (p *Policy) planLong(pool routing.Pool, view placement.View, need placement.Need) (prefillPlan, bool) {
 	states := p.endpointStates(view, need)
-	demand := p.demand.update(pool.Name, states, time.Now())
+	demand := p.demand.update(pool, states, time.Now())
 	if plan, found := planTrial(pool, states, need); found {
 		return plan, true
 	}
@@ -159,9 +159,9 @@
 	pool routing.Pool, endpoints int, need placement.Need, firstToken time.Duration, demand demandAverage,
 ) bool {
 	lost := demand.displacedValue(pool, endpoints, pool.Engine.PrefillTime(need.PromptTokens))
-	gained := requestValue(need.PromptTokens)
+	gained := valueOf(pool, need)
 	if need.Objective > 0 {
-		gained *= 1 - lateLoss*lateProbability(firstToken, need.Objective)
+		gained *= 1 - lossIfLate(pool)*lateProbability(firstToken, need.Objective)
 	}
 	if need.WaitedAfterRefusal {
 		gained *= waitedValueFactor
--- a/core/sharedload/reserver.go
+++ b/core/sharedload/reserver.go
@@ -72,6 +72,7 @@
 		Excluded:           g.excluded(request, time.Now()),
 	}
 	need.ExpectedOutput = g.expectedOutput(request)
+	need.Rank = max(0, -request.Priority)
 	if refusal := g.refusePaused(request.Pool, time.Now()); refusal != nil {
 		return reservation.Grant{}, refusal
 	}
--- a/core/sharedload/slack_plan.go
+++ b/core/sharedload/slack_plan.go
@@ -76,7 +76,7 @@
 		part := total / time.Duration(count)
 		for i := range candidates {
 			c := &candidates[i]
-			c.cost = lateLoss*c.state.partHarm(pool, c.pass, c.state.atPace(part)) + reserve.price(c.state.rank, part)
+			c.cost = c.state.partHarm(pool, c.pass, c.state.atPace(part)) + reserve.price(c.state.rank, part)
 		}
 		for _, order := range []func(a, b partCandidate) int{cheapest(need.Objective, part), earliest} {
 			slices.SortFunc(candidates, order)
@@ -144,7 +144,7 @@
 	plan.cost = cost
 	if need.Objective > 0 {
 		delay := float64(plan.firstToken) / float64(need.Objective)
-		plan.cost += requestValue(need.PromptTokens) * (lateLoss*plan.lateRisk(need.Objective) + slackDelayCost*delay)
+		plan.cost += valueOf(pool, need) * (plan.lateRisk(need.Objective) + slackDelayCost*delay)
 	}
 	return plan, ok
 }
--- a/core/sharedload/slack_plan_test.go
+++ b/core/sharedload/slack_plan_test.go
@@ -62,3 +62,28 @@
 		}
 	}
 }
+
+// TestValueInContendedPools guards against values that only fit the payments of one customer: between requests of a
+// contended pool, the value grows with the time that they take of an engine and falls with the rank.
+func TestValueInContendedPools(t *testing.T) {
+	pool := contendedPool()
+	value := func(prompt, output fleet.Tokens, rank int) float64 {
+		return valueOf(pool, placement.Need{PromptTokens: prompt, ExpectedOutput: output, Rank: rank})
+	}
+	mean := value(pool.Engine.MeanPrompt, pool.Engine.MeanOutput, 0)
+	if mean < 0.99 || mean > 1.01 {
+		t.Errorf("value of a request of mean lengths = %.2f, want 1", mean)
+	}
+	for name, order := range map[string][2]float64{
+		"longer prompt": {value(45_000, 1500, 1), value(220_000, 1500, 1)},
+		"longer answer": {value(5000, 300, 0), value(5000, 3000, 0)},
+		"higher rank":   {value(45_000, 1500, 2), value(45_000, 1500, 1)},
+		"unknown answer counts as the mean": {
+			value(5000, pool.Engine.MeanOutput-1, 0), value(5000, 0, 0),
+		},
+	} {
+		if order[0] >= order[1] {
+			t.Errorf("%s: values %.3f and %.3f, want the second one higher", name, order[0], order[1])
+		}
+	}
+}
--- a/core/sharedload/value.go
+++ b/core/sharedload/value.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/routing"
 )
 
@@ -20,15 +19,24 @@
 // band begins at the shortest pause objective of the pool.
 type ValueByPause [pauseBands]int
 
+// sum returns the total value, in quick requests.
+func (s ValueByPause) sum() float64 {
+	total := 0
+	for _, value := range s {
+		total += value
+	}
+	return float64(total) / valueUnit
+}
+
 // valueByPauseOf returns the value of one attempt in the band of its pause objective. An attempt with a shorter
 // objective than the first band, or with none, belongs to the first band.
-func valueByPauseOf(pool routing.Pool, prompt fleet.Tokens, objective time.Duration) ValueByPause {
+func valueByPauseOf(pool routing.Pool, value float64, objective time.Duration) ValueByPause {
 	var s ValueByPause
 	band := 0
 	for limit := 2 * pauseObjective(pool); band < pauseBands-1 && objective >= limit; limit *= 2 {
 		band++
 	}
-	s[band] = int(requestValue(prompt) * valueUnit)
+	s[band] = max(1, int(value*valueUnit))
 	return s
 }
 
--- a/core/sharedload/value_test.go
+++ b/core/sharedload/value_test.go
@@ -23,7 +23,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			got := valueByPauseOf(testPool, tc.prompt, tc.objective)
+			got := valueByPauseOf(testPool, requestValue(tc.prompt), tc.objective)
 			if got != tc.want {
 				t.Errorf("value = %v, want %v", got, tc.want)
 			}
@@ -59,7 +59,7 @@
 // several long prompts must not be prefilled where the answer of an earlier one is decoded.
 func TestReadingAvoidsLongAnswers(t *testing.T) {
 	f := newFleet(4)
-	f.addUsage(0, 2, Usage{Running: 1, Memory: 155_000, ValueByPause: valueByPauseOf(testPool, 154_000, time.Second)})
+	f.addUsage(0, 2, Usage{Running: 1, Memory: 155_000, ValueByPause: valueByPauseOf(testPool, requestValue(154_000), time.Second)})
 	need := placement.Need{Pool: testPool.Name, PromptTokens: 200_000, MaxTokens: 1000, Objective: archiveObjective}
 	plan, found := planPrefill(testPool, f.endpointStates(), need.PromptTokens, need.MaxTokens, need.Objective)
 	if !found {
