--- a/core/sharedload/reserver.go
+++ b/core/sharedload/reserver.go
@@ -82,6 +82,7 @@
 	}
 	g.addQueueOrder(&need, request)
 	need.ExpectedOutput = g.expectedOutput(request)
+	need.Rank = max(0, -request.Priority)
 	if refusal := g.refusePaused(request.Pool, time.Now()); refusal != nil {
 		return reservation.Grant{}, refusal
 	}
