Use endpoints that the zone of the request reaches though the leader does not

Cause: an endpoint that the leader can't connect to is left out for all entries if another entry excluded it as well, also if both are on one side of a partition and the entry that asks is on the other side. Seen in the soak with a partition that leaves open connections between entries alone. Change: in contended pools, such an endpoint is left out for another zone only if the path from there is lost. Other pools are unchanged and keep the fault. Run: TestEndpointReachedFromAnotherZone failed without the change (no_endpoint), passes now; go test ./core/sharedload passed.

--- a/core/sharedload/lost_paths.go
+++ b/core/sharedload/lost_paths.go
@@ -14,6 +14,19 @@
 // tried. A busy endpoint accepts within milliseconds, and a lost SYN is sent again only after a second.
 const quickConnectTimeout = 100 * time.Millisecond
 
+// choosableFrom reports whether choices may use an endpoint for an entry of a zone. In a contended pool, an endpoint that
+// entries of this zone can't connect to is left out for another zone only if the path from there is lost as well.
+//
+// Load pattern: a zone is partitioned while connections between entries live on. The leader is asked for choices by
+// entries that reach other endpoints than it does.
+func (p *Policy) choosableFrom(endpoint fleet.Endpoint, from fleet.Zone, now time.Time) bool {
+	if p.choosable(endpoint, now) {
+		return true
+	}
+	return p.Paths != nil && p.Paths.Contended(endpoint.Pool) && from != "" && from != p.Paths.Self.Zone &&
+		p.unreachable(endpoint, now) && !p.Paths.Lost(endpoint, from, now)
+}
+
 // markPaths sets whether an endpoint is lost or suspect for the entry that sends the request.
 func (p *Policy) markPaths(s *endpointState, need placement.Need, now time.Time) {
 	if p.Paths == nil {
--- a/core/sharedload/lost_paths_test.go
+++ b/core/sharedload/lost_paths_test.go
@@ -232,3 +232,41 @@
 		}
 	}
 }
+
+// TestEndpointReachedFromAnotherZone guards against requests that are refused because the leader and other entries of its
+// zone can't connect to the last endpoint, which the zone of the request reaches.
+func TestEndpointReachedFromAnotherZone(t *testing.T) {
+	tests := map[string]struct {
+		from      fleet.Zone
+		contended bool
+		lost      bool
+		want      bool
+	}{
+		"from a zone that reaches it":    {from: "b", contended: true, want: true},
+		"from a zone that lost it, too":  {from: "b", contended: true, lost: true},
+		"from the zone of the leader":    {from: "a", contended: true},
+		"pool is not contended":          {from: "b"},
+		"from an entry that is unlisted": {contended: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(1)
+			p := f.reserver.Choosers
+			p.Self.Zone = "a"
+			f.policy.Paths = newPaths(p)
+			f.policy.Paths.Contended = func(fleet.PoolName) bool { return tc.contended }
+			f.policy.Unreachable = func(fleet.Endpoint, time.Time) bool { return true }
+			f.policy.UsableForOthers = func(fleet.Endpoint, time.Time) bool { return false }
+			f.policy.Usages.RecordExclusions(map[fleet.EndpointID]bool{testEndpoint(0).ID: true}, time.Now())
+			if tc.lost {
+				f.policy.Paths.Merge([]outlier.PathReport{
+					{Endpoint: testEndpoint(0).ID, Zone: "b", Witness: "entry-3", At: time.Now(), Corroborated: true},
+				}, time.Now())
+			}
+			_, err := f.choose(placement.Need{Pool: testPool.Name, PromptTokens: 1000, MaxTokens: 100, Zone: tc.from})
+			if (err == nil) != tc.want {
+				t.Errorf("got error %v, want a choice: %v", err, tc.want)
+			}
+		})
+	}
+}
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -158,7 +158,7 @@
 	totals := p.Usages.Totals(now)
 	var found []endpointState
 	for id, endpoint := range view.Endpoints {
-		if endpoint.Pool != need.Pool || need.Excluded[id] || !inService(view, endpoint) || !p.choosable(endpoint, now) {
+		if endpoint.Pool != need.Pool || need.Excluded[id] || !inService(view, endpoint) || !p.choosableFrom(endpoint, need.Zone, now) {
 			continue
 		}
 		state := endpointState{
