--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -196,7 +196,7 @@
 	pool, _ := p.Pool(need.Pool)
 	found := make([]endpointState, 0, len(view.Endpoints))
 	for id, endpoint := range view.Endpoints {
-		if endpoint.Pool != need.Pool || need.Excluded[id] || !inService(view, endpoint) || !p.choosable(endpoint, now) {
+		if endpoint.Pool != need.Pool || need.Excluded[id] || !inService(view, endpoint) || !p.choosableFrom(endpoint, need.Zone, now) {
 			continue
 		}
 		state := endpointState{
