waiting: measure the throughput only while requests are left waiting

Cause: each choose call adds its request before the pass that refreshes the queue, so that requests always seemed to wait while they arrived more than once a second, and the measured throughput became the demand. After 10 s at 20/s with nothing left waiting, 107 of 120 simultaneous arrivals were refused at a published capacity of 400/s.

Change: the throughput counts as measured only between passes that leave requests waiting, without the placements of the pass that uses up the free slots.

Run: go test ./core/waiting ./core/sharedload; TestBurstAfterLowLoad was red before (107 of 120 refused at 20/s).

--- a/core/sharedload/waiting.go
+++ b/core/sharedload/waiting.go
@@ -205,6 +205,7 @@
 		for _, i := range q.queue.Refresh(now, q.overhead, q.capacity) {
 			p.refuse(q, i.Value, reservation.ReasonWaitTooLong, now)
 		}
+		q.queue.EndPass()
 		return
 	}
 	q.evaluatedAt = now
--- a/core/waiting/predict.go
+++ b/core/waiting/predict.go
@@ -9,6 +9,10 @@
 	// throughputTime is the time constant of the measured throughput: a few times the time between two ends of answers at
 	// one engine, and below the shortest time for which callers wait.
 	throughputTime = time.Second
+	// minThroughputTime is the time constant when the first waiting request is placed, which grows with the time since: the
+	// published capacity, from which the measurement starts, may be far too high for endpoints that are cold. It does not
+	// apply before, since a stall does not tell the throughput after it.
+	minThroughputTime = 400 * time.Millisecond
 	// minThroughputShare bounds the measured throughput from below, as a share of the published capacity, so that a short
 	// standstill doesn't make all requests look hopeless.
 	minThroughputShare = 0.05
@@ -26,24 +30,34 @@
 
 // throughput is the measured rate of placements while requests wait.
 type throughput struct {
-	// at is when the rates were updated, and busyAt when requests last waited.
-	at, busyAt time.Time
+	// at is when the rates were updated, and busyAt when requests last waited; firstAt is when the first one was placed
+	// since they began to wait, or zero.
+	at, busyAt, firstAt time.Time
 	// capacity, total and late are rates per second: as published, of all placements and of those of late requests.
 	capacity, total, late float64
 	// placed and placedLate count the placements since at.
 	placed, placedLate int
 }
 
-// update updates the rates; waiting reports whether requests wait. After throughputTime without waiting requests, the
-// published capacity applies again, since placements then tell the demand and not the capacity.
+// update updates the rates; waiting reports whether the latest pass left requests waiting: one that arrived since and is
+// placed at once does not tell that the capacity is used. After throughputTime without waiting requests, the published
+// capacity applies again, since placements then tell the demand and not the capacity.
 func (t *throughput) update(now time.Time, capacity float64, waiting bool) {
 	t.capacity = capacity
 	elapsed := now.Sub(t.at)
 	switch {
 	case t.busyAt.IsZero() || now.Sub(t.busyAt) > throughputTime:
 		t.total, t.late = capacity, capacity*initialLateShare
+		t.firstAt = time.Time{}
 	case waiting && elapsed > 0:
-		decay := math.Exp(-float64(elapsed) / float64(throughputTime))
+		constant := throughputTime
+		if t.placed > 0 && t.firstAt.IsZero() {
+			t.firstAt = now
+		}
+		if !t.firstAt.IsZero() {
+			constant = min(throughputTime, max(minThroughputTime, now.Sub(t.firstAt)))
+		}
+		decay := math.Exp(-float64(elapsed) / float64(constant))
 		t.total = decay*t.total + (1-decay)*float64(t.placed)/elapsed.Seconds()
 		t.late = decay*t.late + (1-decay)*float64(t.placedLate)/elapsed.Seconds()
 	case waiting:
--- /dev/null
+++ b/core/waiting/predict_test.go
@@ -0,0 +1,41 @@
+package waiting
+
+import (
+	"testing"
+	"time"
+)
+
+// quickRequest returns a quick request that arrives at a time.
+func quickRequest(now time.Time) Request {
+	return Request{
+		Account: "account", Prompt: 5000, Output: 500, PrefillTime: testPrefill, ArrivedAt: now, Objective: testObjective,
+		LatestStart: now.Add(testPatience),
+	}
+}
+
+// TestBurstAfterLowLoad guards against a measured throughput that is the demand: after ten seconds in which each of 20
+// requests a second was placed on arrival, most of a burst within the capacity was refused.
+func TestBurstAfterLowLoad(t *testing.T) {
+	const capacity = 400
+	var q Queue[int]
+	now := time.Now()
+	for range 200 {
+		q.Add(quickRequest(now), 0, now)
+		q.Refresh(now, testOverhead, capacity)
+		q.Place(q.Next())
+		q.EndPass()
+		now = now.Add(50 * time.Millisecond)
+	}
+	refused := 0
+	for range 120 {
+		r := quickRequest(now)
+		if q.Full(r, now) || q.Predict(r, now).Start.After(r.LatestStart) {
+			refused++
+			continue
+		}
+		q.Add(r, 0, now)
+	}
+	if got := q.throughput.perSecond(); refused > 0 || got < capacity {
+		t.Errorf("%d of 120 simultaneous requests are refused at %.0f placements/s, want none at %d/s", refused, got, capacity)
+	}
+}
--- a/core/waiting/queue.go
+++ b/core/waiting/queue.go
@@ -49,6 +49,8 @@
 	latePassedOver int
 	// skipped holds the items that don't fit in the current pass.
 	skipped []*Item[T]
+	// left reports whether requests were left waiting at the end of the latest pass.
+	left bool
 }
 
 // Len returns the number of waiting requests.
@@ -113,7 +115,7 @@
 // as published.
 func (q *Queue[T]) Refresh(now time.Time, overhead time.Duration, capacity float64) []*Item[T] {
 	q.overhead = overhead
-	q.throughput.update(now, capacity, len(q.items) > 0)
+	q.throughput.update(now, capacity, q.left)
 	var hopeless, late []*Item[T]
 	for _, i := range q.items {
 		if i.latestPlacement(overhead).Before(now) {
@@ -174,7 +176,8 @@
 	q.skipped = append(q.skipped, i)
 }
 
-// EndPass ends a pass; the skipped requests keep their order.
+// EndPass ends a pass; the skipped requests keep their order. A pass that places none without a look at the requests is
+// ended too, so that the requests that it leaves count as waiting.
 func (q *Queue[T]) EndPass() {
 	for _, i := range q.skipped {
 		if q.items[i.queued.Ticket] == i {
@@ -182,6 +185,12 @@
 		}
 	}
 	q.skipped = q.skipped[:0]
+	wasLeft := q.left
+	q.left = len(q.items) > 0
+	if q.left && !wasLeft {
+		// The placements of this pass took slots that were free before anything waited.
+		q.throughput.placed, q.throughput.placedLate = 0, 0
+	}
 }
 
 // Place removes a request that is placed, and charges its account for the work.
