Predict the wait from what requests leave behind, not from calm demand

Cause: the throughput was measured also while no request was left waiting, so that it told the demand and requests at the beginning of a flood looked hopeless; the share of late requests was assumed. In a pool with few slots, a second without an end of an answer made all requests look hopeless. Change: the throughput is measured over half a second, only while requests were left by the previous pass, with three placements at the published capacity added; late requests are expected to get what those in time leave. Tests of whole entries: requests wait instead of queueing at a full engine, and a removed key or a drain ends the wait.

--- a/core/waiting/predict.go
+++ b/core/waiting/predict.go
@@ -6,16 +6,17 @@
 )
 
 const (
-	// throughputTime is the time constant of the measured throughput: a few times the time between two ends of answers at
-	// one engine, and below the shortest time for which callers wait.
-	throughputTime = time.Second
-	// minThroughputShare bounds the measured throughput from below, as a share of the published capacity, so that a short
-	// standstill doesn't make all requests look hopeless.
-	minThroughputShare = 0.05
+	// throughputTime is the time constant of the measured throughput: a quarter of the shortest time for which callers
+	// wait, so that requests which can't be served are refused early after a part of the pool is lost.
+	throughputTime = 500 * time.Millisecond
+	// priorPlacements is the number of placements at the published capacity that count in addition to the measured ones.
+	// In a small pool, no slot may become free for longer than throughputTime although nothing is wrong.
+	priorPlacements = 3
+	// forgetTime is the time constant with which the measured throughput returns to the published capacity while no request
+	// waits: about the time that an endpoint takes to get warm.
+	forgetTime = 5 * time.Second
 	// lateShare is the share of the placements that late requests get at least.
 	lateShare = 1.0 / (maxPassedOver + 1)
-	// initialLateShare is the share that they are assumed to get before it was measured: between the least and all.
-	initialLateShare = 0.5
 	// retryJitter is the largest relative deviation of the retry delay, so that refused callers don't return together.
 	retryJitter = 0.25
 	// minRetryAfter is the shortest retry delay; an earlier return would find the same queue.
@@ -24,48 +25,54 @@
 	maxRetryShare = 1.0 / 3
 )
 
-// throughput is the measured rate of placements while requests wait.
+// throughput is the measured rate of placements.
 type throughput struct {
-	// at is when the rates were updated, and busyAt when requests last waited.
-	at, busyAt time.Time
-	// capacity, total and late are rates per second: as published, of all placements and of those of late requests.
-	capacity, total, late float64
-	// placed and placedLate count the placements since at.
-	placed, placedLate int
+	// at is when the rates were updated.
+	at time.Time
+	// capacity is the published rate per second. total is the rate of all placements while requests wait, and inTime that
+	// of requests that could meet their objective, at any time.
+	capacity, total, inTime float64
+	// placed and placedInTime count the placements since at.
+	placed, placedInTime int
 }
 
-// update updates the rates; waiting reports whether requests wait. After throughputTime without waiting requests, the
-// published capacity applies again, since placements then tell the demand and not the capacity.
+// update updates the rates; waiting reports whether requests have waited since the previous update. Without them, the rate
+// of all placements returns to the published capacity, since placements then tell the demand and not the capacity.
 func (t *throughput) update(now time.Time, capacity float64, waiting bool) {
 	t.capacity = capacity
 	elapsed := now.Sub(t.at)
-	switch {
-	case t.busyAt.IsZero() || now.Sub(t.busyAt) > throughputTime:
-		t.total, t.late = capacity, capacity*initialLateShare
-	case waiting && elapsed > 0:
-		decay := math.Exp(-float64(elapsed) / float64(throughputTime))
-		t.total = decay*t.total + (1-decay)*float64(t.placed)/elapsed.Seconds()
-		t.late = decay*t.late + (1-decay)*float64(t.placedLate)/elapsed.Seconds()
-	case waiting:
+	if elapsed <= 0 {
 		return
 	}
-	t.at, t.placed, t.placedLate = now, 0, 0
-	if waiting {
-		t.busyAt = now
+	decay := math.Exp(-float64(elapsed) / float64(throughputTime))
+	t.inTime = decay*t.inTime + (1-decay)*float64(t.placedInTime)/elapsed.Seconds()
+	switch {
+	case t.at.IsZero():
+		t.total = capacity
+	case waiting:
+		t.total = decay*t.total + (1-decay)*float64(t.placed)/elapsed.Seconds()
+	default:
+		forget := math.Exp(-float64(elapsed) / float64(forgetTime))
+		t.total = forget*t.total + (1-forget)*capacity
 	}
+	t.at, t.placed, t.placedInTime = now, 0, 0
 }
 
 // count counts a placement.
 func (t *throughput) count(late bool) {
 	t.placed++
-	if late {
-		t.placedLate++
+	if !late {
+		t.placedInTime++
 	}
 }
 
 // perSecond returns the placements per second to expect.
 func (t *throughput) perSecond() float64 {
-	return max(t.total, minThroughputShare*t.capacity, math.SmallestNonzeroFloat32)
+	if t.capacity <= 0 {
+		return max(t.total, math.SmallestNonzeroFloat32)
+	}
+	span := throughputTime.Seconds()
+	return (t.total*span + priorPlacements) / (span + priorPlacements/t.capacity)
 }
 
 // inTimePerSecond returns the placements per second to expect of requests that can meet their objective.
@@ -76,9 +83,9 @@
 	return t.perSecond()
 }
 
-// latePerSecond returns the placements of late requests per second to expect.
+// latePerSecond returns the placements of late requests per second to expect: what others leave.
 func (t *throughput) latePerSecond() float64 {
-	return max(t.late, t.perSecond()*lateShare)
+	return max(t.perSecond()*lateShare, t.perSecond()-t.inTime)
 }
 
 // Prediction is when a request that is not in the queue yet would be placed.
--- a/core/waiting/queue.go
+++ b/core/waiting/queue.go
@@ -47,6 +47,8 @@
 	throughput throughput
 	// latePassedOver counts the placements since the last one of a late request while one waited.
 	latePassedOver int
+	// leftOver reports whether requests were left at the end of the latest pass.
+	leftOver bool
 	// skipped holds the items that don't fit in the current pass.
 	skipped []*Item[T]
 }
@@ -113,7 +115,8 @@
 // as published.
 func (q *Queue[T]) Refresh(now time.Time, overhead time.Duration, capacity float64) []*Item[T] {
 	q.overhead = overhead
-	q.throughput.update(now, capacity, len(q.items) > 0)
+	q.throughput.update(now, capacity, q.leftOver)
+	q.leftOver = len(q.items) > 0
 	var hopeless, late []*Item[T]
 	for _, i := range q.items {
 		if i.latestPlacement(overhead).Before(now) {
@@ -182,6 +185,7 @@
 		}
 	}
 	q.skipped = q.skipped[:0]
+	q.leftOver = len(q.items) > 0
 }
 
 // Place removes a request that is placed, and charges its account for the work.
--- a/standin/cierzo/endpoint.go
+++ b/standin/cierzo/endpoint.go
@@ -307,6 +307,17 @@
 // Configuration writes a configuration to the store, with a pool of engines, a pool of plain services, the given routes
 // and the API keys of each client account.
 func Configuration(s *Store, version int, keys map[string][]string, routes ...Route) {
+	writeConfiguration(s, version, keys, nil, routes)
+}
+
+// ContendedConfiguration is like Configuration with mean lengths, by which a full engine frees its slots too slowly for
+// the objective of the streams.
+func ContendedConfiguration(s *Store, version int, keys map[string][]string, routes ...Route) {
+	writeConfiguration(s, version, keys, map[string]any{"prompt": 5000, "answer": 1000}, routes)
+}
+
+// writeConfiguration writes a configuration with mean lengths, or without them if usual is nil.
+func writeConfiguration(s *Store, version int, keys map[string][]string, usual map[string]any, routes []Route) {
 	accounts := []map[string]any{}
 	for name, list := range keys {
 		accounts = append(accounts, map[string]any{"name": name, "apiKeys": list, "priority": 1})
@@ -315,6 +326,9 @@
 		"slots": 4, "kvCapacity": 100000, "stride": 51, "step_ms": 0.85, "per_seq_ms": 0.004, "context_per_k": 0.003,
 		"read_per_s": 177000.0, "pairs_per_m": 0.184, "chunk": 2048,
 	}
+	if usual != nil {
+		engine["usual"] = usual
+	}
 	value, _ := json.Marshal(map[string]any{
 		"version": version, "routes": routes, "tenants": accounts,
 		"services": []map[string]any{
