--- a/core/waiting/queue.go
+++ b/core/waiting/queue.go
@@ -47,10 +47,10 @@
 	throughput throughput
 	// latePassedOver counts the placements since the last one of a late request while one waited.
 	latePassedOver int
+	// leftOver reports whether requests were left at the end of the latest pass.
+	leftOver bool
 	// skipped holds the items that don't fit in the current pass.
 	skipped []*Item[T]
-	// left reports whether requests were left waiting at the end of the latest pass.
-	left bool
 }
 
 // Len returns the number of waiting requests.
@@ -115,7 +115,8 @@
 // as published.
 func (q *Queue[T]) Refresh(now time.Time, overhead time.Duration, capacity float64) []*Item[T] {
 	q.overhead = overhead
-	q.throughput.update(now, capacity, q.left)
+	q.throughput.update(now, capacity, q.leftOver)
+	q.leftOver = len(q.items) > 0
 	var hopeless, late []*Item[T]
 	for _, i := range q.items {
 		if i.latestPlacement(overhead).Before(now) {
@@ -176,8 +177,7 @@
 	q.skipped = append(q.skipped, i)
 }
 
-// EndPass ends a pass; the skipped requests keep their order. A pass that places none without a look at the requests is
-// ended too, so that the requests that it leaves count as waiting.
+// EndPass ends a pass; the skipped requests keep their order.
 func (q *Queue[T]) EndPass() {
 	for _, i := range q.skipped {
 		if q.items[i.queued.Ticket] == i {
@@ -185,12 +185,7 @@
 		}
 	}
 	q.skipped = q.skipped[:0]
-	wasLeft := q.left
-	q.left = len(q.items) > 0
-	if q.left && !wasLeft {
-		// The placements of this pass took slots that were free before anything waited.
-		q.throughput.placed, q.throughput.placedLate = 0, 0
-	}
+	q.leftOver = len(q.items) > 0
 }
 
 // Place removes a request that is placed, and charges its account for the work.
