Read the lost paths once for each choice

Cause: a choice locked the path table twice for each endpoint of the pool. Change: PathTable.View returns what is lost and suspect for a zone; it is empty while no path is recorded.

--- a/core/outlier/paths_test.go
+++ b/core/outlier/paths_test.go
@@ -163,18 +163,18 @@
 				p.Merge([]PathReport{{Endpoint: id, Incarnation: 2, Zone: "a", Witness: "e2", At: now, Corroborated: true}}, now)
 			}
 			for _, id := range []fleet.EndpointID{"b7", "b8", "b9"} {
-				if got := p.Suspect(p.endpoint(id), "a", now); got != tc.want {
+				if got := p.View("a", now).Suspect(p.endpoint(id)); got != tc.want {
 					t.Errorf("%s is suspect: %v, want %v", id, got, tc.want)
 				}
 			}
-			if p.Suspect(p.endpoint("a7"), "a", now) || p.Suspect(p.endpoint("b7"), "b", now) {
+			if p.View("a", now).Suspect(p.endpoint("a7")) || p.View("b", now).Suspect(p.endpoint("b7")) {
 				t.Error("an endpoint of another zone, or from another zone, is suspect")
 			}
 			p.RecordReached(p.endpoint("b7"), now.Add(ms))
-			if p.Suspect(p.endpoint("b7"), "a", now.Add(ms)) {
+			if p.View("a", now.Add(ms)).Suspect(p.endpoint("b7")) {
 				t.Error("an endpoint that answered is suspect")
 			}
-			if p.Suspect(p.endpoint("b8"), "a", now.Add(lostPathTTL)) {
+			if p.View("a", now.Add(lostPathTTL)).Suspect(p.endpoint("b8")) {
 				t.Error("suspect after all reports have expired")
 			}
 		})
--- a/core/outlier/suspicion.go
+++ b/core/outlier/suspicion.go
@@ -64,15 +64,8 @@
 		Msg("outlier: endpoints of a zone are suspect")
 }
 
-// Suspect reports whether an endpoint is suspect for the entries of a zone: other endpoints of its zone were lost at
-// about the same time, and no entry reached it since.
-func (p *PathTable) Suspect(endpoint fleet.Endpoint, from fleet.Zone, now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.suspect(endpoint, from, now)
-}
-
-// suspect is Suspect; the caller holds the lock.
+// suspect reports whether an endpoint is suspect for the entries of a zone: other endpoints of its zone were lost at about
+// the same time, and no entry reached it since. The caller holds the lock.
 func (p *PathTable) suspect(endpoint fleet.Endpoint, from fleet.Zone, now time.Time) bool {
 	s, found := p.suspicions[zonePair{from, endpoint.Zone}]
 	if !found || !now.Before(s.until) || !p.Contended(endpoint.Pool) {
@@ -82,17 +75,69 @@
 	return !found || r.incarnation != endpoint.Incarnation || !r.reached.At.After(s.since)
 }
 
+// PathView tells which endpoints are lost and suspect for the entries of one zone at one time. Its zero value says that
+// none is.
+type PathView struct {
+	lost map[fleet.EndpointID]fleet.Incarnation
+	// suspectZones holds the zones with suspect endpoints, and cleared their endpoints that were reached since.
+	suspectZones map[fleet.Zone]bool
+	cleared      map[fleet.EndpointID]fleet.Incarnation
+	contended    func(fleet.PoolName) bool
+}
+
+// View returns the view of the entries of a zone. It costs nothing per endpoint while no path is recorded.
+func (p *PathTable) View(from fleet.Zone, now time.Time) PathView {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.records) == 0 {
+		return PathView{}
+	}
+	v := PathView{
+		lost: make(map[fleet.EndpointID]fleet.Incarnation), suspectZones: make(map[fleet.Zone]bool),
+		cleared: make(map[fleet.EndpointID]fleet.Incarnation), contended: p.Contended,
+	}
+	for pair, s := range p.suspicions {
+		if pair.entries == from && now.Before(s.until) {
+			v.suspectZones[pair.endpoints] = true
+		}
+	}
+	for key, r := range p.records {
+		switch {
+		case key.zone != from:
+		case r.inForce(now):
+			v.lost[key.endpoint] = r.incarnation
+		case r.reached.At.After(p.suspicions[zonePair{from, r.endpointZone}].since):
+			v.cleared[key.endpoint] = r.incarnation
+		}
+	}
+	return v
+}
+
+// Lost reports whether an endpoint is lost.
+func (v PathView) Lost(endpoint fleet.Endpoint) bool {
+	incarnation, found := v.lost[endpoint.ID]
+	return found && incarnation == endpoint.Incarnation
+}
+
+// Suspect reports whether an endpoint is suspect and not lost.
+func (v PathView) Suspect(endpoint fleet.Endpoint) bool {
+	if !v.suspectZones[endpoint.Zone] || v.Lost(endpoint) || !v.contended(endpoint.Pool) {
+		return false
+	}
+	incarnation, found := v.cleared[endpoint.ID]
+	return !found || incarnation != endpoint.Incarnation
+}
+
 // Counts returns the number of live endpoints that are lost and of those that are suspect for the entries of this
 // entry's zone.
 func (p *PathTable) Counts(now time.Time) (lost, suspect int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	view := p.View(p.Self.Zone, now)
 	for _, endpoint := range p.State.Endpoints.Snapshot().Rows {
 		switch {
 		case endpoint.State != fleet.StateLive:
-		case p.lost(endpoint, p.Self.Zone, now):
+		case view.Lost(endpoint):
 			lost++
-		case p.suspect(endpoint, p.Self.Zone, now):
+		case view.Suspect(endpoint):
 			suspect++
 		}
 	}
--- a/core/sharedload/lost_paths.go
+++ b/core/sharedload/lost_paths.go
@@ -27,13 +27,12 @@
 		p.unreachable(endpoint, now) && !p.Paths.Lost(endpoint, from, now)
 }
 
-// markPaths sets whether an endpoint is lost or suspect for the entry that sends the request.
-func (p *Policy) markPaths(s *endpointState, need placement.Need, now time.Time) {
+// pathView returns which endpoints are lost or suspect for the entry that sends the request.
+func (p *Policy) pathView(need placement.Need, now time.Time) outlier.PathView {
 	if p.Paths == nil {
-		return
+		return outlier.PathView{}
 	}
-	s.lost = p.Paths.Lost(s.endpoint, need.Zone, now)
-	s.suspect = !s.lost && p.Paths.Suspect(s.endpoint, need.Zone, now)
+	return p.Paths.View(need.Zone, now)
 }
 
 // withoutLost returns the endpoints that are not lost for the entry that sends the request, or all if no other is left.
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -156,19 +156,20 @@
 		now = time.Now()
 	}
 	totals := p.Usages.Totals(now)
+	paths := p.pathView(need, now)
 	var found []endpointState
 	for id, endpoint := range view.Endpoints {
 		if endpoint.Pool != need.Pool || need.Excluded[id] || !inService(view, endpoint) || !p.choosableFrom(endpoint, need.Zone, now) {
 			continue
 		}
-		state := endpointState{
+		found = append(found, endpointState{
 			endpoint:         endpoint,
 			usage:            totals[id],
 			recentlyExcluded: p.Usages.RecentlyExcluded(id, now) || p.unreachable(endpoint, now),
 			limited:          p.isLimited(endpoint),
-		}
-		p.markPaths(&state, need, now)
-		found = append(found, state)
+			lost:             paths.Lost(endpoint),
+			suspect:          paths.Suspect(endpoint),
+		})
 	}
 	slices.SortFunc(found, func(a, b endpointState) int {
 		return cmp.Or(cmp.Compare(fleet.Rank(a.endpoint.ID), fleet.Rank(b.endpoint.ID)), cmp.Compare(a.endpoint.ID, b.endpoint.ID))
--- a/gateway/paths_test.go
+++ b/gateway/paths_test.go
@@ -168,7 +168,7 @@
 	for _, e := range w.entries {
 		for id, endpoint := range e.process.state.Endpoints.Snapshot().Rows {
 			now := time.Now()
-			if e.process.paths.Lost(endpoint, "a", now) || e.process.paths.Suspect(endpoint, "a", now) ||
+			if e.process.paths.Lost(endpoint, "a", now) || e.process.paths.View("a", now).Suspect(endpoint) ||
 				!e.process.outliers.Usable(endpoint, now) {
 				t.Errorf("%s does not use %s %v after the cut", e.settings.Entry, id, recovery)
 			}
