Soak: partition the zones while traffic swings

Change: entries of the other zone reach an entry through a proxy of their own. At the end of each seed, the pool of engines becomes contended and the zones are partitioned alone; callers must be served on both sides, and after the partition, at least two thirds as often as before. The bound is that of the check of cut paths.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -95,6 +95,8 @@
 	// version and keys are the version of the current configuration and the keys of each account in it.
 	version int
 	keys    map[string][]string
+	// contended reports whether the configuration makes the pool of engines contended.
+	contended bool
 	// removedEndpoints are endpoints that were drained and replaced, and replacedCount is their number.
 	removedEndpoints []*endpoint
 	replacedCount    int
@@ -151,6 +153,10 @@
 // caller must hold stateMu.
 func (w *deployment) configure() {
 	w.version++
+	if w.contended {
+		cierzo.ContendedConfiguration(w.store, w.version, w.keys, cierzo.Routes()...)
+		return
+	}
 	cierzo.Configuration(w.store, w.version, w.keys, cierzo.Routes()...)
 }
 
@@ -164,6 +170,7 @@
 	listen, peer := w.freeAddress(), w.freeAddress()
 	e.ready = w.freeAddress()
 	e.callers, e.store, e.peers = w.startProxy(listen), w.startProxy(storeAddress), w.startProxy(peer)
+	w.paths.addCrossing(fmt.Sprintf("entry-%d", number), zoneOf(number), w.startProxy(peer))
 	settings, err := json.Marshal(map[string]any{
 		"entry": fmt.Sprintf("entry-%d", number), "zone": zoneOf(number), "caller_address": listen, "ready_address": e.ready,
 		"peer_address": peer, "public_peer_address": e.peers.Address(), "metrics_address": w.freeAddress(),
--- a/soak/endpoint_test.go
+++ b/soak/endpoint_test.go
@@ -74,7 +74,7 @@
 	if err := e.proxy.Start(); err != nil {
 		return nil, err
 	}
-	if err := w.paths.add(w, id, e.proxy.Address()); err != nil {
+	if err := w.paths.add(w, id, zone, e.proxy.Address()); err != nil {
 		return nil, err
 	}
 	e.Public = e.proxy.Address()
--- a/soak/path_cuts_test.go
+++ b/soak/path_cuts_test.go
@@ -33,10 +33,14 @@
 type endpointPaths struct {
 	mu      sync.Mutex
 	proxies map[string]map[string]*faultproxy.Proxy
+	// zones holds the zone of each endpoint, and crossing the proxies through which the entries of the other zone reach
+	// each entry.
+	zones    map[string]string
+	crossing map[string]crossingProxy
 }
 
 // add starts the proxies in front of an endpoint.
-func (p *endpointPaths) add(w *deployment, id string, target netip.AddrPort) error {
+func (p *endpointPaths) add(w *deployment, id, zone string, target netip.AddrPort) error {
 	byZone := make(map[string]*faultproxy.Proxy)
 	for number := range 2 {
 		listen, err := loopback.FreeAddress(w.t.Context())
@@ -53,8 +57,9 @@
 	defer p.mu.Unlock()
 	if p.proxies == nil {
 		p.proxies = make(map[string]map[string]*faultproxy.Proxy)
+		p.zones = make(map[string]string)
 	}
-	p.proxies[id] = byZone
+	p.proxies[id], p.zones[id] = byZone, zone
 	return nil
 }
 
@@ -69,16 +74,21 @@
 	return proxies
 }
 
-// view returns the view of the store in which the endpoints have the addresses of a zone's proxies.
+// view returns the view of the store in which the endpoints have the addresses of a zone's proxies, and the entries of the
+// other zone those of the crossing ones.
 func (p *endpointPaths) view(zone string) cierzo.View {
 	return func(table, key, value string) string {
 		p.mu.Lock()
 		proxy, found := p.proxies[key][zone]
+		crossing, isEntry := p.crossing[key]
 		p.mu.Unlock()
-		if table != "servers" || !found {
-			return value
+		switch {
+		case table == "servers" && found:
+			return cierzo.WithAddress(value, proxy.Address())
+		case table == "entries" && isEntry && crossing.zone != zone:
+			return cierzo.WithAddress(value, crossing.proxy.Address())
 		}
-		return cierzo.WithAddress(value, proxy.Address())
+		return value
 	}
 }
 
@@ -100,13 +110,21 @@
 			proxy.Close()
 		}
 	}
+	for _, c := range p.crossing {
+		c.proxy.Close()
+	}
 }
 
 // cutPaths cuts the paths from the entries of a zone to all endpoints while the function do runs.
 func (w *deployment) cutPaths(zone string, kind faultproxy.Mode, do func()) {
+	w.cutProxies(w.paths.ofZone(zone), kind, do)
+}
+
+// cutProxies cuts the connections through proxies while the function do runs.
+func (w *deployment) cutProxies(proxies []*faultproxy.Proxy, kind faultproxy.Mode, do func()) {
 	var group errgroup.Group
 	ended := make(chan struct{})
-	for _, proxy := range w.paths.ofZone(zone) {
+	for _, proxy := range proxies {
 		group.Go(func() error {
 			return proxy.Refuse(func() {
 				proxy.SetMode(kind)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -36,6 +36,8 @@
 	// pathStream does so for cuts of the paths to all endpoints, and cutStream for the one that is checked alone.
 	pathStream = 4
 	cutStream  = 5
+	// partitionStream does so for the partition between the zones.
+	partitionStream = 6
 	// defaultEntries is the default number of entries in a run.
 	defaultEntries = 5
 )
@@ -140,6 +142,7 @@
 	_ = hazards.Wait()
 	w.checkRecovery()
 	w.checkPathCut(rand.New(rand.NewPCG(seed, cutStream)), t.Logf)
+	w.checkPartition(rand.New(rand.NewPCG(seed, partitionStream)), t.Logf)
 	stopCallers()
 	time.Sleep(leakTime)
 	endChecks()
