--- a/core/sharedload/evaluation.go
+++ b/core/sharedload/evaluation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/outlier"
 	"wisteriadyke/core/placement"
 	"wisteriadyke/core/reservation"
 	"wisteriadyke/core/routing"
@@ -17,13 +18,18 @@
 	pool    routing.Pool
 	now     time.Time
 	states  []endpointState
+	// views holds what is known of the paths from the zones of the requests.
+	views map[fleet.Zone]outlier.PathView
 }
 
+// anyZone is the zone of an evaluation for requests of all zones. It is the name of no zone.
+const anyZone fleet.Zone = "*"
+
 // evaluate evaluates the endpoints of a pool and passes them to use. No other choice is made before use has returned.
 func (c *Chooser) evaluate(pool routing.Pool, now time.Time, use func(e *evaluation)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	need := placement.Need{Pool: pool.Name, DecidedAt: now}
+	need := placement.Need{Pool: pool.Name, Zone: anyZone, DecidedAt: now}
 	use(&evaluation{chooser: c, pool: pool, now: now, states: c.Policy.orderQuick(pool, c.Views.View(), need)})
 }
 
@@ -82,14 +88,16 @@
 	need placement.Need, role Role, accept func(s *endpointState, firstToken time.Duration) bool,
 ) (int, bool) {
 	prefill := e.pool.Engine.PrefillTime(need.PromptTokens)
+	paths := e.paths(need)
 	var suspect, lost []int
 	othersLeft := false
 	for i := range e.states {
 		s := &e.states[i]
-		if need.Excluded[s.endpoint.ID] {
+		if need.Excluded[s.endpoint.ID] ||
+			s.recentlyExcluded && !e.chooser.Policy.choosableFrom(s.endpoint, need.Zone, e.now) {
 			continue
 		}
-		e.chooser.Policy.markPaths(s, need, e.now)
+		s.lost, s.suspect = paths.Lost(s.endpoint), paths.Suspect(s.endpoint)
 		othersLeft = othersLeft || !s.lost
 		switch {
 		case !isSlotFree(s) || !accept(s, s.prefillWait(e.pool)+s.atPace(prefill)+s.passTime(e.pool)):
@@ -116,6 +124,19 @@
 	return 0, false
 }
 
+// paths returns what is known of the paths from the zone of a request.
+func (e *evaluation) paths(need placement.Need) outlier.PathView {
+	view, found := e.views[need.Zone]
+	if !found {
+		if e.views == nil {
+			e.views = make(map[fleet.Zone]outlier.PathView)
+		}
+		view = e.chooser.Policy.pathView(need, e.now)
+		e.views[need.Zone] = view
+	}
+	return view
+}
+
 // place records the choice of an endpoint for a request and returns it. It keeps the order of the endpoints, in which
 // this one moves back.
 func (e *evaluation) place(index int, need placement.Need, record func(Choice)) Choice {
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -195,6 +195,7 @@
 	totals := p.Usages.Totals(now)
 	pool, _ := p.Pool(need.Pool)
 	found := make([]endpointState, 0, len(view.Endpoints))
+	paths := p.pathView(need, now)
 	for id, endpoint := range view.Endpoints {
 		if endpoint.Pool != need.Pool || need.Excluded[id] || !inService(view, endpoint) || !p.choosableFrom(endpoint, need.Zone, now) {
 			continue
@@ -204,12 +205,13 @@
 			usage:            totals[id],
 			recentlyExcluded: p.Usages.RecentlyExcluded(id, now) || p.unreachable(endpoint, now),
 			limited:          p.isLimited(endpoint),
+			lost:             paths.Lost(endpoint),
+			suspect:          paths.Suspect(endpoint),
 		}
 		if pool.Contended && p.Paces != nil {
 			state.pace = p.Paces.Estimate(endpoint, now)
 		}
 		state.prefill = p.outstandingPrefill(pool, &state, now)
-		p.markPaths(&state, need, now)
 		found = append(found, state)
 	}
 	keys := make([]rankKey, len(found))
