sharedload: share one pass among the calls that ask at once

Cause: while slots were free but the waiting requests accepted none, each call that asked again ran a full evaluation of the endpoints, and one that was over the limit a second one: 200 evaluations for 100 calls at the same instant, and up to 3,750 calls a second with 300 waiting requests.

Change: a call leaves the pass to the next tick if one was made within minPassInterval and requests were left waiting. Requests that are refused unless a slot is found for them are handled at the end of the same pass.

Run: go test ./core/sharedload; TestCallsShareOnePass was red before (200 evaluations for 100 calls, now 1).

--- /dev/null
+++ b/core/sharedload/pass_test.go
@@ -0,0 +1,52 @@
+package sharedload
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"wisteriadyke/core/placement"
+	"wisteriadyke/core/reservation"
+)
+
+// countingViews counts the views that are taken, at least one for each evaluation of the endpoints.
+type countingViews struct {
+	views interface{ View() placement.View }
+	count int
+}
+
+// View returns the view.
+func (v *countingViews) View() placement.View {
+	v.count++
+	return v.views.View()
+}
+
+// TestCallsShareOnePass guards against a chooser that spends its time on evaluations: slots are free, but none of 300
+// waiting requests accepts them, and others ask that are refused unless a slot is found for them.
+func TestCallsShareOnePass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, pool := newWaitingLoad(Usage{Running: 1, Quick: 1, Memory: 14_000, PrefillTime: time.Minute})
+		views := &countingViews{views: p.Chooser.Views}
+		p.Chooser.Views = views
+		time.Sleep(minPassInterval)
+		var calls []*heldCall
+		for range 100 {
+			need := placement.Need{
+				Pool: testPool.Name, PromptTokens: 5000, Objective: waitObjective, MayWait: true, ArrivedAt: time.Now(),
+				LatestStart: time.Now().Add(waitObjective / 2), Account: "0",
+			}
+			calls = append(calls, &heldCall{need: need, pool: pool, record: func(Choice) {}, done: make(chan struct{})})
+			p.startCall(calls[len(calls)-1])
+		}
+		if views.count > 1 {
+			t.Errorf("%d evaluations for 100 calls at once, want one", views.count)
+		}
+		time.Sleep(passInterval)
+		p.placeWaiting(time.Now())
+		for _, c := range calls {
+			if !c.hasEnded() || reasonOf(c.err) != reservation.ReasonWaitingFull {
+				t.Fatalf("a request beyond the limit ended %t with %v, want a refusal by the next pass", c.hasEnded(), c.err)
+			}
+		}
+	})
+}
--- a/core/sharedload/waiting.go
+++ b/core/sharedload/waiting.go
@@ -65,6 +65,14 @@
 	evaluatedAt time.Time
 	overhead    time.Duration
 	capacity    float64
+	// overflow holds the calls that the next pass refuses if it can't place them anywhere.
+	overflow []overflowCall
+}
+
+// overflowCall is a call whose request is refused for a reason unless an endpoint with a free slot is found.
+type overflowCall struct {
+	call   *heldCall
+	reason reservation.Reason
 }
 
 // waitingCalls holds the calls whose requests wait at this entry as their chooser. There is no other state of a waiting
@@ -111,8 +119,12 @@
 	return pool.Contended && need.MayWait && pool.Engine != nil && isQuick(pool, need.PromptTokens) && !need.LatestStart.IsZero()
 }
 
-// startCall adds a call to the queue of its pool and places waiting requests. It refuses the request of the call if that
-// is hopeless or the queue is full, unless it can be placed after all.
+// startCall adds a call to the queue of its pool and places waiting requests. If the request can no longer be served in
+// time or the queue is full, it is refused, unless the pass finds an endpoint with a free slot for it. The pass is left
+// to the next tick if one was made just now and no slot was left, or none that the waiting requests accept.
+//
+// Load pattern: hundreds of requests wait for a better endpoint than the free ones and ask again every holdTime. With an
+// evaluation of the endpoints for each call, a chooser with a fifth of a core would have time for nothing else.
 func (p *ChooserSet) startCall(call *heldCall) {
 	now := time.Now()
 	w := &p.waiting
@@ -121,13 +133,24 @@
 	q := w.pool(call.need.Pool)
 	request := waitingRequest(call.pool, call.need)
 	isFirst := now.Sub(call.need.ArrivedAt) < holdTime
-	full := w.count >= waiting.MaxLength || isFirst && q.queue.Full(request, now)
+	isOverLimit := w.count >= waiting.MaxLength
 	prediction := q.queue.Predict(request, now)
 	call.predictedStart = prediction.Start
+	var reason reservation.Reason
+	switch {
+	case isOverLimit || isFirst && q.queue.Full(request, now):
+		reason = reservation.ReasonWaitingFull
+	case isFirst && prediction.Start.After(call.need.LatestStart):
+		reason = reservation.ReasonWaitTooLong
+	}
+	skipPass := now.Sub(q.passedAt) < minPassInterval && (q.blocked || q.queue.Len() > 0)
 	call.item = q.queue.Add(request, call, now)
 	w.count++
 	p.recordWaiting(call, q)
-	if !q.blocked || now.Sub(q.passedAt) >= minPassInterval {
+	if reason != "" && (!skipPass || !q.blocked && !isOverLimit) {
+		q.overflow = append(q.overflow, overflowCall{call: call, reason: reason})
+	}
+	if !skipPass {
 		p.pass(q, call.pool, now)
 	}
 	switch {
@@ -137,10 +160,8 @@
 		p.end(q, call, Choice{}, p.Chooser.refuseEmpty(call.need, call.role, now))
 	case now.After(call.need.LatestStart):
 		p.refuse(q, call, reservation.ReasonWaitTooLong, now)
-	case full:
-		p.placeAnywhereOrRefuse(q, call, reservation.ReasonWaitingFull, now)
-	case isFirst && prediction.Start.After(call.need.LatestStart):
-		p.placeAnywhereOrRefuse(q, call, reservation.ReasonWaitTooLong, now)
+	case reason != "" && (q.blocked || isOverLimit):
+		p.refuse(q, call, reason, now)
 	default:
 		if isFirst {
 			p.logWaitBegun(call, q, prediction, now)
@@ -196,105 +217,6 @@
 	}
 }
 
-// pass evaluates the endpoints of a pool once and places requests in the order of the queue while slots are free. It
-// refuses the requests that have become hopeless; the caller holds the lock.
-func (p *ChooserSet) pass(q *waitingPool, pool routing.Pool, now time.Time) {
-	q.passedAt = now
-	if q.blocked && now.Sub(q.evaluatedAt) < maxEvaluationAge &&
-		!p.Chooser.Policy.hasFreeSlot(p.Chooser.Views.View(), pool.Name, now) {
-		for _, i := range q.queue.Refresh(now, q.overhead, q.capacity) {
-			p.refuse(q, i.Value, reservation.ReasonWaitTooLong, now)
-		}
-		q.queue.EndPass()
-		return
-	}
-	q.evaluatedAt = now
-	p.Chooser.evaluate(pool, now, func(e *evaluation) {
-		q.endpoints = e.endpoints()
-		overhead, found := e.overhead()
-		if !found {
-			for _, i := range q.queue.Items() {
-				p.end(q, i.Value, Choice{}, e.refuseEmpty(i.Value.need, i.Value.role))
-			}
-			return
-		}
-		q.overhead, q.capacity = overhead, e.capacity()
-		for _, i := range q.queue.Refresh(now, q.overhead, q.capacity) {
-			p.placeOrRefuse(e, q, i.Value, reservation.ReasonWaitTooLong)
-		}
-		for e.hasFreeSlot() {
-			i := q.queue.Next()
-			if i == nil {
-				break
-			}
-			call := i.Value
-			if index, found := e.find(call.need, call.role, acceptance(e, i, overhead)); found {
-				p.place(e, q, call, index)
-			} else {
-				q.queue.Skip(i)
-			}
-		}
-		q.queue.EndPass()
-		q.blocked = !e.hasFreeSlot()
-	})
-}
-
-// acceptance returns whether a waiting request accepts an endpoint with a free slot: one that meets its objective or, for
-// a late request, one with a short backlog of prefill, so that it doesn't wait behind other requests there. It accepts any
-// if it could not have met its objective anywhere, since waiting gains it nothing, and if its caller would give up soon.
-//
-// Load pattern: quick requests wait while long prompts are prefilled at most engines. A late request that takes the free
-// slot of an engine with a long backlog is served later than one that waits for the next free engine.
-func acceptance(
-	e *evaluation, i *waiting.Item[*heldCall], overhead time.Duration,
-) func(s *endpointState, firstToken time.Duration) bool {
-	left := i.LatestStart.Sub(e.now)
-	if !i.Late() {
-		toObjective := i.ArrivedAt.Add(i.Objective).Sub(e.now)
-		return func(_ *endpointState, firstToken time.Duration) bool {
-			return i.Objective <= 0 || firstToken <= toObjective
-		}
-	}
-	if i.NeverInTime(overhead) {
-		return func(_ *endpointState, firstToken time.Duration) bool { return firstToken <= left }
-	}
-	return func(s *endpointState, firstToken time.Duration) bool {
-		isLastChance := firstToken+2*passInterval >= left && firstToken <= left
-		return s.prefill.wait < i.Objective/2 || isLastChance
-	}
-}
-
-// placeAnywhereOrRefuse places a request that would be refused at any endpoint with a free slot, or refuses it; the
-// caller holds the lock.
-func (p *ChooserSet) placeAnywhereOrRefuse(q *waitingPool, call *heldCall, reason reservation.Reason, now time.Time) {
-	if q.blocked {
-		p.refuse(q, call, reason, now)
-		return
-	}
-	p.Chooser.evaluate(call.pool, now, func(e *evaluation) { p.placeOrRefuse(e, q, call, reason) })
-}
-
-// placeOrRefuse places a request that would be refused at any endpoint with a free slot where its first token is still of
-// use, or anywhere with a free slot if no other request waits; else it refuses the request. The caller holds the lock.
-func (p *ChooserSet) placeOrRefuse(e *evaluation, q *waitingPool, call *heldCall, reason reservation.Reason) {
-	left := call.need.LatestStart.Sub(e.now)
-	isAlone := q.queue.Len() == 1
-	index, found := e.find(call.need, call.role, func(_ *endpointState, firstToken time.Duration) bool {
-		return firstToken <= left || isAlone && left > 0
-	})
-	if !found {
-		p.refuse(q, call, reason, e.now)
-		return
-	}
-	p.place(e, q, call, index)
-}
-
-// place places the request of a call; the caller holds the lock.
-func (p *ChooserSet) place(e *evaluation, q *waitingPool, call *heldCall, index int) {
-	q.queue.Place(call.item)
-	p.recordPlacement(call, e.place(index, call.need, call.record), e.now)
-}
-
 // refuse refuses the request of a call with the time until the queue has drained; the caller holds the lock.
 func (p *ChooserSet) refuse(q *waitingPool, call *heldCall, reason reservation.Reason, now time.Time) {
 	retryAfter := q.queue.RetryAfter(call.item.Request, now, rand.Float64())
