sharedload: keep running totals of the usage of other entries

Cause: each pass and each choice added up the usage of all entries, nearly all of the cost of a pass: 349 us without a free slot, up to 200 times a second, at a chooser with a fifth of a core.

Change: UsageTable keeps the sum of the reports and pending usages, updated with each change; values are integers, so that the sum is exact. Totals copies it and drops what has expired.

--- a/core/sharedload/settled.go
+++ b/core/sharedload/settled.go
@@ -15,7 +15,7 @@
 func (b *UsageTable) DropSettled(entry fleet.EntryID, latest uint64, outstanding []uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	maps.DeleteFunc(b.pending[entry], func(number uint64, _ pendingUsage) bool {
+	b.dropPending(entry, func(number uint64, _ pendingUsage) bool {
 		return number <= latest && !slices.Contains(outstanding, number)
 	})
 }
--- a/core/sharedload/usage_table.go
+++ b/core/sharedload/usage_table.go
@@ -58,6 +58,8 @@
 type peerReport struct {
 	usages map[fleet.EndpointID]Usage
 	at     time.Time
+	// expired reports whether usages is no longer part of UsageTable.others.
+	expired bool
 }
 
 // pendingUsage is the usage of a choice that the entry for which it was made has not reported yet.
@@ -75,6 +77,8 @@
 	mu    sync.Mutex
 	own   map[fleet.EndpointID]Usage
 	peers map[fleet.EntryID]peerReport
+	// others is the sum of the reports of other entries that have not expired and of the pending usages.
+	others usageSum
 	// pending holds the pending usages by entry and choice number.
 	pending map[fleet.EntryID]map[uint64]pendingUsage
 	// exclusions holds, by endpoint, when another entry last excluded it.
@@ -124,9 +128,14 @@
 	if b.peers == nil {
 		b.peers = make(map[fleet.EntryID]peerReport)
 	}
-	b.backlog.addUnexpected(usages, b.peers[entry].usages, b.pending[entry], now)
+	previous := b.peers[entry]
+	b.backlog.addUnexpected(usages, previous.usages, b.pending[entry], now)
+	if !previous.expired {
+		b.others.subtract(previous.usages)
+	}
+	b.others.add(usages)
 	b.peers[entry] = peerReport{usages: usages, at: now}
-	maps.DeleteFunc(b.pending[entry], func(number uint64, _ pendingUsage) bool { return number <= settled })
+	b.dropPending(entry, func(number uint64, _ pendingUsage) bool { return number <= settled })
 }
 
 // AddPending records the usage of a choice for an entry that has not reported it yet.
@@ -139,6 +148,8 @@
 	if b.pending[entry] == nil {
 		b.pending[entry] = make(map[uint64]pendingUsage)
 	}
+	b.others.subtract(b.pending[entry][number].usages)
+	b.others.add(usages)
 	b.pending[entry][number] = pendingUsage{usages: usages, at: now}
 }
 
@@ -146,7 +157,21 @@
 func (b *UsageTable) RemovePending(entry fleet.EntryID, number uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.pending[entry], number)
+	b.dropPending(entry, func(n uint64, _ pendingUsage) bool { return n == number })
+}
+
+// dropPending drops the pending choices of an entry for which drop returns true; the caller holds the lock.
+func (b *UsageTable) dropPending(entry fleet.EntryID, drop func(number uint64, p pendingUsage) bool) {
+	numbers := b.pending[entry]
+	for number, p := range numbers {
+		if drop(number, p) {
+			b.others.subtract(p.usages)
+			delete(numbers, number)
+		}
+	}
+	if len(numbers) == 0 {
+		delete(b.pending, entry)
+	}
 }
 
 // RecordExclusions records endpoints that another entry excludes: those that refused or failed its request, and those
@@ -201,39 +226,28 @@
 func (b *UsageTable) Totals(now time.Time) map[fleet.EndpointID]Usage {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	totals := make(map[fleet.EndpointID]Usage, len(b.own))
-	maps.Copy(totals, b.own)
 	var expired []fleet.EntryID
 	for entry, t := range b.peers {
-		if now.Sub(t.at) > peerTTL {
-			expired = append(expired, entry)
+		if now.Sub(t.at) <= peerTTL {
 			continue
 		}
-		for id, u := range t.usages {
-			totals[id] = totals[id].add(u)
+		expired = append(expired, entry)
+		if !t.expired {
+			b.others.subtract(t.usages)
+			t.expired = true
+			b.peers[entry] = t
 		}
 	}
+	for entry := range b.pending {
+		b.dropPending(entry, func(_ uint64, p pendingUsage) bool { return now.Sub(p.at) > peerTTL })
+	}
+	totals := make(map[fleet.EndpointID]Usage, len(b.own)+len(b.others))
+	maps.Copy(totals, b.others)
+	for id, u := range b.own {
+		totals[id] = totals[id].add(u)
+	}
 	if len(expired) > 0 {
 		b.addHeldUsages(totals, expired, now)
 	}
-	b.addPendingUsages(totals, now)
 	return totals
 }
-
-// addPendingUsages adds the usage of pending choices to totals and drops expired ones; the caller holds the lock.
-func (b *UsageTable) addPendingUsages(totals map[fleet.EndpointID]Usage, now time.Time) {
-	for entry, numbers := range b.pending {
-		for number, p := range numbers {
-			if now.Sub(p.at) > peerTTL {
-				delete(numbers, number)
-				continue
-			}
-			for id, u := range p.usages {
-				totals[id] = totals[id].add(u)
-			}
-		}
-		if len(numbers) == 0 {
-			delete(b.pending, entry)
-		}
-	}
-}
