outlier: share the probes of unreachable endpoints in contended pools

Cause: one RecordUnreachable made each entry probe all endpoints of the zone, each failed probe recorded a lost path, and each entry probed again at the end of each back-off, so that probes grew with entries times endpoints. The probe at the end of a back-off is left to the probers of the zone while the path is lost or suspect. Other pools are unchanged.

--- a/core/outlier/detector.go
+++ b/core/outlier/detector.go
@@ -77,7 +77,7 @@
 }
 
 // RecordUnreachable records that no connection to an endpoint could be opened. This counts as a failure, and the Prober
-// then probes all endpoints of the zone, since the whole zone may be unreachable.
+// then probes all endpoints of the zone, since the whole zone may be unreachable; see Prober.probeDue for contended pools.
 func (d *Detector) RecordUnreachable(endpoint fleet.Endpoint, now time.Time) {
 	d.RecordFailure(endpoint, now)
 	d.mu.Lock()
--- a/core/outlier/prober.go
+++ b/core/outlier/prober.go
@@ -65,9 +65,7 @@
 		p.Paths.dropExpired(now)
 	}
 	for _, endpoint := range listed {
-		due := zones[endpoint.Zone] || p.Detector.probeDue(endpoint, now) ||
-			p.Paths != nil && p.Paths.probeDue(endpoint, p.Detector.Unreachable(endpoint, now), now)
-		if !due || !p.startProbe(endpoint.ID) {
+		if !p.probeDue(endpoint, zones[endpoint.Zone], now) || !p.startProbe(endpoint.ID) {
 			continue
 		}
 		group.Go(func() error {
@@ -84,6 +82,21 @@
 	}
 }
 
+// probeDue reports whether this entry should probe an endpoint; zoneUnreachable reports whether an endpoint of its zone was
+// unreachable since the last round. In a contended pool, the entries share the probes of lost and suspect endpoints, and
+// an unreachable endpoint makes this entry probe its zone only if this entry may itself be cut off.
+//
+// Load pattern: a zone restarts cold or is partitioned. If each entry probed each endpoint, the probes would grow with
+// entries times endpoints and delay requests at entries that are short of processor time.
+func (p *Prober) probeDue(endpoint fleet.Endpoint, zoneUnreachable bool, now time.Time) bool {
+	if p.Paths == nil || !p.Paths.Contended(endpoint.Pool) {
+		return zoneUnreachable || p.Detector.probeDue(endpoint, now)
+	}
+	return p.Paths.probeDue(endpoint, p.Detector.Unreachable(endpoint, now), now) ||
+		zoneUnreachable && p.Paths.reachesNothing(now) ||
+		p.Detector.probeDue(endpoint, now) && !p.Paths.avoided(endpoint, now)
+}
+
 // recordProbe records the result of a probe. A failed probe starts or extends the back-off of the endpoint. A successful
 // one ends it in a contended pool, where few endpoints have capacity to spare; in other pools it changes nothing.
 func (p *Prober) recordProbe(endpoint fleet.Endpoint, reached bool, now time.Time) {
--- a/core/outlier/prober_test.go
+++ b/core/outlier/prober_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -85,3 +86,57 @@
 		}
 	})
 }
+
+// TestContendedPoolProbes guards against probes whose number grows with entries times endpoints: one unreachable endpoint
+// of a contended pool must not make an entry probe the whole zone, and the entries that don't probe a lost or suspect
+// endpoint for the others must not probe it at the end of their own back-off. An entry that reaches nothing probes the zone.
+func TestContendedPoolProbes(t *testing.T) {
+	tests := map[string]struct {
+		// reported reports whether another entry lost the endpoints too.
+		contended, reported bool
+		lost                []fleet.EndpointID
+		// after is the time between the losses and the round of probes.
+		after time.Duration
+		// least and most bound the probes of zone b by the three entries of zone a.
+		least, most int
+	}{
+		"another pool":                       {lost: []fleet.EndpointID{"b1"}, least: 30, most: 30},
+		"one unreachable endpoint":           {contended: true, lost: []fleet.EndpointID{"b1"}, most: lostPathProbers},
+		"end of the back-off, suspect zone":  {contended: true, reported: true, lost: []fleet.EndpointID{"b1", "b2", "b3"}, after: initialBackoff - probeLead, least: 10, most: 10 + 3},
+		"entry that reaches nothing else":    {contended: true, lost: []fleet.EndpointID{"b1", "b2"}, after: 2 * corroborationTime / 3, least: 30, most: 30},
+		"end of the back-off, lost endpoint": {contended: true, reported: true, lost: []fleet.EndpointID{"b1"}, after: initialBackoff - probeLead, least: lostPathProbers, most: lostPathProbers},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			start := time.Now()
+			probes := 0
+			for _, self := range []fleet.EntryID{"e1", "e2", "e3"} {
+				p := newPathTable(self)
+				p.Contended = func(fleet.PoolName) bool { return tc.contended }
+				network := &fakeNetwork{probes: make(map[fleet.EndpointID]int)}
+				prober := &Prober{State: p.State, Detector: &Detector{}, Connect: network.Connect, Paths: p}
+				if name != "entry that reaches nothing else" {
+					p.RecordReached(p.endpoint("a1"), start)
+				}
+				if tc.reported {
+					for _, id := range tc.lost {
+						p.Merge([]PathReport{{Endpoint: id, Incarnation: 2, Zone: "a", Witness: "e9", At: start, Corroborated: true}}, start)
+					}
+				}
+				for _, id := range tc.lost {
+					prober.Detector.RecordUnreachable(p.endpoint(id), start)
+					p.RecordLost(p.endpoint(id), start)
+				}
+				var group errgroup.Group
+				prober.startProbes(t.Context(), &group, start.Add(tc.after))
+				_ = group.Wait()
+				for i := range 10 {
+					probes += network.probes[fleet.EndpointID(fmt.Sprintf("b%d", i))]
+				}
+			}
+			if probes < tc.least || probes > tc.most {
+				t.Errorf("%d probes of the zone by three entries, want %d to %d", probes, tc.least, tc.most)
+			}
+		})
+	}
+}
--- a/core/outlier/suspicion.go
+++ b/core/outlier/suspicion.go
@@ -19,6 +19,9 @@
 	// lostPathProbers is the number of entries of a zone that probe a lost endpoint, as many as must agree to renew the
 	// report if neither reaches another endpoint of the zone. One entry probes a suspect endpoint.
 	lostPathProbers = 2
+	// minOwnLosses is the number of paths that an entry that reaches nothing must lose before it probes a zone, since a single
+	// failed connection is more often the fault of the endpoint.
+	minOwnLosses = 2
 )
 
 // zonePair is a zone of entries and a zone of endpoints.
@@ -128,6 +131,33 @@
 	return p.isProber(endpoint.ID, probers)
 }
 
+// avoided reports whether an endpoint is lost or suspect for this entry's zone, in which case the entries that isProber
+// selects probe it for the others.
+func (p *PathTable) avoided(endpoint fleet.Endpoint, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lost(endpoint, p.Self.Zone, now) || p.suspect(endpoint, p.Self.Zone, now)
+}
+
+// reachesNothing reports whether this entry lost minOwnLosses paths and has reached no endpoint of a contended pool within
+// corroborationTime. It may then be cut off, which Reach can tell only after the other endpoints were probed too.
+func (p *PathTable) reachesNothing(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, at := range p.reachedAt {
+		if now.Sub(at) <= corroborationTime {
+			return false
+		}
+	}
+	losses := 0
+	for _, r := range p.records {
+		if report, found := r.lost[p.Self.ID]; found && now.Sub(report.At) < lostPathTTL {
+			losses++
+		}
+	}
+	return losses >= minOwnLosses
+}
+
 // isProber reports whether this entry is among the given number of entries that probe an endpoint for their zone. The
 // entries are ranked by rendezvous hashing, so that all entries agree on them.
 func (p *PathTable) isProber(endpoint fleet.EndpointID, probers int) bool {
