outlier: log suspicions once instead of each lost path

Change: a single path is logged at debug level and only by its witness. The start and end of a suspicion are logged once for each pair of zones, at the witness and where reports arrive from their witness. Replies log nothing.

--- a/core/outlier/paths.go
+++ b/core/outlier/paths.go
@@ -77,7 +77,8 @@
 	Contended func(fleet.PoolName) bool
 	// CutOff reports whether this entry is cut off from a pool, in which case it reports no lost paths to its endpoints.
 	CutOff func(fleet.PoolName) bool
-	// Log receives a message for each path that is lost or works again.
+	// Log receives a message when the endpoints of a zone become suspect and when that ends, and at debug level one for each
+	// path that this entry loses or reaches again.
 	Log zerolog.Logger
 
 	mu      sync.Mutex
@@ -102,7 +103,7 @@
 	p.apply(endpoint, PathReport{
 		Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation, Zone: p.Self.Zone, Witness: p.Self.ID, At: now,
 		Corroborated: p.reachesZone(endpoint, now),
-	}, now)
+	}, true, now)
 }
 
 // RecordReached records that an endpoint answered this entry or accepted a connection.
@@ -125,12 +126,23 @@
 		p.apply(endpoint, PathReport{
 			Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation, Zone: p.Self.Zone, Witness: p.Self.ID, At: now,
 			Reached: true,
-		}, now)
+		}, true, now)
 	}
 }
 
-// Merge applies the reports of another entry. A report of an incarnation that is not the listed one has no effect.
+// Merge applies the reports in a reply of a chooser. A report of an incarnation that is not the listed one has no effect.
+// Nothing is logged, since all entries of a zone receive the same reports.
 func (p *PathTable) Merge(reports []PathReport, now time.Time) {
+	p.merge(reports, false, now)
+}
+
+// MergeReported is Merge for reports that this entry receives from their witness, so that it may choose for others.
+func (p *PathTable) MergeReported(reports []PathReport, now time.Time) {
+	p.merge(reports, true, now)
+}
+
+// merge applies the reports of other entries; logged reports whether suspicions are logged.
+func (p *PathTable) merge(reports []PathReport, logged bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range reports[:min(len(reports), maxPathReports)] {
@@ -139,7 +151,7 @@
 			now.Sub(r.At) >= lostPathTTL {
 			continue
 		}
-		p.apply(endpoint, r, now)
+		p.apply(endpoint, r, logged, now)
 	}
 }
 
@@ -180,8 +192,8 @@
 	}
 }
 
-// apply applies one report and logs if it takes effect or ends others; the caller holds the lock.
-func (p *PathTable) apply(endpoint fleet.Endpoint, report PathReport, now time.Time) {
+// apply applies one report; logged reports whether a suspicion that it causes is logged. The caller holds the lock.
+func (p *PathTable) apply(endpoint fleet.Endpoint, report PathReport, logged bool, now time.Time) {
 	r := p.record(endpoint, report.Zone)
 	if report.Reached {
 		p.applyReached(r, report, now)
@@ -204,7 +216,7 @@
 		r.lostSince = report.At
 		p.logReport(r, report, now, "outlier: path to an endpoint is lost")
 	}
-	p.updateSuspicion(report.Zone, r, report, now)
+	p.updateSuspicion(r, report, logged, now)
 }
 
 // record returns the record of the path from a zone to an endpoint and creates it if necessary; the caller holds the lock.
@@ -245,9 +257,13 @@
 	}
 }
 
-// logReport logs the report because of which a path is lost or works again.
+// logReport logs this entry's own report because of which a path is lost or works again. Reports of others are not logged:
+// logging costs processor time, and each entry receives hundreds within seconds when a zone is partitioned.
 func (p *PathTable) logReport(r *pathRecord, report PathReport, now time.Time, message string) {
-	p.Log.Info().Str("endpoint", string(report.Endpoint)).Uint64("incarnation", uint64(report.Incarnation)).
+	if report.Witness != p.Self.ID {
+		return
+	}
+	p.Log.Debug().Str("endpoint", string(report.Endpoint)).Uint64("incarnation", uint64(report.Incarnation)).
 		Str("endpoint_zone", string(r.endpointZone)).Str("from_zone", string(report.Zone)).
 		Str("witness", string(report.Witness)).Dur("age_ms", now.Sub(report.At)).
 		Bool("corroborated", report.Corroborated).Int("witnesses", len(r.lost)).Msg(message)
--- a/core/outlier/suspicion.go
+++ b/core/outlier/suspicion.go
@@ -32,6 +32,8 @@
 // suspicion is the time during which endpoints of a zone are suspect, unless they are reached after since.
 type suspicion struct {
 	since, until time.Time
+	// logged reports whether the start was logged, so that the end is.
+	logged bool
 }
 
 // updateSuspicion makes the endpoints of a zone suspect if a report is the minCorrelatedLosses-th within
@@ -39,12 +41,15 @@
 //
 // Load pattern: a zone is partitioned, or a rack fails. The first few losses predict those of the endpoints that have not
 // been tried yet.
-func (p *PathTable) updateSuspicion(from fleet.Zone, r *pathRecord, report PathReport, now time.Time) {
+func (p *PathTable) updateSuspicion(r *pathRecord, report PathReport, logged bool, now time.Time) {
+	from := report.Zone
 	pair := zonePair{from, r.endpointZone}
 	until := report.At.Add(lostPathTTL)
-	if s, found := p.suspicions[pair]; found && now.Before(s.until) {
+	s, found := p.suspicions[pair]
+	if found && now.Before(s.until) {
 		if until.After(s.until) {
-			p.suspicions[pair] = suspicion{since: s.since, until: until}
+			s.until = until
+			p.suspicions[pair] = s
 		}
 		return
 	}
@@ -61,12 +66,27 @@
 	if p.suspicions == nil {
 		p.suspicions = make(map[zonePair]suspicion)
 	}
-	p.suspicions[pair] = suspicion{since: report.At, until: until}
+	if found {
+		p.logEnd(pair, s)
+	}
+	p.suspicions[pair] = suspicion{since: report.At, until: until, logged: logged}
+	if !logged {
+		return
+	}
 	p.Log.Warn().Str("endpoint_zone", string(r.endpointZone)).Str("from_zone", string(from)).Int("lost", correlated).
 		Str("witness", string(report.Witness)).Dur("age_ms", now.Sub(report.At)).
 		Msg("outlier: endpoints of a zone are suspect")
 }
 
+// logEnd logs the end of a suspicion whose start was logged.
+func (p *PathTable) logEnd(pair zonePair, s suspicion) {
+	if !s.logged {
+		return
+	}
+	p.Log.Info().Str("endpoint_zone", string(pair.endpoints)).Str("from_zone", string(pair.entries)).
+		Dur("lasted_ms", s.until.Sub(s.since)).Msg("outlier: endpoints of a zone are no longer suspect")
+}
+
 // Suspect reports whether an endpoint is suspect for the entries of a zone: other endpoints of its zone were lost at
 // about the same time, and no entry reached it since.
 func (p *PathTable) Suspect(endpoint fleet.Endpoint, from fleet.Zone, now time.Time) bool {
@@ -185,7 +205,13 @@
 		}
 		return len(r.lost) == 0 && now.Sub(r.reached.At) >= lostPathTTL && now.Sub(r.probedAt) >= lostPathTTL
 	})
-	maps.DeleteFunc(p.suspicions, func(_ zonePair, s suspicion) bool { return !now.Before(s.until) })
+	maps.DeleteFunc(p.suspicions, func(pair zonePair, s suspicion) bool {
+		ended := !now.Before(s.until)
+		if ended {
+			p.logEnd(pair, s)
+		}
+		return ended
+	})
 	maps.DeleteFunc(p.reachedAt, func(_ fleet.EndpointID, at time.Time) bool { return now.Sub(at) > corroborationTime })
 	maps.DeleteFunc(p.recheck, func(id fleet.EndpointID, _ bool) bool {
 		_, listed := p.State.Endpoints.Get(id)
--- a/core/sharedload/lost_paths.go
+++ b/core/sharedload/lost_paths.go
@@ -93,7 +93,7 @@
 	for i := range reports {
 		reports[i].Witness, reports[i].Zone = report.Entry, entry.Zone
 	}
-	p.LostPaths.Merge(reports, now)
+	p.LostPaths.MergeReported(reports, now)
 }
 
 // lostPathsFor returns the reports that another entry needs.
