dispatch: treat a short connect timeout as no evidence against the endpoint

Cause: quick requests of contended pools wait 100 ms for a connection. Change: such an attempt has a certainty and an outcome of its own, not_connected. The endpoint is excluded for the request, the report of its path takes effect only with a second witness, and the endpoint is probed once with the usual 300 ms. It counts toward maxRefusals once for a request, and toward forwarding if the endpoint failed the probe as well.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -335,7 +335,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
 	release := res.release
-	if callerLeft && a.grant.ConnectTimeout > 0 && release.Outcome == reservation.OutcomeNotRun {
+	if callerLeft && a.grant.ConnectTimeout > 0 && !wasSent(release.Outcome) {
 		// A connection that was not awaited says nothing about the endpoint.
 		release.Outcome = reservation.OutcomeCanceled
 	}
@@ -355,6 +355,8 @@
 	switch attemptErr.Certainty {
 	case CertainNotRun:
 		return reservation.OutcomeNotRun
+	case CertainNotConnected:
+		return reservation.OutcomeNotConnected
 	case CertainRefused:
 		return reservation.OutcomeRefused
 	default:
--- a/core/dispatch/forward.go
+++ b/core/dispatch/forward.go
@@ -37,6 +37,8 @@
 type Forwarding struct {
 	// CutOff reports whether most endpoints of a pool are unreachable for this entry.
 	CutOff func(fleet.PoolName) bool
+	// Unreachable reports whether this entry failed to connect to an endpoint; nil means that it never does.
+	Unreachable func(endpoint fleet.Endpoint, now time.Time) bool
 	// Alternates returns entries that may reach the endpoints of a pool, the best first.
 	Alternates func(fleet.PoolName) []fleet.Entry
 	// RecordFailure records that an entry did not accept a request, or could not be reached.
@@ -51,7 +53,7 @@
 	if r.Forwarding == nil || r.request.ForwardedBy != "" {
 		return false, nil
 	}
-	if !r.Forwarding.CutOff(r.request.Pool) && r.connectFailures < minConnectFailures {
+	if !r.Forwarding.CutOff(r.request.Pool) && r.connectFailures+r.confirmedTimeouts(time.Now()) < minConnectFailures {
 		return false, nil
 	}
 	for _, to := range r.Forwarding.Alternates(r.request.Pool) {
@@ -89,6 +91,21 @@
 	return false, nil
 }
 
+// confirmedTimeouts returns how many of the endpoints that the request could not connect to within the grant's
+// ConnectTimeout did not accept a probe since either.
+func (r *requestRun) confirmedTimeouts(now time.Time) int {
+	if r.Forwarding.Unreachable == nil {
+		return 0
+	}
+	count := 0
+	for _, endpoint := range r.connectTimeouts {
+		if r.Forwarding.Unreachable(endpoint, now) {
+			count++
+		}
+	}
+	return count
+}
+
 // lacksEndpoints reports whether another entry did not run a request because it reaches no endpoint either.
 func lacksEndpoints(err error) bool {
 	var failure *Failure
--- a/core/dispatch/forward_test.go
+++ b/core/dispatch/forward_test.go
@@ -140,6 +140,57 @@
 	})
 }
 
+// TestConnectTimeouts guards against requests that are refused or forwarded because this entry, short of processor time,
+// missed connections within the short connect timeout. They are forwarded only if probes of the endpoints failed too.
+func TestConnectTimeouts(t *testing.T) {
+	tests := map[string]struct {
+		unreachable bool
+		// attempts is the number of attempts before one is served or the request is forwarded.
+		attempts, forwards int
+	}{
+		"endpoints are sound": {attempts: maxRefusals + 1},
+		"probes failed too":   {unreachable: true, attempts: minConnectFailures, forwards: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				forwards := &fakeForwards{steps: []forwardStep{{tokens: 10}}}
+				engines := &slowConnectingEngines{timeouts: maxRefusals}
+				engines.script = []behavior{{}}
+				d := newTestDispatcher(&engines.fakeEngines, &fakeReservations{})
+				d.Engines = engines
+				d.Forwarding = &Forwarding{
+					CutOff:        func(fleet.PoolName) bool { return false },
+					Unreachable:   func(fleet.Endpoint, time.Time) bool { return tc.unreachable },
+					Alternates:    func(fleet.PoolName) []fleet.Entry { return []fleet.Entry{{ID: "x"}} },
+					RecordFailure: func(fleet.EntryID, bool) {},
+					Client:        forwards,
+				}
+				if err := d.Generate(t.Context(), newTestRequest(), &collector{}); err != nil {
+					t.Fatal(err)
+				}
+				if engines.tried != tc.attempts || len(forwards.asked) != tc.forwards {
+					t.Errorf("%d attempts and %d forwards, want %d and %d", engines.tried, len(forwards.asked), tc.attempts, tc.forwards)
+				}
+			})
+		})
+	}
+}
+
+// slowConnectingEngines miss the connect timeout of the first attempts.
+type slowConnectingEngines struct {
+	fakeEngines
+	timeouts, tried int
+}
+
+func (s *slowConnectingEngines) Generate(ctx context.Context, attempt Attempt) (Stream, error) {
+	s.tried++
+	if s.tried <= s.timeouts {
+		return nil, &AttemptError{Certainty: CertainNotConnected, Err: errors.New("connect timeout")}
+	}
+	return s.fakeEngines.Generate(ctx, attempt)
+}
+
 // unreachableEngines accept no connection.
 type unreachableEngines struct {
 	fakeEngines
--- a/core/dispatch/ports.go
+++ b/core/dispatch/ports.go
@@ -105,6 +105,9 @@
 const (
 	// CertainNotRun means that the endpoint never received the attempt.
 	CertainNotRun Certainty = "not_run"
+	// CertainNotConnected means that no connection was established within the grant's ConnectTimeout, so that the endpoint
+	// never received the attempt. Unlike CertainNotRun, it says little about the endpoint.
+	CertainNotConnected Certainty = "not_connected"
 	// CertainRefused means that the endpoint answered with a refusal and did not run the attempt.
 	CertainRefused Certainty = "refused"
 	// CertainFailed means that the endpoint ran the attempt and answered with a failure.
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -50,6 +50,8 @@
 	// connectFailures counts the attempts that could not connect to their endpoint; forwardedTo holds the entries that
 	// were asked to serve the request.
 	connectFailures int
+	// connectTimeouts holds the endpoints that could not be connected to within the grant's ConnectTimeout.
+	connectTimeouts []fleet.Endpoint
 	forwardedTo     map[fleet.EntryID]bool
 	backoffs        int
 	// movedStalled reports whether an attempt was ended since its first token was late.
@@ -253,9 +255,12 @@
 	a.release(ctx, result)
 	r.recordEnd(a, result)
 	r.mayHaveRun = r.mayHaveRun || !certainlyNotRun(result.release.Outcome)
-	if result.release.Outcome == reservation.OutcomeNotRun {
+	switch {
+	case result.release.Outcome == reservation.OutcomeNotRun:
 		r.connectFailures++
-	} else {
+	case result.release.Outcome == reservation.OutcomeNotConnected:
+		r.connectTimeouts = append(r.connectTimeouts, endpoint)
+	case wasSent(result.release.Outcome):
 		r.sentAttempts++
 	}
 	switch {
@@ -310,7 +315,11 @@
 // handleNotRun returns nil if the request is retried after an attempt that certainly did not run, else the final
 // failure.
 func (r *requestRun) handleNotRun(ctx context.Context, result attemptResult) error {
-	r.refusals++
+	if result.release.Outcome != reservation.OutcomeNotConnected || len(r.connectTimeouts) == 1 {
+		// An entry that is short of processor time misses several connections in a row. Each excludes one endpoint, so that
+		// the number of attempts stays bounded.
+		r.refusals++
+	}
 	if r.refusals >= maxRefusals {
 		return r.finalFailure(ctx, ReasonNoEndpoint)
 	}
@@ -355,5 +364,10 @@
 
 // certainlyNotRun reports whether an attempt with this outcome certainly did not run.
 func certainlyNotRun(outcome reservation.Outcome) bool {
-	return outcome == reservation.OutcomeNotRun || outcome == reservation.OutcomeRefused
+	return outcome == reservation.OutcomeRefused || !wasSent(outcome)
+}
+
+// wasSent reports whether an attempt with this outcome may have reached its endpoint.
+func wasSent(outcome reservation.Outcome) bool {
+	return outcome != reservation.OutcomeNotRun && outcome != reservation.OutcomeNotConnected
 }
--- a/core/dispatch/services.go
+++ b/core/dispatch/services.go
@@ -82,7 +82,15 @@
 // isCertainlyNotRun reports whether err proves that the endpoint did not run the attempt.
 func isCertainlyNotRun(err error) bool {
 	var attemptErr *AttemptError
-	return errors.As(err, &attemptErr) && (attemptErr.Certainty == CertainNotRun || attemptErr.Certainty == CertainRefused)
+	if !errors.As(err, &attemptErr) {
+		return false
+	}
+	switch attemptErr.Certainty {
+	case CertainNotRun, CertainNotConnected, CertainRefused:
+		return true
+	default:
+		return false
+	}
 }
 
 // nextEndpoint returns the best endpoint that has not been tried, and whether there is one.
--- a/core/outlier/detector.go
+++ b/core/outlier/detector.go
@@ -45,6 +45,8 @@
 	records          map[fleet.EndpointID]record
 	pauses           map[fleet.EndpointID]pause
 	unreachableZones map[fleet.Zone]bool
+	// requestedProbes holds the endpoints that RequestProbe names.
+	requestedProbes map[fleet.EndpointID]bool
 }
 
 // RecordPause records that an endpoint asked this entry to send no requests for a time. Unlike a back-off, a pause does
@@ -89,6 +91,28 @@
 	d.unreachableZones[endpoint.Zone] = true
 }
 
+// RequestProbe makes the Prober probe an endpoint once. Unlike RecordUnreachable, it counts no failure.
+//
+// Load pattern: an entry that is throttled for most of the connect timeout of quick requests misses connections that
+// sound endpoints accepted.
+func (d *Detector) RequestProbe(endpoint fleet.EndpointID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.requestedProbes == nil {
+		d.requestedProbes = make(map[fleet.EndpointID]bool)
+	}
+	d.requestedProbes[endpoint] = true
+}
+
+// takeRequestedProbes returns and clears the endpoints that RequestProbe named.
+func (d *Detector) takeRequestedProbes() map[fleet.EndpointID]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	requested := d.requestedProbes
+	d.requestedProbes = nil
+	return requested
+}
+
 // dropUnlisted drops the records of endpoints that are no longer listed, and the pauses that are over.
 func (d *Detector) dropUnlisted(listed map[fleet.EndpointID]fleet.Endpoint, now time.Time) {
 	d.mu.Lock()
--- a/core/outlier/paths.go
+++ b/core/outlier/paths.go
@@ -100,9 +100,25 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.applyLost(endpoint, p.reachesZone(endpoint, now), now)
+}
+
+// RecordConnectTimeout is RecordLost for a connect timeout so short that this entry may have missed the connection for
+// lack of processor time: the report takes effect only with that of a second witness.
+func (p *PathTable) RecordConnectTimeout(endpoint fleet.Endpoint, now time.Time) {
+	if !p.Contended(endpoint.Pool) || p.CutOff(endpoint.Pool) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.applyLost(endpoint, false, now)
+}
+
+// applyLost applies this entry's report of a lost path; the caller holds the lock.
+func (p *PathTable) applyLost(endpoint fleet.Endpoint, corroborated bool, now time.Time) {
 	p.apply(endpoint, PathReport{
 		Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation, Zone: p.Self.Zone, Witness: p.Self.ID, At: now,
-		Corroborated: p.reachesZone(endpoint, now),
+		Corroborated: corroborated,
 	}, true, now)
 }
 
--- a/core/outlier/prober.go
+++ b/core/outlier/prober.go
@@ -59,13 +59,15 @@
 // startProbes starts the probes that are due.
 func (p *Prober) startProbes(ctx context.Context, group *errgroup.Group, now time.Time) {
 	zones := p.Detector.takeUnreachableZones()
+	requested := p.Detector.takeRequestedProbes()
 	listed := p.State.Endpoints.Snapshot().Rows
 	p.Detector.dropUnlisted(listed, now)
 	if p.Paths != nil {
 		p.Paths.dropExpired(now)
 	}
 	for _, endpoint := range listed {
-		if !p.probeDue(endpoint, zones[endpoint.Zone], now) || !p.startProbe(endpoint.ID) {
+		due := requested[endpoint.ID] || p.probeDue(endpoint, zones[endpoint.Zone], now)
+		if !due || !p.startProbe(endpoint.ID) {
 			continue
 		}
 		group.Go(func() error {
--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -120,6 +120,9 @@
 	OutcomeCanceled Outcome = "canceled"
 	// OutcomeNotRun means that the endpoint never received the attempt.
 	OutcomeNotRun Outcome = "not_run"
+	// OutcomeNotConnected means that no connection was established within the grant's ConnectTimeout and the endpoint never
+	// received the attempt. The cause may be a lack of processor time at this entry.
+	OutcomeNotConnected Outcome = "not_connected"
 	// OutcomeBroken means that the attempt ended without a confirmed end at the endpoint, usually because the
 	// connection broke.
 	OutcomeBroken Outcome = "broken"
--- a/core/sharedload/lost_paths_test.go
+++ b/core/sharedload/lost_paths_test.go
@@ -13,6 +13,7 @@
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/outlier"
 	"wisteriadyke/core/placement"
+	"wisteriadyke/core/reservation"
 )
 
 // newPaths returns the path table of an entry over the endpoints of a fleet.
@@ -232,3 +233,35 @@
 		}
 	}
 }
+
+// TestConnectTimeoutIsNoEvidence guards against a sound endpoint that a zone leaves out because one entry, short of
+// processor time, missed the short connect timeout. The entry probes the endpoint once; if that fails, it counts as lost.
+func TestConnectTimeoutIsNoEvidence(t *testing.T) {
+	for name, silent := range map[string]bool{"sound": false, "unreachable": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				all := newChooserSets(&testNetwork{}, 2, 4)
+				p := all[0]
+				var probes atomic.Int64
+				detectors, stop := startProbers(t, all[:1], func(fleet.Endpoint) bool { probes.Add(1); return silent })
+				defer stop()
+				endpoint, other := testEndpoint(0), testEndpoint(1)
+				p.LostPaths.RecordReached(other, time.Now())
+				g := &Reserver{State: p.State, Outliers: detectors[p], Paths: p.LostPaths}
+				g.recordOutcome(reservation.Release{Endpoint: endpoint.ID, Outcome: reservation.OutcomeNotConnected}, time.Now())
+				if !detectors[p].Usable(endpoint, time.Now()) || p.LostPaths.Lost(endpoint, p.Self.Zone, time.Now()) {
+					t.Error("the endpoint is left out before it was probed")
+				}
+				// The probe starts within 100 ms and times out after 300 ms.
+				time.Sleep(350 * time.Millisecond)
+				if got := probes.Load(); got != 1 {
+					t.Errorf("%d probes, want 1", got)
+				}
+				time.Sleep(100 * time.Millisecond)
+				if detectors[p].Usable(endpoint, time.Now()) == silent {
+					t.Errorf("usable = %v after the probe", !silent)
+				}
+			})
+		})
+	}
+}
--- a/core/sharedload/reserver.go
+++ b/core/sharedload/reserver.go
@@ -303,6 +303,8 @@
 		g.Outliers.RecordFailure(endpoint, now)
 	case reservation.OutcomeNotRun:
 		g.Outliers.RecordUnreachable(endpoint, now)
+	case reservation.OutcomeNotConnected:
+		g.Outliers.RequestProbe(endpoint.ID)
 	case reservation.OutcomeBroken:
 		g.Outliers.RecordFailure(endpoint, now)
 	case reservation.OutcomeDone, reservation.OutcomeFailed:
@@ -319,6 +321,8 @@
 	switch outcome {
 	case reservation.OutcomeNotRun:
 		g.Paths.RecordLost(endpoint, now)
+	case reservation.OutcomeNotConnected:
+		g.Paths.RecordConnectTimeout(endpoint, now)
 	case reservation.OutcomeDone, reservation.OutcomeFailed, reservation.OutcomeRefused:
 		g.Paths.RecordReached(endpoint, now)
 	}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -306,8 +306,8 @@
 		LimitRefusedRetries: true,
 		Reachable:           p.choosers.Reachable,
 		Forwarding: &dispatch.Forwarding{
-			CutOff: p.reach.CutOff, Alternates: p.choosers.Alternates, RecordFailure: p.choosers.RecordAlternateFailure,
-			Client: p.forwards,
+			CutOff: p.reach.CutOff, Unreachable: p.outliers.Unreachable, Alternates: p.choosers.Alternates,
+			RecordFailure: p.choosers.RecordAlternateFailure, Client: p.forwards,
 		},
 		AskOthers: p.choosers.AskOthers,
 		CanTell:   p.witness.CanTell,
