outlier: repeat the probe of an endpoint that another entry reached

Cause: an entry in a back-off probes once when another entry reaches the endpoint. If its previous probe was still in flight, that one failed and extended the back-off to 3 s, so that the entry used the endpoint later than 2 s after its path worked again. Change: the probe is repeated every 500 ms until the endpoint accepts it, for 1.5 s at most.

--- a/core/outlier/paths.go
+++ b/core/outlier/paths.go
@@ -1,7 +1,6 @@
 package outlier
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -61,6 +60,8 @@
 	lostSince time.Time
 	// probedAt is when this entry last probed the endpoint.
 	probedAt time.Time
+	// recheckedAt is when this entry last probed the endpoint because another one reached it.
+	recheckedAt time.Time
 }
 
 // PathTable holds which paths are lost from which zones, as this entry and others report. Its fields must be set before
@@ -89,8 +90,8 @@
 	reachedAt map[fleet.EndpointID]time.Time
 	// suspicions holds the zones whose endpoints are suspect from a zone of entries.
 	suspicions map[zonePair]suspicion
-	// recheck holds the endpoints that another entry reached while this one is in a back-off from them.
-	recheck map[fleet.EndpointID]bool
+	// recheck holds the endpoints that another entry reached, and when this one heard of it.
+	recheck map[fleet.EndpointID]time.Time
 }
 
 // RecordLost records that this entry could not connect to an endpoint.
@@ -263,9 +264,9 @@
 	maps.DeleteFunc(r.lost, func(_ fleet.EntryID, lost PathReport) bool { return !lost.At.After(report.At) })
 	if report.Zone == p.Self.Zone && report.Witness != p.Self.ID {
 		if p.recheck == nil {
-			p.recheck = make(map[fleet.EndpointID]bool)
+			p.recheck = make(map[fleet.EndpointID]time.Time)
 		}
-		p.recheck[report.Endpoint] = true
+		p.recheck[report.Endpoint] = now
 	}
 	if wasLost && !r.inForce(now) {
 		r.lostSince = time.Time{}
@@ -335,65 +336,3 @@
 	r, found := p.records[pathKey{from, endpoint.ID}]
 	return found && r.incarnation == endpoint.Incarnation && r.inForce(now)
 }
-
-// Own returns this entry's valid reports, the newest first, at most maxPathReports. It returns none of lost paths to
-// endpoints of pools that this entry is cut off from.
-func (p *PathTable) Own(now time.Time) []PathReport {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var own []PathReport
-	for key, r := range p.records {
-		if key.zone != p.Self.Zone {
-			continue
-		}
-		endpoint, found := p.State.Endpoints.Get(key.endpoint)
-		if !found || endpoint.Incarnation != r.incarnation {
-			continue
-		}
-		if report, found := r.lost[p.Self.ID]; found && now.Sub(report.At) < lostPathTTL && !p.CutOff(endpoint.Pool) {
-			own = append(own, report)
-		}
-		if r.reached.Witness == p.Self.ID && now.Sub(r.reached.At) < lostPathTTL {
-			own = append(own, r.reached)
-		}
-	}
-	return newest(own)
-}
-
-// ForZone returns the reports that entries of a zone need: those because of which paths of the zone are lost, and those
-// of endpoints that were reached again; the newest first, at most maxPathReports.
-func (p *PathTable) ForZone(zone fleet.Zone, now time.Time) []PathReport {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var reports []PathReport
-	for key, r := range p.records {
-		if key.zone != zone {
-			continue
-		}
-		if now.Sub(r.reached.At) < lostPathTTL {
-			reports = append(reports, r.reached)
-		}
-		if r.inForce(now) {
-			reports = append(reports, r.decisive(now)...)
-		}
-	}
-	return newest(reports)
-}
-
-// decisive returns the fewest reports because of which a path is lost: the newest corroborated one, or the two newest.
-func (r *pathRecord) decisive(now time.Time) []PathReport {
-	reports := newest(slices.Collect(maps.Values(r.lost)))
-	contradicted := now.Sub(r.reached.At) < lostPathTTL
-	if i := slices.IndexFunc(reports, func(report PathReport) bool { return report.Corroborated }); i >= 0 && !contradicted {
-		return reports[i : i+1]
-	}
-	return reports[:min(len(reports), 2)]
-}
-
-// newest sorts reports by descending time and returns the first maxPathReports.
-func newest(reports []PathReport) []PathReport {
-	slices.SortFunc(reports, func(a, b PathReport) int {
-		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Witness, b.Witness))
-	})
-	return reports[:min(len(reports), maxPathReports)]
-}
--- a/core/outlier/suspicion.go
+++ b/core/outlier/suspicion.go
@@ -127,11 +127,8 @@
 func (p *PathTable) probeDue(endpoint fleet.Endpoint, unreachable bool, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.recheck[endpoint.ID] {
-		delete(p.recheck, endpoint.ID)
-		if unreachable {
-			return true
-		}
+	if p.recheckDue(endpoint, unreachable, now) {
+		return true
 	}
 	if len(p.records) == 0 || endpoint.State != fleet.StateLive {
 		return false
@@ -151,6 +148,25 @@
 	return p.isProber(endpoint.ID, probers)
 }
 
+// recheckDue reports whether another entry reached an endpoint lately that is unreachable for this one. The probe is
+// repeated, since one that was in flight when the path worked again still fails. The caller holds the lock.
+func (p *PathTable) recheckDue(endpoint fleet.Endpoint, unreachable bool, now time.Time) bool {
+	since, found := p.recheck[endpoint.ID]
+	if !found {
+		return false
+	}
+	if !unreachable || now.Sub(since) >= lostPathTTL {
+		delete(p.recheck, endpoint.ID)
+		return false
+	}
+	r := p.record(endpoint, p.Self.Zone)
+	if now.Sub(r.recheckedAt) < sharedProbePeriod {
+		return false
+	}
+	r.recheckedAt = now
+	return true
+}
+
 // avoided reports whether an endpoint is lost or suspect for this entry's zone, in which case the entries that isProber
 // selects probe it for the others.
 func (p *PathTable) avoided(endpoint fleet.Endpoint, now time.Time) bool {
@@ -213,7 +229,7 @@
 		return ended
 	})
 	maps.DeleteFunc(p.reachedAt, func(_ fleet.EndpointID, at time.Time) bool { return now.Sub(at) > corroborationTime })
-	maps.DeleteFunc(p.recheck, func(id fleet.EndpointID, _ bool) bool {
+	maps.DeleteFunc(p.recheck, func(id fleet.EndpointID, _ time.Time) bool {
 		_, listed := p.State.Endpoints.Get(id)
 		return !listed
 	})
