outlier: decide once for each round whether an entry probes a zone that it may be cut off from

Cause: probes that succeed at once changed PathTable.reachesNothing while the round was still selecting endpoints, so that a part of the zone was not probed. Change: the value is read once for each round. Run: TestContendedPoolProbes 'entry that reaches nothing else' failed once with 26 probes instead of 30; go test ./core/outlier -count=100 passes now.

--- a/core/outlier/prober.go
+++ b/core/outlier/prober.go
@@ -65,8 +65,10 @@
 	if p.Paths != nil {
 		p.Paths.dropExpired(now)
 	}
+	// The probes of this round must not change which others are due.
+	reachesNothing := p.Paths != nil && len(zones) > 0 && p.Paths.reachesNothing(now)
 	for _, endpoint := range listed {
-		due := requested[endpoint.ID] || p.probeDue(endpoint, zones[endpoint.Zone], now)
+		due := requested[endpoint.ID] || p.probeDue(endpoint, zones[endpoint.Zone], reachesNothing, now)
 		if !due || !p.startProbe(endpoint.ID) {
 			continue
 		}
@@ -85,17 +87,17 @@
 }
 
 // probeDue reports whether this entry should probe an endpoint; zoneUnreachable reports whether an endpoint of its zone was
-// unreachable since the last round. In a contended pool, the entries share the probes of lost and suspect endpoints, and
+// unreachable since the last round, reachesNothing whether this entry reaches no endpoint of a contended pool. In a contended pool, the entries share the probes of lost and suspect endpoints, and
 // an unreachable endpoint makes this entry probe its zone only if this entry may itself be cut off.
 //
 // Load pattern: a zone restarts cold or is partitioned. If each entry probed each endpoint, the probes would grow with
 // entries times endpoints and delay requests at entries that are short of processor time.
-func (p *Prober) probeDue(endpoint fleet.Endpoint, zoneUnreachable bool, now time.Time) bool {
+func (p *Prober) probeDue(endpoint fleet.Endpoint, zoneUnreachable, reachesNothing bool, now time.Time) bool {
 	if p.Paths == nil || !p.Paths.Contended(endpoint.Pool) {
 		return zoneUnreachable || p.Detector.probeDue(endpoint, now)
 	}
 	return p.Paths.probeDue(endpoint, p.Detector.Unreachable(endpoint, now), now) ||
-		zoneUnreachable && p.Paths.reachesNothing(now) ||
+		zoneUnreachable && reachesNothing ||
 		p.Detector.probeDue(endpoint, now) && !p.Paths.avoided(endpoint, now)
 }
 
