outlier: do not let a contradicted witness keep its zone from an endpoint

Cause: the report of a faulty entry about a sound endpoint was in force again whenever the contradiction by another entry expired after 1.5 s, which excluded the endpoint for a quarter of the time. Change: a witness that was contradicted is not enough alone for 10 s, or until it reaches the endpoint itself.

--- a/core/outlier/path_reports.go
+++ b/core/outlier/path_reports.go
@@ -57,7 +57,8 @@
 func (r *pathRecord) decisive(now time.Time) []PathReport {
 	reports := newest(slices.Collect(maps.Values(r.lost)))
 	contradicted := now.Sub(r.reached.At) < lostPathTTL
-	if i := slices.IndexFunc(reports, func(report PathReport) bool { return report.Corroborated }); i >= 0 && !contradicted {
+	alone := func(report PathReport) bool { return report.Corroborated && !r.doubts(report.Witness, now) }
+	if i := slices.IndexFunc(reports, alone); i >= 0 && !contradicted {
 		return reports[i : i+1]
 	}
 	return reports[:min(len(reports), 2)]
--- a/core/outlier/paths.go
+++ b/core/outlier/paths.go
@@ -19,6 +19,9 @@
 	maxPathReports = 32
 	// maxPathWitnesses bounds the witnesses that are kept for one path; two of them are enough for a report to take effect.
 	maxPathWitnesses = 4
+	// doubtTime is how long a witness that was contradicted is not enough alone, unless it reaches the endpoint. A faulty path
+	// of one entry then keeps its zone from the endpoint for a few hundredths of the time.
+	doubtTime = 10 * time.Second
 	// corroborationTime is how recently a witness must have reached another endpoint of a zone for its report to take
 	// effect alone.
 	corroborationTime = time.Second
@@ -56,6 +59,9 @@
 	lost map[fleet.EntryID]PathReport
 	// reached is the latest report of an entry that reached the endpoint after it was lost.
 	reached PathReport
+	// contradictedAt holds when each witness that lost the path was last contradicted by another entry that reached the
+	// endpoint.
+	contradictedAt map[fleet.EntryID]time.Time
 	// lostSince is when the reports took effect; zero means that they are not in force.
 	lostSince time.Time
 	// probedAt is when this entry last probed the endpoint.
@@ -137,7 +143,7 @@
 	delete(p.recheck, endpoint.ID)
 	if r, found := p.records[pathKey{p.Self.Zone, endpoint.ID}]; found || p.suspect(endpoint, p.Self.Zone, now) {
 		// A report that another entry has made already would only make the entries of the zone report in turn.
-		if found && len(r.lost) == 0 && now.Sub(r.reached.At) < lostPathTTL {
+		if found && len(r.lost) == 0 && now.Sub(r.reached.At) < lostPathTTL && !r.doubts(p.Self.ID, now) {
 			return
 		}
 		p.apply(endpoint, PathReport{
@@ -224,6 +230,9 @@
 		p.notify(report)
 	}
 	r.lost[report.Witness] = report
+	if r.reached.Witness != report.Witness && now.Sub(r.reached.At) < lostPathTTL {
+		r.contradict(report.Witness, now)
+	}
 	r.dropOldest()
 	if !r.inForce(now) {
 		r.lostSince = time.Time{}
@@ -261,6 +270,12 @@
 	p.notify(report)
 	wasLost := r.inForce(now)
 	r.reached = report
+	delete(r.contradictedAt, report.Witness)
+	for witness := range r.lost {
+		if witness != report.Witness {
+			r.contradict(witness, now)
+		}
+	}
 	maps.DeleteFunc(r.lost, func(_ fleet.EntryID, lost PathReport) bool { return !lost.At.After(report.At) })
 	if report.Zone == p.Self.Zone && report.Witness != p.Self.ID {
 		if p.recheck == nil {
@@ -295,15 +310,32 @@
 	delete(r.lost, oldest.Witness)
 }
 
+// contradict records that another entry reached the endpoint that a witness lost.
+func (r *pathRecord) contradict(witness fleet.EntryID, now time.Time) {
+	if r.contradictedAt == nil {
+		r.contradictedAt = make(map[fleet.EntryID]time.Time)
+	}
+	r.contradictedAt[witness] = now
+}
+
+// doubts reports whether a witness was contradicted within doubtTime and has not reached the endpoint since.
+//
+// Load pattern: the path of one entry to a sound endpoint is at fault for long. Its reports must not keep the zone from
+// the endpoint each time that the contradiction of another entry has expired.
+func (r *pathRecord) doubts(witness fleet.EntryID, now time.Time) bool {
+	at, found := r.contradictedAt[witness]
+	return found && now.Sub(at) < doubtTime
+}
+
 // inForce reports whether the reports of a lost path are in force: two witnesses made one within lostPathTTL, or one
-// whose report is corroborated. The latter is not enough if another entry reached the endpoint lately, since the fault is
-// then probably the witness's own.
+// whose report is corroborated. The latter is not enough if another entry reached the endpoint lately or contradicted the
+// witness before, since the fault is then probably the witness's own.
 func (r *pathRecord) inForce(now time.Time) bool {
 	valid, corroborated := 0, false
 	for _, report := range r.lost {
 		if now.Sub(report.At) < lostPathTTL && report.At.After(r.reached.At) {
 			valid++
-			corroborated = corroborated || report.Corroborated
+			corroborated = corroborated || report.Corroborated && !r.doubts(report.Witness, now)
 		}
 	}
 	contradicted := now.Sub(r.reached.At) < lostPathTTL
--- a/core/outlier/suspicion.go
+++ b/core/outlier/suspicion.go
@@ -219,7 +219,8 @@
 		if !r.inForce(now) {
 			r.lostSince = time.Time{}
 		}
-		return len(r.lost) == 0 && now.Sub(r.reached.At) >= lostPathTTL && now.Sub(r.probedAt) >= lostPathTTL
+		maps.DeleteFunc(r.contradictedAt, func(_ fleet.EntryID, at time.Time) bool { return now.Sub(at) >= doubtTime })
+		return len(r.lost) == 0 && len(r.contradictedAt) == 0 && now.Sub(r.reached.At) >= lostPathTTL && now.Sub(r.probedAt) >= lostPathTTL
 	})
 	maps.DeleteFunc(p.suspicions, func(pair zonePair, s suspicion) bool {
 		ended := !now.Before(s.until)
