outlier: keep reached endpoints of a suspect zone in use

Change: the record of an endpoint that was reached after the start of a suspicion is kept as long as the suspicion lasts.

--- a/core/outlier/suspicion.go
+++ b/core/outlier/suspicion.go
@@ -37,7 +37,7 @@
 }
 
 // updateSuspicion makes the endpoints of a zone suspect if a report is the minCorrelatedLosses-th within
-// correlationTime, and extends the suspicion with each further report in force; the caller holds the lock.
+// correlationTime that is in force, and extends the suspicion with each such report; the caller holds the lock.
 //
 // Load pattern: a zone is partitioned, or a rack fails. The first few losses predict those of the endpoints that have not
 // been tried yet.
@@ -45,14 +45,6 @@
 	from := report.Zone
 	pair := zonePair{from, r.endpointZone}
 	until := report.At.Add(lostPathTTL)
-	s, found := p.suspicions[pair]
-	if found && now.Before(s.until) {
-		if until.After(s.until) {
-			s.until = until
-			p.suspicions[pair] = s
-		}
-		return
-	}
 	correlated := 0
 	for key, other := range p.records {
 		if key.zone == from && other.endpointZone == r.endpointZone && other.inForce(now) &&
@@ -63,6 +55,14 @@
 	if correlated < minCorrelatedLosses {
 		return
 	}
+	s, found := p.suspicions[pair]
+	if found && now.Before(s.until) {
+		if until.After(s.until) {
+			s.until = until
+			p.suspicions[pair] = s
+		}
+		return
+	}
 	if p.suspicions == nil {
 		p.suspicions = make(map[zonePair]suspicion)
 	}
@@ -214,12 +214,16 @@
 func (p *PathTable) dropExpired(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	maps.DeleteFunc(p.records, func(_ pathKey, r *pathRecord) bool {
+	maps.DeleteFunc(p.records, func(key pathKey, r *pathRecord) bool {
 		maps.DeleteFunc(r.lost, func(_ fleet.EntryID, report PathReport) bool { return now.Sub(report.At) >= lostPathTTL })
 		if !r.inForce(now) {
 			r.lostSince = time.Time{}
 		}
 		maps.DeleteFunc(r.contradictedAt, func(_ fleet.EntryID, at time.Time) bool { return now.Sub(at) >= doubtTime })
+		if s, found := p.suspicions[zonePair{key.zone, r.endpointZone}]; found && now.Before(s.until) && r.reached.At.After(s.since) {
+			// Without the record, the endpoint would be suspect again.
+			return false
+		}
 		return len(r.lost) == 0 && len(r.contradictedAt) == 0 && now.Sub(r.reached.At) >= lostPathTTL && now.Sub(r.probedAt) >= lostPathTTL
 	})
 	maps.DeleteFunc(p.suspicions, func(pair zonePair, s suspicion) bool {
