--- a/core/outlier/paths.go
+++ b/core/outlier/paths.go
@@ -1,7 +1,6 @@
 package outlier
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -20,6 +19,9 @@
 	maxPathReports = 32
 	// maxPathWitnesses bounds the witnesses that are kept for one path; two of them are enough for a report to take effect.
 	maxPathWitnesses = 4
+	// doubtTime is how long a witness that was contradicted is not enough alone, unless it reaches the endpoint. A faulty path
+	// of one entry then keeps its zone from the endpoint for a few hundredths of the time.
+	doubtTime = 10 * time.Second
 	// corroborationTime is how recently a witness must have reached another endpoint of a zone for its report to take
 	// effect alone.
 	corroborationTime = time.Second
@@ -57,10 +59,15 @@
 	lost map[fleet.EntryID]PathReport
 	// reached is the latest report of an entry that reached the endpoint after it was lost.
 	reached PathReport
+	// contradictedAt holds when each witness that lost the path was last contradicted by another entry that reached the
+	// endpoint.
+	contradictedAt map[fleet.EntryID]time.Time
 	// lostSince is when the reports took effect; zero means that they are not in force.
 	lostSince time.Time
 	// probedAt is when this entry last probed the endpoint.
 	probedAt time.Time
+	// recheckedAt is when this entry last probed the endpoint because another one reached it.
+	recheckedAt time.Time
 }
 
 // PathTable holds which paths are lost from which zones, as this entry and others report. Its fields must be set before
@@ -77,7 +84,8 @@
 	Contended func(fleet.PoolName) bool
 	// CutOff reports whether this entry is cut off from a pool, in which case it reports no lost paths to its endpoints.
 	CutOff func(fleet.PoolName) bool
-	// Log receives a message for each path that is lost or works again.
+	// Log receives a message when the endpoints of a zone become suspect and when that ends, and at debug level one for each
+	// path that this entry loses or reaches again.
 	Log zerolog.Logger
 
 	mu      sync.Mutex
@@ -88,8 +96,8 @@
 	reachedAt map[fleet.EndpointID]time.Time
 	// suspicions holds the zones whose endpoints are suspect from a zone of entries.
 	suspicions map[zonePair]suspicion
-	// recheck holds the endpoints that another entry reached while this one is in a back-off from them.
-	recheck map[fleet.EndpointID]bool
+	// recheck holds the endpoints that another entry reached, and when this one heard of it.
+	recheck map[fleet.EndpointID]time.Time
 }
 
 // RecordLost records that this entry could not connect to an endpoint.
@@ -99,10 +107,26 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.applyLost(endpoint, p.reachesZone(endpoint, now), now)
+}
+
+// RecordConnectTimeout is RecordLost for a connect timeout so short that this entry may have missed the connection for
+// lack of processor time: the report takes effect only with that of a second witness.
+func (p *PathTable) RecordConnectTimeout(endpoint fleet.Endpoint, now time.Time) {
+	if !p.Contended(endpoint.Pool) || p.CutOff(endpoint.Pool) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.applyLost(endpoint, false, now)
+}
+
+// applyLost applies this entry's report of a lost path; the caller holds the lock.
+func (p *PathTable) applyLost(endpoint fleet.Endpoint, corroborated bool, now time.Time) {
 	p.apply(endpoint, PathReport{
 		Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation, Zone: p.Self.Zone, Witness: p.Self.ID, At: now,
-		Corroborated: p.reachesZone(endpoint, now),
-	}, now)
+		Corroborated: corroborated,
+	}, true, now)
 }
 
 // RecordReached records that an endpoint answered this entry or accepted a connection.
@@ -119,18 +143,29 @@
 	delete(p.recheck, endpoint.ID)
 	if r, found := p.records[pathKey{p.Self.Zone, endpoint.ID}]; found || p.suspect(endpoint, p.Self.Zone, now) {
 		// A report that another entry has made already would only make the entries of the zone report in turn.
-		if found && len(r.lost) == 0 && now.Sub(r.reached.At) < lostPathTTL {
+		if found && len(r.lost) == 0 && now.Sub(r.reached.At) < lostPathTTL && !r.doubts(p.Self.ID, now) {
 			return
 		}
 		p.apply(endpoint, PathReport{
 			Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation, Zone: p.Self.Zone, Witness: p.Self.ID, At: now,
 			Reached: true,
-		}, now)
+		}, true, now)
 	}
 }
 
-// Merge applies the reports of another entry. A report of an incarnation that is not the listed one has no effect.
+// Merge applies the reports in a reply of a chooser. A report of an incarnation that is not the listed one has no effect.
+// Nothing is logged, since all entries of a zone receive the same reports.
 func (p *PathTable) Merge(reports []PathReport, now time.Time) {
+	p.merge(reports, false, now)
+}
+
+// MergeReported is Merge for reports that this entry receives from their witness, so that it may choose for others.
+func (p *PathTable) MergeReported(reports []PathReport, now time.Time) {
+	p.merge(reports, true, now)
+}
+
+// merge applies the reports of other entries; logged reports whether suspicions are logged.
+func (p *PathTable) merge(reports []PathReport, logged bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range reports[:min(len(reports), maxPathReports)] {
@@ -139,7 +174,7 @@
 			now.Sub(r.At) >= lostPathTTL {
 			continue
 		}
-		p.apply(endpoint, r, now)
+		p.apply(endpoint, r, logged, now)
 	}
 }
 
@@ -180,8 +215,8 @@
 	}
 }
 
-// apply applies one report and logs if it takes effect or ends others; the caller holds the lock.
-func (p *PathTable) apply(endpoint fleet.Endpoint, report PathReport, now time.Time) {
+// apply applies one report; logged reports whether a suspicion that it causes is logged. The caller holds the lock.
+func (p *PathTable) apply(endpoint fleet.Endpoint, report PathReport, logged bool, now time.Time) {
 	r := p.record(endpoint, report.Zone)
 	if report.Reached {
 		p.applyReached(r, report, now)
@@ -195,6 +230,9 @@
 		p.notify(report)
 	}
 	r.lost[report.Witness] = report
+	if r.reached.Witness != report.Witness && now.Sub(r.reached.At) < lostPathTTL {
+		r.contradict(report.Witness, now)
+	}
 	r.dropOldest()
 	if !r.inForce(now) {
 		r.lostSince = time.Time{}
@@ -204,7 +242,7 @@
 		r.lostSince = report.At
 		p.logReport(r, report, now, "outlier: path to an endpoint is lost")
 	}
-	p.updateSuspicion(report.Zone, r, report, now)
+	p.updateSuspicion(r, report, logged, now)
 }
 
 // record returns the record of the path from a zone to an endpoint and creates it if necessary; the caller holds the lock.
@@ -232,12 +270,18 @@
 	p.notify(report)
 	wasLost := r.inForce(now)
 	r.reached = report
+	delete(r.contradictedAt, report.Witness)
+	for witness := range r.lost {
+		if witness != report.Witness {
+			r.contradict(witness, now)
+		}
+	}
 	maps.DeleteFunc(r.lost, func(_ fleet.EntryID, lost PathReport) bool { return !lost.At.After(report.At) })
 	if report.Zone == p.Self.Zone && report.Witness != p.Self.ID {
 		if p.recheck == nil {
-			p.recheck = make(map[fleet.EndpointID]bool)
+			p.recheck = make(map[fleet.EndpointID]time.Time)
 		}
-		p.recheck[report.Endpoint] = true
+		p.recheck[report.Endpoint] = now
 	}
 	if wasLost && !r.inForce(now) {
 		r.lostSince = time.Time{}
@@ -245,9 +289,13 @@
 	}
 }
 
-// logReport logs the report because of which a path is lost or works again.
+// logReport logs this entry's own report because of which a path is lost or works again. Reports of others are not logged:
+// logging costs processor time, and each entry receives hundreds within seconds when a zone is partitioned.
 func (p *PathTable) logReport(r *pathRecord, report PathReport, now time.Time, message string) {
-	p.Log.Info().Str("endpoint", string(report.Endpoint)).Uint64("incarnation", uint64(report.Incarnation)).
+	if report.Witness != p.Self.ID {
+		return
+	}
+	p.Log.Debug().Str("endpoint", string(report.Endpoint)).Uint64("incarnation", uint64(report.Incarnation)).
 		Str("endpoint_zone", string(r.endpointZone)).Str("from_zone", string(report.Zone)).
 		Str("witness", string(report.Witness)).Dur("age_ms", now.Sub(report.At)).
 		Bool("corroborated", report.Corroborated).Int("witnesses", len(r.lost)).Msg(message)
@@ -262,15 +310,32 @@
 	delete(r.lost, oldest.Witness)
 }
 
+// contradict records that another entry reached the endpoint that a witness lost.
+func (r *pathRecord) contradict(witness fleet.EntryID, now time.Time) {
+	if r.contradictedAt == nil {
+		r.contradictedAt = make(map[fleet.EntryID]time.Time)
+	}
+	r.contradictedAt[witness] = now
+}
+
+// doubts reports whether a witness was contradicted within doubtTime and has not reached the endpoint since.
+//
+// Load pattern: the path of one entry to a sound endpoint is at fault for long. Its reports must not keep the zone from
+// the endpoint each time that the contradiction of another entry has expired.
+func (r *pathRecord) doubts(witness fleet.EntryID, now time.Time) bool {
+	at, found := r.contradictedAt[witness]
+	return found && now.Sub(at) < doubtTime
+}
+
 // inForce reports whether the reports of a lost path are in force: two witnesses made one within lostPathTTL, or one
-// whose report is corroborated. The latter is not enough if another entry reached the endpoint lately, since the fault is
-// then probably the witness's own.
+// whose report is corroborated. The latter is not enough if another entry reached the endpoint lately or contradicted the
+// witness before, since the fault is then probably the witness's own.
 func (r *pathRecord) inForce(now time.Time) bool {
 	valid, corroborated := 0, false
 	for _, report := range r.lost {
 		if now.Sub(report.At) < lostPathTTL && report.At.After(r.reached.At) {
 			valid++
-			corroborated = corroborated || report.Corroborated
+			corroborated = corroborated || report.Corroborated && !r.doubts(report.Witness, now)
 		}
 	}
 	contradicted := now.Sub(r.reached.At) < lostPathTTL
@@ -303,65 +368,3 @@
 	r, found := p.records[pathKey{from, endpoint.ID}]
 	return found && r.incarnation == endpoint.Incarnation && r.inForce(now)
 }
-
-// Own returns this entry's valid reports, the newest first, at most maxPathReports. It returns none of lost paths to
-// endpoints of pools that this entry is cut off from.
-func (p *PathTable) Own(now time.Time) []PathReport {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var own []PathReport
-	for key, r := range p.records {
-		if key.zone != p.Self.Zone {
-			continue
-		}
-		endpoint, found := p.State.Endpoints.Get(key.endpoint)
-		if !found || endpoint.Incarnation != r.incarnation {
-			continue
-		}
-		if report, found := r.lost[p.Self.ID]; found && now.Sub(report.At) < lostPathTTL && !p.CutOff(endpoint.Pool) {
-			own = append(own, report)
-		}
-		if r.reached.Witness == p.Self.ID && now.Sub(r.reached.At) < lostPathTTL {
-			own = append(own, r.reached)
-		}
-	}
-	return newest(own)
-}
-
-// ForZone returns the reports that entries of a zone need: those because of which paths of the zone are lost, and those
-// of endpoints that were reached again; the newest first, at most maxPathReports.
-func (p *PathTable) ForZone(zone fleet.Zone, now time.Time) []PathReport {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var reports []PathReport
-	for key, r := range p.records {
-		if key.zone != zone {
-			continue
-		}
-		if now.Sub(r.reached.At) < lostPathTTL {
-			reports = append(reports, r.reached)
-		}
-		if r.inForce(now) {
-			reports = append(reports, r.decisive(now)...)
-		}
-	}
-	return newest(reports)
-}
-
-// decisive returns the fewest reports because of which a path is lost: the newest corroborated one, or the two newest.
-func (r *pathRecord) decisive(now time.Time) []PathReport {
-	reports := newest(slices.Collect(maps.Values(r.lost)))
-	contradicted := now.Sub(r.reached.At) < lostPathTTL
-	if i := slices.IndexFunc(reports, func(report PathReport) bool { return report.Corroborated }); i >= 0 && !contradicted {
-		return reports[i : i+1]
-	}
-	return reports[:min(len(reports), 2)]
-}
-
-// newest sorts reports by descending time and returns the first maxPathReports.
-func newest(reports []PathReport) []PathReport {
-	slices.SortFunc(reports, func(a, b PathReport) int {
-		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Witness, b.Witness))
-	})
-	return reports[:min(len(reports), maxPathReports)]
-}
--- a/core/outlier/suspicion.go
+++ b/core/outlier/suspicion.go
@@ -19,6 +19,9 @@
 	// lostPathProbers is the number of entries of a zone that probe a lost endpoint, as many as must agree to renew the
 	// report if neither reaches another endpoint of the zone. One entry probes a suspect endpoint.
 	lostPathProbers = 2
+	// minOwnLosses is the number of paths that an entry that reaches nothing must lose before it probes a zone, since a single
+	// failed connection is more often the fault of the endpoint.
+	minOwnLosses = 2
 )
 
 // zonePair is a zone of entries and a zone of endpoints.
@@ -29,22 +32,19 @@
 // suspicion is the time during which endpoints of a zone are suspect, unless they are reached after since.
 type suspicion struct {
 	since, until time.Time
+	// logged reports whether the start was logged, so that the end is.
+	logged bool
 }
 
 // updateSuspicion makes the endpoints of a zone suspect if a report is the minCorrelatedLosses-th within
-// correlationTime, and extends the suspicion with each further report in force; the caller holds the lock.
+// correlationTime that is in force, and extends the suspicion with each such report; the caller holds the lock.
 //
 // Load pattern: a zone is partitioned, or a rack fails. The first few losses predict those of the endpoints that have not
 // been tried yet.
-func (p *PathTable) updateSuspicion(from fleet.Zone, r *pathRecord, report PathReport, now time.Time) {
+func (p *PathTable) updateSuspicion(r *pathRecord, report PathReport, logged bool, now time.Time) {
+	from := report.Zone
 	pair := zonePair{from, r.endpointZone}
 	until := report.At.Add(lostPathTTL)
-	if s, found := p.suspicions[pair]; found && now.Before(s.until) {
-		if until.After(s.until) {
-			p.suspicions[pair] = suspicion{since: s.since, until: until}
-		}
-		return
-	}
 	correlated := 0
 	for key, other := range p.records {
 		if key.zone == from && other.endpointZone == r.endpointZone && other.inForce(now) &&
@@ -55,15 +55,38 @@
 	if correlated < minCorrelatedLosses {
 		return
 	}
+	s, found := p.suspicions[pair]
+	if found && now.Before(s.until) {
+		if until.After(s.until) {
+			s.until = until
+			p.suspicions[pair] = s
+		}
+		return
+	}
 	if p.suspicions == nil {
 		p.suspicions = make(map[zonePair]suspicion)
 	}
-	p.suspicions[pair] = suspicion{since: report.At, until: until}
+	if found {
+		p.logEnd(pair, s)
+	}
+	p.suspicions[pair] = suspicion{since: report.At, until: until, logged: logged}
+	if !logged {
+		return
+	}
 	p.Log.Warn().Str("endpoint_zone", string(r.endpointZone)).Str("from_zone", string(from)).Int("lost", correlated).
 		Str("witness", string(report.Witness)).Dur("age_ms", now.Sub(report.At)).
 		Msg("outlier: endpoints of a zone are suspect")
 }
 
+// logEnd logs the end of a suspicion whose start was logged.
+func (p *PathTable) logEnd(pair zonePair, s suspicion) {
+	if !s.logged {
+		return
+	}
+	p.Log.Info().Str("endpoint_zone", string(pair.endpoints)).Str("from_zone", string(pair.entries)).
+		Dur("lasted_ms", s.until.Sub(s.since)).Msg("outlier: endpoints of a zone are no longer suspect")
+}
+
 // suspect reports whether an endpoint is suspect for the entries of a zone: other endpoints of its zone were lost at about
 // the same time, and no entry reached it since. The caller holds the lock.
 func (p *PathTable) suspect(endpoint fleet.Endpoint, from fleet.Zone, now time.Time) bool {
@@ -149,11 +172,8 @@
 func (p *PathTable) probeDue(endpoint fleet.Endpoint, unreachable bool, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.recheck[endpoint.ID] {
-		delete(p.recheck, endpoint.ID)
-		if unreachable {
-			return true
-		}
+	if p.recheckDue(endpoint, unreachable, now) {
+		return true
 	}
 	if len(p.records) == 0 || endpoint.State != fleet.StateLive {
 		return false
@@ -173,6 +193,52 @@
 	return p.isProber(endpoint.ID, probers)
 }
 
+// recheckDue reports whether another entry reached an endpoint lately that is unreachable for this one. The probe is
+// repeated, since one that was in flight when the path worked again still fails. The caller holds the lock.
+func (p *PathTable) recheckDue(endpoint fleet.Endpoint, unreachable bool, now time.Time) bool {
+	since, found := p.recheck[endpoint.ID]
+	if !found {
+		return false
+	}
+	if !unreachable || now.Sub(since) >= lostPathTTL {
+		delete(p.recheck, endpoint.ID)
+		return false
+	}
+	r := p.record(endpoint, p.Self.Zone)
+	if now.Sub(r.recheckedAt) < sharedProbePeriod {
+		return false
+	}
+	r.recheckedAt = now
+	return true
+}
+
+// avoided reports whether an endpoint is lost or suspect for this entry's zone, in which case the entries that isProber
+// selects probe it for the others.
+func (p *PathTable) avoided(endpoint fleet.Endpoint, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lost(endpoint, p.Self.Zone, now) || p.suspect(endpoint, p.Self.Zone, now)
+}
+
+// reachesNothing reports whether this entry lost minOwnLosses paths and has reached no endpoint of a contended pool within
+// corroborationTime. It may then be cut off, which Reach can tell only after the other endpoints were probed too.
+func (p *PathTable) reachesNothing(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, at := range p.reachedAt {
+		if now.Sub(at) <= corroborationTime {
+			return false
+		}
+	}
+	losses := 0
+	for _, r := range p.records {
+		if report, found := r.lost[p.Self.ID]; found && now.Sub(report.At) < lostPathTTL {
+			losses++
+		}
+	}
+	return losses >= minOwnLosses
+}
+
 // isProber reports whether this entry is among the given number of entries that probe an endpoint for their zone. The
 // entries are ranked by rendezvous hashing, so that all entries agree on them.
 func (p *PathTable) isProber(endpoint fleet.EndpointID, probers int) bool {
@@ -193,16 +259,27 @@
 func (p *PathTable) dropExpired(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	maps.DeleteFunc(p.records, func(_ pathKey, r *pathRecord) bool {
+	maps.DeleteFunc(p.records, func(key pathKey, r *pathRecord) bool {
 		maps.DeleteFunc(r.lost, func(_ fleet.EntryID, report PathReport) bool { return now.Sub(report.At) >= lostPathTTL })
 		if !r.inForce(now) {
 			r.lostSince = time.Time{}
 		}
-		return len(r.lost) == 0 && now.Sub(r.reached.At) >= lostPathTTL && now.Sub(r.probedAt) >= lostPathTTL
+		maps.DeleteFunc(r.contradictedAt, func(_ fleet.EntryID, at time.Time) bool { return now.Sub(at) >= doubtTime })
+		if s, found := p.suspicions[zonePair{key.zone, r.endpointZone}]; found && now.Before(s.until) && r.reached.At.After(s.since) {
+			// Without the record, the endpoint would be suspect again.
+			return false
+		}
+		return len(r.lost) == 0 && len(r.contradictedAt) == 0 && now.Sub(r.reached.At) >= lostPathTTL && now.Sub(r.probedAt) >= lostPathTTL
+	})
+	maps.DeleteFunc(p.suspicions, func(pair zonePair, s suspicion) bool {
+		ended := !now.Before(s.until)
+		if ended {
+			p.logEnd(pair, s)
+		}
+		return ended
 	})
-	maps.DeleteFunc(p.suspicions, func(_ zonePair, s suspicion) bool { return !now.Before(s.until) })
 	maps.DeleteFunc(p.reachedAt, func(_ fleet.EndpointID, at time.Time) bool { return now.Sub(at) > corroborationTime })
-	maps.DeleteFunc(p.recheck, func(id fleet.EndpointID, _ bool) bool {
+	maps.DeleteFunc(p.recheck, func(id fleet.EndpointID, _ time.Time) bool {
 		_, listed := p.State.Endpoints.Get(id)
 		return !listed
 	})
