Correct predictions by what first tokens show

Change: the chooser multiplies predictions in contended pools by a factor from 0.8 to 1.5 that follows the median of the samples.

--- a/core/cost/paces.go
+++ b/core/cost/paces.go
@@ -26,6 +26,11 @@
 	// bounds what a sample adds, so that a few slow endpoints do not raise the average.
 	typicalWeight    = 0.02
 	maxTypicalSample = 4
+	// biasStep is the change of the bias by one sample; the bias follows a change of the load within some seconds. minBias
+	// and maxBias bound it.
+	biasStep = 0.001
+	minBias  = 0.8
+	maxBias  = 1.5
 	// maxPace bounds a sample, so that a single one does not exclude an endpoint for long.
 	maxPace = 20
 	// trialInterval is the interval at which an endpoint that is avoided for its pace gets a request, so that it can
@@ -78,6 +83,8 @@
 	own []PaceSample
 	// typical is the moving average of all samples. Above 1, the endpoints are busier than predicted.
 	typical float64
+	// bias is the factor by which predictions are corrected, so that half of the samples are above 1.
+	bias float64
 }
 
 // Record adds a sample of this entry.
@@ -117,7 +124,7 @@
 	}
 	if p.endpoints == nil {
 		p.endpoints = make(map[fleet.EndpointID]*paceState)
-		p.typical = 1
+		p.typical, p.bias = 1, 1
 	}
 	state, found := p.endpoints[s.Endpoint]
 	switch {
@@ -136,6 +143,11 @@
 	if slices.ContainsFunc(state.samples, known) {
 		return
 	}
+	if s.Pace > 1 {
+		p.bias = min(p.bias+biasStep, maxBias)
+	} else {
+		p.bias = max(p.bias-biasStep, minBias)
+	}
 	p.typical += (min(s.Pace, maxTypicalSample) - p.typical) * typicalWeight
 	s.Pace = min(s.Pace, maxPace)
 	state.samples = append(state.samples, s)
@@ -208,6 +220,17 @@
 	return e
 }
 
+// Corrected returns a predicted time to the first token, corrected by what the samples show: prompts that arrive after a
+// choice join the same pass and delay its first token.
+func (p *Paces) Corrected(predicted time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.bias <= 0 {
+		return predicted
+	}
+	return time.Duration(float64(predicted) * p.bias)
+}
+
 // MarkTried records that an endpoint that counts as slow was chosen.
 func (p *Paces) MarkTried(id fleet.EndpointID, now time.Time) {
 	p.mu.Lock()
--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -85,6 +85,9 @@
 			choice.Limit = &statement
 		}
 	}
+	if pool.Contended && c.Policy.Paces != nil {
+		choice.Predicted = c.Policy.Paces.Corrected(choice.Predicted)
+	}
 	record(choice)
 	c.Policy.Usages.StartPrefill(choice, now)
 	if pool.Contended {
