--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -87,6 +87,9 @@
 	if choice.insteadOfLost {
 		c.spared.Add(1)
 	}
+	if pool.Contended && c.Policy.Paces != nil {
+		choice.Predicted = c.Policy.Paces.Corrected(choice.Predicted)
+	}
 	record(choice)
 	c.Policy.recordChoice(pool, need, choice, now)
 	return choice, nil
