--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -357,6 +357,8 @@
 		return reservation.OutcomeNotRun
 	case CertainNotConnected:
 		return reservation.OutcomeNotConnected
+	case CertainNotSent:
+		return reservation.OutcomeNotSent
 	case CertainRefused:
 		return reservation.OutcomeRefused
 	default:
--- a/core/dispatch/ports.go
+++ b/core/dispatch/ports.go
@@ -108,6 +108,8 @@
 	// CertainNotConnected means that no connection was established within the grant's ConnectTimeout, so that the endpoint
 	// never received the attempt. Unlike CertainNotRun, it says little about the endpoint.
 	CertainNotConnected Certainty = "not_connected"
+	// CertainNotSent means that this entry did not send the attempt for a reason of its own.
+	CertainNotSent Certainty = "not_sent"
 	// CertainRefused means that the endpoint answered with a refusal and did not run the attempt.
 	CertainRefused Certainty = "refused"
 	// CertainFailed means that the endpoint ran the attempt and answered with a failure.
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -369,5 +369,10 @@
 
 // wasSent reports whether an attempt with this outcome may have reached its endpoint.
 func wasSent(outcome reservation.Outcome) bool {
-	return outcome != reservation.OutcomeNotRun && outcome != reservation.OutcomeNotConnected
+	switch outcome {
+	case reservation.OutcomeNotRun, reservation.OutcomeNotConnected, reservation.OutcomeNotSent:
+		return false
+	default:
+		return true
+	}
 }
--- a/core/dispatch/services.go
+++ b/core/dispatch/services.go
@@ -86,7 +86,7 @@
 		return false
 	}
 	switch attemptErr.Certainty {
-	case CertainNotRun, CertainNotConnected, CertainRefused:
+	case CertainNotRun, CertainNotConnected, CertainNotSent, CertainRefused:
 		return true
 	default:
 		return false
--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -123,6 +123,9 @@
 	// OutcomeNotConnected means that no connection was established within the grant's ConnectTimeout and the endpoint never
 	// received the attempt. The cause may be a lack of processor time at this entry.
 	OutcomeNotConnected Outcome = "not_connected"
+	// OutcomeNotSent means that the entry did not send the attempt for a reason of its own, which says nothing about the
+	// endpoint.
+	OutcomeNotSent Outcome = "not_sent"
 	// OutcomeBroken means that the attempt ended without a confirmed end at the endpoint, usually because the
 	// connection broke.
 	OutcomeBroken Outcome = "broken"
