sharedload: record a path as reached only at the first token

Cause: periodic renewals of started attempts recorded the path as reached although nothing new arrived, which corroborated lost-path reports of an entry that had lost its path. Change: Renew records the path as reached only when the first token ends the prefill usage. Run: TestRenewalsRecordReachOnce before the change: a renewal corroborates a lost path; go test ./core/sharedload passes.

--- a/core/sharedload/lost_paths_test.go
+++ b/core/sharedload/lost_paths_test.go
@@ -265,3 +265,32 @@
 		})
 	}
 }
+
+// TestRenewalsRecordReachOnce guards against long answers whose periodic renewals record the path as reached although
+// nothing new arrived, which corroborates reports of an entry that has lost its path.
+func TestRenewalsRecordReachOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		p := f.reserver.Choosers
+		paths := newPaths(p)
+		f.reserver.Paths = paths
+		endpoint, other := testEndpoint(0), testEndpoint(1)
+		f.reserver.grants = map[fleet.ReservationID]*grant{"r": {prefill: map[fleet.EndpointID]Usage{}}}
+		renew := func() {
+			progress := reservation.Progress{Endpoint: endpoint.ID, Reservation: "r", Started: true}
+			if err := f.reserver.Renew(t.Context(), progress); err != nil {
+				t.Fatal(err)
+			}
+		}
+		renew()
+		time.Sleep(1500 * time.Millisecond)
+		renew()
+		paths.RecordLost(other, time.Now())
+		if paths.Lost(other, p.Self.Zone, time.Now()) {
+			t.Error("a renewal corroborates a lost path")
+		}
+		if f.reserver.grants["r"].prefill != nil {
+			t.Error("the first token did not end the prefill")
+		}
+	})
+}
--- a/core/sharedload/reserver.go
+++ b/core/sharedload/reserver.go
@@ -241,9 +241,6 @@
 
 // Renew removes the prefill usage of an attempt once its first token has arrived, and records how late that is. It returns no error.
 func (g *Reserver) Renew(_ context.Context, progress reservation.Progress) error {
-	if endpoint, found := g.State.Endpoints.Get(progress.Endpoint); progress.Started && found && g.Paths != nil {
-		g.Paths.RecordReached(endpoint, time.Now())
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	held, found := g.grants[progress.Reservation]
@@ -252,6 +249,10 @@
 	case !progress.Started:
 		g.recordOverdue(held, time.Now())
 	default:
+		if endpoint, found := g.State.Endpoints.Get(progress.Endpoint); found && held.prefill != nil && g.Paths != nil {
+			// Later renewals are periodic and don't show that the path still works.
+			g.Paths.RecordReached(endpoint, time.Now())
+		}
 		g.Policy.Usages.RemoveOwn(held.prefill)
 		held.prefill = nil
 		g.recordPace(held.estimate, progress.TimeToFirstToken, time.Now())
