outlier: look up paths without a lock while nothing is lost

Cause: each choice took two locks and hashed lookups for each endpoint, also while no path was lost. Change: an atomic flag tells that there is neither a lost path nor a suspicion; otherwise one lock covers both lookups. BenchmarkChoose sets Paths.

--- a/core/outlier/paths.go
+++ b/core/outlier/paths.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -88,6 +89,9 @@
 	// path that this entry loses or reaches again.
 	Log zerolog.Logger
 
+	// avoids reports whether there is a lost path or a suspicion, so that choices take no lock while there is none.
+	avoids atomic.Bool
+
 	mu      sync.Mutex
 	records map[pathKey]*pathRecord
 	// changed receives a value when this entry has a report about another path than before.
@@ -230,6 +234,7 @@
 		p.notify(report)
 	}
 	r.lost[report.Witness] = report
+	p.avoids.Store(true)
 	if r.reached.Witness != report.Witness && now.Sub(r.reached.At) < lostPathTTL {
 		r.contradict(report.Witness, now)
 	}
@@ -356,6 +361,21 @@
 	return false
 }
 
+// Status reports whether an endpoint is lost for the entries of a zone, and if not, whether it is suspect.
+//
+// Load pattern: each choice looks at all endpoints of its pool, nearly always while no path is lost.
+func (p *PathTable) Status(endpoint fleet.Endpoint, from fleet.Zone, now time.Time) (lost, suspect bool) {
+	if !p.avoids.Load() {
+		return false, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lost(endpoint, from, now) {
+		return true, false
+	}
+	return false, p.suspect(endpoint, from, now)
+}
+
 // Lost reports whether an endpoint counts as lost for the entries of a zone.
 func (p *PathTable) Lost(endpoint fleet.Endpoint, from fleet.Zone, now time.Time) bool {
 	p.mu.Lock()
--- a/core/outlier/suspicion.go
+++ b/core/outlier/suspicion.go
@@ -233,6 +233,11 @@
 		}
 		return ended
 	})
+	avoids := len(p.suspicions) > 0
+	for _, r := range p.records {
+		avoids = avoids || len(r.lost) > 0
+	}
+	p.avoids.Store(avoids)
 	maps.DeleteFunc(p.reachedAt, func(_ fleet.EndpointID, at time.Time) bool { return now.Sub(at) > corroborationTime })
 	maps.DeleteFunc(p.recheck, func(id fleet.EndpointID, _ time.Time) bool {
 		_, listed := p.State.Endpoints.Get(id)
--- a/core/sharedload/benchmark_test.go
+++ b/core/sharedload/benchmark_test.go
@@ -18,6 +18,7 @@
 		} {
 			b.Run(fmt.Sprintf("%s/%d", name, engines), func(b *testing.B) {
 				f := newContendedFleet(engines)
+				f.policy.Paths = newPaths(f.reserver.Choosers)
 				for entry := range 76 {
 					usages := make(map[fleet.EndpointID]Usage)
 					for i := range max(4, engines/76) {
--- a/core/sharedload/lost_paths.go
+++ b/core/sharedload/lost_paths.go
@@ -19,8 +19,7 @@
 	if p.Paths == nil {
 		return
 	}
-	s.lost = p.Paths.Lost(s.endpoint, need.Zone, now)
-	s.suspect = !s.lost && p.Paths.Suspect(s.endpoint, need.Zone, now)
+	s.lost, s.suspect = p.Paths.Status(s.endpoint, need.Zone, now)
 }
 
 // withoutLost returns the endpoints that are not lost for the entry that sends the request, or all if no other is left.
