--- a/core/outlier/paths.go
+++ b/core/outlier/paths.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -88,6 +89,9 @@
 	// path that this entry loses or reaches again.
 	Log zerolog.Logger
 
+	// avoids reports whether there is a lost path or a suspicion, so that choices take no lock while there is none.
+	avoids atomic.Bool
+
 	mu      sync.Mutex
 	records map[pathKey]*pathRecord
 	// changed receives a value when this entry has a report about another path than before.
@@ -230,6 +234,7 @@
 		p.notify(report)
 	}
 	r.lost[report.Witness] = report
+	p.avoids.Store(true)
 	if r.reached.Witness != report.Witness && now.Sub(r.reached.At) < lostPathTTL {
 		r.contradict(report.Witness, now)
 	}
--- a/core/outlier/suspicion.go
+++ b/core/outlier/suspicion.go
@@ -108,13 +108,15 @@
 	contended    func(fleet.PoolName) bool
 }
 
-// View returns the view of the entries of a zone. It costs nothing per endpoint while no path is recorded.
+// View returns the view of the entries of a zone. It takes no lock while there is neither a lost path nor a suspicion.
+//
+// Load pattern: each choice looks at all endpoints of its pool, nearly always while no path is lost.
 func (p *PathTable) View(from fleet.Zone, now time.Time) PathView {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.records) == 0 {
+	if !p.avoids.Load() {
 		return PathView{}
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	v := PathView{
 		lost: make(map[fleet.EndpointID]fleet.Incarnation), suspectZones: make(map[fleet.Zone]bool),
 		cleared: make(map[fleet.EndpointID]fleet.Incarnation), contended: p.Contended,
@@ -278,6 +280,11 @@
 		}
 		return ended
 	})
+	avoids := len(p.suspicions) > 0
+	for _, r := range p.records {
+		avoids = avoids || len(r.lost) > 0
+	}
+	p.avoids.Store(avoids)
 	maps.DeleteFunc(p.reachedAt, func(_ fleet.EndpointID, at time.Time) bool { return now.Sub(at) > corroborationTime })
 	maps.DeleteFunc(p.recheck, func(id fleet.EndpointID, _ time.Time) bool {
 		_, listed := p.State.Endpoints.Get(id)
