--- a/core/dispatch/wait.go
+++ b/core/dispatch/wait.go
@@ -38,8 +38,8 @@
 	return !r.mayHaveRun && r.position == r.request.ResumeAfter && time.Now().Before(r.latestStart())
 }
 
-// checkWait checks after a wait for an endpoint whether the request may still be sent: its key, its route and its time. It
-// returns the final failure if not.
+// checkWait checks after a wait for an endpoint whether the request may still be sent: its key, its route and its time.
+// It returns the final failure if not.
 //
 // Load pattern: requests wait for up to seconds, in which keys are revoked and entries freeze.
 func (r *requestRun) checkWait(ctx context.Context, grant reservation.Grant) error {
--- a/core/sharedload/evaluation.go
+++ b/core/sharedload/evaluation.go
@@ -74,9 +74,9 @@
 	return s.endpoint.Slots <= 0 || s.usage.Running < s.endpoint.Slots
 }
 
-// find returns the index of the best endpoint with a free slot that a request accepts by the predicted time to the first
-// token, and whether there is one. It counts the request against the rate of the endpoint, so that the caller must place
-// it there.
+// find returns the index of the best endpoint with a free slot that a request accepts by the predicted time to the
+// first token, and whether there is one. It counts the request against the rate of the endpoint, so that the caller
+// must place it there.
 func (e *evaluation) find(
 	need placement.Need, role Role, accept func(s *endpointState, firstToken time.Duration) bool,
 ) (int, bool) {
--- a/core/sharedload/settled.go
+++ b/core/sharedload/settled.go
@@ -7,11 +7,11 @@
 	"wisteriadyke/core/fleet"
 )
 
-// DropSettled drops the pending choices of an entry with numbers up to latest that are not outstanding, since its latest
-// report includes them.
+// DropSettled drops the pending choices of an entry with numbers up to latest that are not outstanding, since its
+// latest report includes them.
 //
-// Load pattern: requests of an entry wait for an endpoint while others are placed. The choices of the others would count
-// twice, as pending and as reported, until the waiting ones are settled as well.
+// Load pattern: requests of an entry wait for an endpoint while others are placed. The choices of the others would
+// count twice, as pending and as reported, until the waiting ones are settled as well.
 func (b *UsageTable) DropSettled(entry fleet.EntryID, latest uint64, outstanding []uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/core/sharedload/waiting.go
+++ b/core/sharedload/waiting.go
@@ -78,12 +78,12 @@
 	ticking bool
 }
 
-// choose makes the choice for a request of this or another entry and calls record with it. A quick request of a contended
-// pool that may wait gets an endpoint with a free slot that meets its objective. Without one, its call is held for up to
-// holdTime; the choice is then that it has to wait.
+// choose makes the choice for a request of this or another entry and calls record with it. A quick request of a
+// contended pool that may wait gets an endpoint with a free slot that meets its objective. Without one, its call is
+// held for up to holdTime; the choice is then that it has to wait.
 //
-// Load pattern: all slots of most engines are taken. A request that queues at one of them is late even if another engine
-// frees a slot a moment later.
+// Load pattern: all slots of most engines are taken. A request that queues at one of them is late even if another
+// engine frees a slot a moment later.
 func (p *ChooserSet) choose(ctx context.Context, need placement.Need, role Role, record func(Choice)) (Choice, error) {
 	pool, found := p.Chooser.Policy.Pool(need.Pool)
 	if !found || !mayHold(pool, need) {
@@ -108,11 +108,12 @@
 
 // mayHold reports whether the call for a request may be held.
 func mayHold(pool routing.Pool, need placement.Need) bool {
-	return pool.Contended && need.MayWait && pool.Engine != nil && isQuick(pool, need.PromptTokens) && !need.LatestStart.IsZero()
+	return pool.Contended && need.MayWait && pool.Engine != nil && isQuick(pool, need.PromptTokens) &&
+		!need.LatestStart.IsZero()
 }
 
-// startCall adds a call to the queue of its pool and places waiting requests. It refuses the request of the call if that
-// is hopeless or the queue is full, unless it can be placed after all.
+// startCall adds a call to the queue of its pool and places waiting requests. It refuses the request of the call if
+// that is hopeless or the queue is full, unless it can be placed after all.
 func (p *ChooserSet) startCall(call *heldCall) {
 	now := time.Now()
 	w := &p.waiting
@@ -238,12 +239,13 @@
 	})
 }
 
-// acceptance returns whether a waiting request accepts an endpoint with a free slot: one that meets its objective or, for
-// a late request, one with a short backlog of prefill, so that it doesn't wait behind other requests there. It accepts any
-// if it could not have met its objective anywhere, since waiting gains it nothing, and if its caller would give up soon.
+// acceptance returns whether a waiting request accepts an endpoint with a free slot: one that meets its objective or,
+// for a late request, one with a short backlog of prefill, so that it doesn't wait behind other requests there. It
+// accepts any if it could not have met its objective anywhere, since waiting gains it nothing, and if its caller would
+// give up soon.
 //
-// Load pattern: quick requests wait while long prompts are prefilled at most engines. A late request that takes the free
-// slot of an engine with a long backlog is served later than one that waits for the next free engine.
+// Load pattern: quick requests wait while long prompts are prefilled at most engines. A late request that takes the
+// free slot of an engine with a long backlog is served later than one that waits for the next free engine.
 func acceptance(
 	e *evaluation, i *waiting.Item[*heldCall], overhead time.Duration,
 ) func(s *endpointState, firstToken time.Duration) bool {
@@ -273,8 +275,9 @@
 	p.Chooser.evaluate(call.pool, now, func(e *evaluation) { p.placeOrRefuse(e, q, call, reason) })
 }
 
-// placeOrRefuse places a request that would be refused at any endpoint with a free slot where its first token is still of
-// use, or anywhere with a free slot if no other request waits; else it refuses the request. The caller holds the lock.
+// placeOrRefuse places a request that would be refused at any endpoint with a free slot where its first token is still
+// of use, or anywhere with a free slot if no other request waits; else it refuses the request. The caller holds the
+// lock.
 func (p *ChooserSet) placeOrRefuse(e *evaluation, q *waitingPool, call *heldCall, reason reservation.Reason) {
 	left := call.need.LatestStart.Sub(e.now)
 	isAlone := q.queue.Len() == 1
@@ -297,7 +300,9 @@
 // refuse refuses the request of a call with the time until the queue has drained; the caller holds the lock.
 func (p *ChooserSet) refuse(q *waitingPool, call *heldCall, reason reservation.Reason, now time.Time) {
 	retryAfter := q.queue.RetryAfter(call.item.Request, now, rand.Float64())
-	p.end(q, call, Choice{}, &reservation.Refusal{Reason: reason, RetryAfter: retryAfter, PredictedStart: call.predictedStart})
+	p.end(q, call, Choice{}, &reservation.Refusal{
+		Reason: reason, RetryAfter: retryAfter, PredictedStart: call.predictedStart,
+	})
 }
 
 // end takes a call without a placement out of the queue and ends it with its result; the caller holds the lock.
--- a/core/sharedload/waiting_fleet_test.go
+++ b/core/sharedload/waiting_fleet_test.go
@@ -124,8 +124,8 @@
 	err                error
 }
 
-// waitingFleet holds entries with reservers over engines whose slots are all taken. The first entry of entries holds the
-// attempts that take them.
+// waitingFleet holds entries with reservers over engines whose slots are all taken. The first entry of entries holds
+// the attempts that take them.
 type waitingFleet struct {
 	network   *waitNetwork
 	entries   []*ChooserSet
--- a/core/sharedload/waiting_record.go
+++ b/core/sharedload/waiting_record.go
@@ -40,7 +40,8 @@
 // recordWaiting records the number of waiting requests of a pool with the rank of a call.
 func (p *ChooserSet) recordWaiting(call *heldCall, q *waitingPool) {
 	if p.Metrics != nil {
-		metrics.GetOrRegisterGauge(metricName(call, metricWaitingNow), p.Metrics).Update(int64(q.queue.LenOfRank(call.need.Rank)))
+		gauge := metrics.GetOrRegisterGauge(metricName(call, metricWaitingNow), p.Metrics)
+		gauge.Update(int64(q.queue.LenOfRank(call.need.Rank)))
 	}
 }
 
--- a/core/sharedload/waiting_test.go
+++ b/core/sharedload/waiting_test.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// TestMixedVersions guards against requests that wait in vain between entries of different versions: both a chooser that
-// doesn't know may_wait and an entry that doesn't set it place the request at once.
+// TestMixedVersions guards against requests that wait in vain between entries of different versions: both a chooser
+// that doesn't know may_wait and an entry that doesn't set it place the request at once.
 func TestMixedVersions(t *testing.T) {
 	tests := map[string]struct{ oldChooser, oldEntry bool }{"old chooser": {oldChooser: true}, "old entry": {oldEntry: true}}
 	for name, tc := range tests {
@@ -244,8 +244,8 @@
 	})
 }
 
-// TestWaitingHidesNoChoices guards against choices that count twice at the chooser, as pending and as reported, because an
-// earlier request of the same entry still waits.
+// TestWaitingHidesNoChoices guards against choices that count twice at the chooser, as pending and as reported, because
+// an earlier request of the same entry still waits.
 func TestWaitingHidesNoChoices(t *testing.T) {
 	b := &UsageTable{}
 	now := time.Now()
@@ -259,8 +259,8 @@
 	}
 }
 
-// TestPlacementOfWaiting guards against quick requests that queue at an engine although they could wait for a better one,
-// and against waiting that gains nothing.
+// TestPlacementOfWaiting guards against quick requests that queue at an engine although they could wait for a better
+// one, and against waiting that gains nothing.
 func TestPlacementOfWaiting(t *testing.T) {
 	full := Usage{Running: 16, Quick: 16}
 	tests := map[string]struct {
--- a/core/waiting/predict.go
+++ b/core/waiting/predict.go
@@ -12,8 +12,8 @@
 	// priorPlacements is the number of placements at the published capacity that count in addition to the measured ones.
 	// In a small pool, no slot may become free for longer than throughputTime although nothing is wrong.
 	priorPlacements = 3
-	// forgetTime is the time constant with which the measured throughput returns to the published capacity while no request
-	// waits: about the time that an endpoint takes to get warm.
+	// forgetTime is the time constant with which the measured throughput returns to the published capacity while no
+	// request waits: about the time that an endpoint takes to get warm.
 	forgetTime = 5 * time.Second
 	// lateShare is the share of the placements that late requests get at least.
 	lateShare = 1.0 / (maxPassedOver + 1)
@@ -36,8 +36,8 @@
 	placed, placedInTime int
 }
 
-// update updates the rates; waiting reports whether requests have waited since the previous update. Without them, the rate
-// of all placements returns to the published capacity, since placements then tell the demand and not the capacity.
+// update updates the rates; waiting reports whether requests have waited since the previous update. Without them, the
+// rate of all placements returns to the published capacity, since placements then tell the demand and not the capacity.
 func (t *throughput) update(now time.Time, capacity float64, waiting bool) {
 	t.capacity = capacity
 	elapsed := now.Sub(t.at)
--- a/core/waiting/queue.go
+++ b/core/waiting/queue.go
@@ -110,9 +110,9 @@
 }
 
 // Refresh moves requests that can't meet their objective any more to the late ones, and returns those whose first token
-// would come too late even at once, or whose turn among the late ones comes too late. overhead is the shortest time from
-// a placement to the first token without the prefill; capacity is the number of requests per second that the pool serves
-// as published.
+// would come too late even at once, or whose turn among the late ones comes too late. overhead is the shortest time
+// from a placement to the first token without the prefill; capacity is the number of requests per second that the pool
+// serves as published.
 func (q *Queue[T]) Refresh(now time.Time, overhead time.Duration, capacity float64) []*Item[T] {
 	q.overhead = overhead
 	q.throughput.update(now, capacity, q.leftOver)
--- a/gateway/waiting_test.go
+++ b/gateway/waiting_test.go
@@ -12,8 +12,8 @@
 // quickCall is a request to the engines with a quick prompt.
 var quickCall = call{method: http.MethodPost, uri: "/s/x", header: []string{"X-Token-Counts: 5000,1000"}, body: "prompt"}
 
-// newContendedCluster returns a cluster of entries that agree on a chooser, with one engine of four slots. All of these run
-// an answer of the given duration that the first entry passes on.
+// newContendedCluster returns a cluster of entries that agree on a chooser, with one engine of four slots. All of these
+// run an answer of the given duration that the first entry passes on.
 func newContendedCluster(t *testing.T, entries int, answer time.Duration) (w *cluster, engine *cierzo.Endpoint) {
 	t.Helper()
 	w = newCluster(t)
--- a/io/peer/hold_test.go
+++ b/io/peer/hold_test.go
@@ -47,8 +47,8 @@
 	}
 }
 
-// TestHeldChoose guards against a wait that loses its age or its order on the way to the chooser, and against held calls
-// that delay usage reports.
+// TestHeldChoose guards against a wait that loses its age or its order on the way to the chooser, and against held
+// calls that delay usage reports.
 func TestHeldChoose(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		choosers := &holdingChoosers{hold: 80 * time.Millisecond}
