--- a/core/sharedload/waiting.go
+++ b/core/sharedload/waiting.go
@@ -86,12 +86,12 @@
 	ticking bool
 }
 
-// choose makes the choice for a request of this or another entry and calls record with it. A quick request of a contended
-// pool that may wait gets an endpoint with a free slot that meets its objective. Without one, its call is held for up to
-// holdTime; the choice is then that it has to wait.
+// choose makes the choice for a request of this or another entry and calls record with it. A quick request of a
+// contended pool that may wait gets an endpoint with a free slot that meets its objective. Without one, its call is
+// held for up to holdTime; the choice is then that it has to wait.
 //
-// Load pattern: all slots of most engines are taken. A request that queues at one of them is late even if another engine
-// frees a slot a moment later.
+// Load pattern: all slots of most engines are taken. A request that queues at one of them is late even if another
+// engine frees a slot a moment later.
 func (p *ChooserSet) choose(ctx context.Context, need placement.Need, role Role, record func(Choice)) (Choice, error) {
 	pool, found := p.Chooser.Policy.Pool(need.Pool)
 	if !found || !mayHold(pool, need) {
@@ -116,7 +116,8 @@
 
 // mayHold reports whether the call for a request may be held.
 func mayHold(pool routing.Pool, need placement.Need) bool {
-	return pool.Contended && need.MayWait && pool.Engine != nil && isQuick(pool, need.PromptTokens) && !need.LatestStart.IsZero()
+	return pool.Contended && need.MayWait && pool.Engine != nil && isQuick(pool, need.PromptTokens) &&
+		!need.LatestStart.IsZero()
 }
 
 // startCall adds a call to the queue of its pool and places waiting requests. If the request can no longer be served in
@@ -220,7 +221,9 @@
 // refuse refuses the request of a call with the time until the queue has drained; the caller holds the lock.
 func (p *ChooserSet) refuse(q *waitingPool, call *heldCall, reason reservation.Reason, now time.Time) {
 	retryAfter := q.queue.RetryAfter(call.item.Request, now, rand.Float64())
-	p.end(q, call, Choice{}, &reservation.Refusal{Reason: reason, RetryAfter: retryAfter, PredictedStart: call.predictedStart})
+	p.end(q, call, Choice{}, &reservation.Refusal{
+		Reason: reason, RetryAfter: retryAfter, PredictedStart: call.predictedStart,
+	})
 }
 
 // end takes a call without a placement out of the queue and ends it with its result; the caller holds the lock.
