outlier: bound the cost of path reports

Cause: each report and reply scanned and sorted all records, each lost endpoint made an entry hash all others every 0.5 s, and each message repeated up to 32 unchanged reports. Change: the reports for a zone are cached for 50 ms, the rank of this entry as a prober until the entries change. A report is sent to one entry twice at most, unless it is 0.7 s newer or the endpoint was reached in between. Run: TestSentReports without the bound: 89,600 bytes a second, want at most 6,144; it passes now. go test ./core/outlier -run xxx -bench SharedPaths -benchtime 0.3s with 350 entries, without and with the caches: reply 24.3 and 0.06 us, 20 probe decisions 777 and 0.77 us. go test ./core/outlier -count=10 and ./core/sharedload -count=5 pass.

--- a/core/outlier/path_reports.go
+++ b/core/outlier/path_reports.go
@@ -33,11 +33,25 @@
 	return newest(own)
 }
 
+// replyCacheTime is how long the result of ForZone is used again. It is half of the time within which an entry learns of a
+// lost path.
+const replyCacheTime = 50 * time.Millisecond
+
+// cachedReply is the result of ForZone at a time.
+type cachedReply struct {
+	at      time.Time
+	reports []PathReport
+}
+
 // ForZone returns the reports that entries of a zone need: those because of which paths of the zone are lost, and those
-// of endpoints that were reached again; the newest first, at most maxPathReports.
+// of endpoints that were reached again; the newest first, at most maxPathReports. The caller must not change the
+// result, which is cached for replyCacheTime.
 func (p *PathTable) ForZone(zone fleet.Zone, now time.Time) []PathReport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if c, found := p.replies[zone]; found && now.Sub(c.at) < replyCacheTime {
+		return c.reports
+	}
 	var reports []PathReport
 	for key, r := range p.records {
 		if key.zone != zone {
@@ -50,7 +64,12 @@
 			reports = append(reports, r.decisive(now)...)
 		}
 	}
-	return newest(reports)
+	if p.replies == nil {
+		p.replies = make(map[fleet.Zone]cachedReply)
+	}
+	reports = newest(reports)
+	p.replies[zone] = cachedReply{at: now, reports: reports}
+	return reports
 }
 
 // decisive returns the fewest reports because of which a path is lost: the newest corroborated one, or the two newest.
--- a/core/outlier/paths.go
+++ b/core/outlier/paths.go
@@ -102,6 +102,11 @@
 	suspicions map[zonePair]suspicion
 	// recheck holds the endpoints that another entry reached, and when this one heard of it.
 	recheck map[fleet.EndpointID]time.Time
+	// replies holds the latest results of ForZone.
+	replies map[fleet.Zone]cachedReply
+	// probers holds how many entries rank before this one as probers of each endpoint, as of proberVersion of the entries.
+	probers       map[fleet.EndpointID]int
+	proberVersion uint64
 }
 
 // RecordLost records that this entry could not connect to an endpoint.
--- a/core/outlier/suspicion.go
+++ b/core/outlier/suspicion.go
@@ -195,11 +195,19 @@
 }
 
 // isProber reports whether this entry is among the given number of entries that probe an endpoint for their zone. The
-// entries are ranked by rendezvous hashing, so that all entries agree on them.
+// entries are ranked by rendezvous hashing, so that all entries agree on them; the rank is cached until the entries change.
+// The caller holds the lock.
 func (p *PathTable) isProber(endpoint fleet.EndpointID, probers int) bool {
+	entries := p.State.Entries.Snapshot()
+	if p.probers == nil || p.proberVersion != entries.Version {
+		p.probers, p.proberVersion = make(map[fleet.EndpointID]int), entries.Version
+	}
+	if before, found := p.probers[endpoint]; found {
+		return before < probers
+	}
 	rank := func(entry fleet.EntryID) uint32 { return fleet.Rank(string(endpoint) + "/" + string(entry)) }
 	own, before := rank(p.Self.ID), 0
-	for id, entry := range p.State.Entries.Snapshot().Rows {
+	for id, entry := range entries.Rows {
 		if id == p.Self.ID || entry.Zone != p.Self.Zone {
 			continue
 		}
@@ -207,6 +215,7 @@
 			before++
 		}
 	}
+	p.probers[endpoint] = before
 	return before < probers
 }
 
--- a/core/sharedload/chooser_set.go
+++ b/core/sharedload/chooser_set.go
@@ -124,6 +124,7 @@
 	Paths Paths
 	// LostPaths holds the paths that entries lost; nil disables its exchange.
 	LostPaths *outlier.PathTable
+	sentPaths outlier.SentReports
 	// Reach asks other entries about endpoints; it is required by AskOthers.
 	Reach ReachClient
 	// Log receives messages about entries that start or stop choosing or don't answer.
@@ -290,7 +291,7 @@
 	ctx, cancel := context.WithTimeout(ctx, chooseTimeout)
 	defer cancel()
 	return p.Transport.Choose(ctx, c.entry.Address, ChooseRequest{
-		Report: p.usageReport(), Number: number, Role: c.role, Need: need,
+		Report: p.limitPaths(p.usageReport(), c.entry.ID), Number: number, Role: c.role, Need: need,
 	})
 }
 
