outlier: send each renewed path report once

Cause: with a renewal time of 0.7 s, reports expired at idle entries, which send a message every 400 ms, so that they used an endpoint while its path was lost. Change: a report 0.4 s newer than the one sent before counts as renewed and is sent once; a new one is sent twice.

--- a/core/outlier/sent_reports.go
+++ b/core/outlier/sent_reports.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	// maxSends is how often a report is sent to one entry unless it is renewed, so that a lost message does no harm. Reports
-	// repeated in each message would exceed the budget for control traffic of 6 KB a second for an entry.
+	// maxSends is how often a new report is sent to one entry, so that a lost message does no harm; a renewed one is sent once.
+	// Reports repeated in each message would exceed the budget for control traffic of 6 KB a second for an entry.
 	maxSends = 2
-	// renewalTime is how much newer a report must be than the one sent before to count as renewed. Probes renew reports every
-	// sharedProbePeriod, so that each second renewal is sent, 0.5 s before the report expires.
-	renewalTime = 700 * time.Millisecond
+	// renewalTime is how much newer a report must be than the one sent before to count as renewed. It is below
+	// sharedProbePeriod, since an idle entry sends messages every 400 ms and needs each renewal before the report expires.
+	renewalTime = 400 * time.Millisecond
 )
 
 // SentReports holds which reports of paths were sent to which entries. Its zero value is ready to use; it is safe for
@@ -64,6 +64,9 @@
 		known, found := sent[key]
 		if !found || r.At.Sub(known.at) > renewalTime {
 			known = sentReport{at: r.At}
+			if found {
+				known.sends = maxSends - 1
+			}
 			lost := sentKey{r.Endpoint, r.Incarnation, r.Witness, false}
 			if r.Reached && sent[lost].at.Before(r.At) {
 				// A loss after this is a new one.
