gateway: count short connect timeouts in the test of a zone that is cut

Cause: TestZoneLostForOneEntryIsLostForItsZone counted attempts with the outcome not_run only, and failed with 'no attempt was sent to the zone' since attempts that miss the short connect timeout have the outcome not_connected. Change: it counts both outcomes, so that its bound covers all attempts that could not connect, as before. Run: go test ./gateway -run TestZoneLostForOneEntryIsLostForItsZone -count=4 passes.

--- a/gateway/paths_test.go
+++ b/gateway/paths_test.go
@@ -114,8 +114,8 @@
 			switch {
 			case event.Kind == timeline.KindReservationGranted:
 				granted[event.Attempt] = event.Timestamp.Wall
-			case event.Kind == timeline.KindAttemptEnded && event.Reason == string(reservation.OutcomeNotRun) &&
-				granted[event.Attempt].After(after):
+			case event.Kind == timeline.KindAttemptEnded && granted[event.Attempt].After(after) &&
+				(event.Reason == string(reservation.OutcomeNotRun) || event.Reason == string(reservation.OutcomeNotConnected)):
 				found = append(found, connectFailure{
 					entry: e.settings.Entry, endpoint: event.Endpoint, granted: granted[event.Attempt], failed: event.Timestamp.Wall,
 				})
