sharedload: hold choose calls for 60 ms and tolerate one missed call

Cause: a call held for 80 ms takes 99.6 ms of the 100 ms timeout where zones are 4.9 ms apart and the connection is dialled anew. A missed call marked the leader as not choosing for 1 s, which split the queue between two choosers.

Change: calls are held for 60 ms from their receipt. A chooser counts as down after two unanswered calls in a row of requests that may wait, or a usage report without an answer; a request whose call is missed goes on at the successor. Entries keep the interval of 80 ms between two calls, so that the limit of 12.5 messages a second stays; a request is out of the queue for 20 ms of it.

--- a/core/sharedload/await.go
+++ b/core/sharedload/await.go
@@ -102,8 +102,7 @@
 	if time.Now().After(w.need.LatestStart) {
 		return w.refuse(reservation.ReasonWaitTooLong, lateRetryAfter)
 	}
-	// A reply before holdTime has passed would otherwise cause more messages than one for each holdTime.
-	if early := holdTime - time.Since(askedAt); early > 0 {
+	if early := askInterval - time.Since(askedAt); early > 0 {
 		timer := time.NewTimer(early)
 		defer timer.Stop()
 		select {
--- a/core/sharedload/chooser_set.go
+++ b/core/sharedload/chooser_set.go
@@ -162,6 +162,10 @@
 		}
 		choice, err := p.requestChoice(ctx, c, number, need)
 		var refusal *reservation.Refusal
+		answered := err == nil || errors.As(err, &refusal)
+		if answered {
+			p.recordAnswer(c.entry)
+		}
 		switch {
 		case err == nil:
 			choice.Chooser = c.entry.ID
@@ -170,14 +174,14 @@
 				p.Limits.Merge(choice.Endpoint, *choice.Limit)
 			}
 			return choice, settle, nil
-		case errors.As(err, &refusal):
+		case answered:
 			settle()
 			return Choice{}, nil, err
 		case ctx.Err() != nil:
 			settle()
 			return Choice{}, nil, &reservation.Refusal{Reason: reservation.ReasonUnreachable}
 		}
-		p.recordFailure(c.entry, err)
+		p.recordFailure(c.entry, need.MayWait, err)
 		if need.MayWait && i+1 < maxWaitChoosers {
 			choosers = append(choosers[:i+1], p.choosersExcept(choosers[:i+1])...)
 		}
@@ -324,82 +328,3 @@
 func (p *ChooserSet) isUnreached(pool fleet.PoolName) bool {
 	return p.Paths != nil && p.Paths.Unreached(pool)
 }
-
-// roleChooser is an entry that chooses for this entry, and the role in which it does.
-type roleChooser struct {
-	entry fleet.Entry
-	role  Role
-}
-
-// roleChoosers returns the entries that choose for this one, in order of preference. If this entry is one of them, it
-// is the last.
-func (p *ChooserSet) roleChoosers() []roleChooser {
-	ranked := p.rankedEntries()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var choosers []roleChooser
-	if leader, found := p.firstChooser(ranked, func(fleet.Entry) bool { return true }); found {
-		choosers = append(choosers, roleChooser{entry: leader, role: RoleLeader})
-	}
-	if local, found := p.firstChooser(ranked, p.inZone); found && local.ID != choosers[0].entry.ID {
-		choosers = append(choosers, roleChooser{entry: local, role: RoleZone})
-	}
-	return choosers
-}
-
-// choosersExcept returns the entries that choose for this one now, except those that were asked already. After a chooser has
-// failed, its successor is among them.
-//
-// Load pattern: a chooser fails while requests wait. An entry that chooses for itself knows nothing of the attempts of
-// others, so that it would place its waiting requests at once, at engines without free slots.
-func (p *ChooserSet) choosersExcept(asked []roleChooser) []roleChooser {
-	return slices.DeleteFunc(p.roleChoosers(), func(c roleChooser) bool {
-		return slices.ContainsFunc(asked, func(a roleChooser) bool { return a.entry.ID == c.entry.ID })
-	})
-}
-
-// ownRole returns the role in which this entry chooses for itself: RoleAlone if it is not a chooser for others.
-func (p *ChooserSet) ownRole() Role {
-	for _, c := range p.roleChoosers() {
-		if c.entry.ID == p.Self.ID {
-			return c.role
-		}
-	}
-	return RoleAlone
-}
-
-// Leads reports whether this entry is the leader, or takes itself for it.
-func (p *ChooserSet) Leads() bool {
-	return p.ownRole() == RoleLeader
-}
-
-// inZone reports whether an entry is in the zone of this one.
-func (p *ChooserSet) inZone(entry fleet.Entry) bool {
-	return entry.Zone == p.Self.Zone
-}
-
-// firstChooser returns the first eligible entry that chooses, which may be this one, and whether there is one; the
-// caller holds the lock.
-func (p *ChooserSet) firstChooser(ranked []fleet.Entry, eligible func(fleet.Entry) bool) (fleet.Entry, bool) {
-	for _, entry := range ranked {
-		if eligible(entry) && p.chooses(entry.ID) {
-			return entry, true
-		}
-	}
-	return fleet.Entry{}, false
-}
-
-// chooses reports whether an entry chooses for others: for this entry by the time since its start, for another one by
-// its latest reply, or false if it did not answer. The caller holds the lock.
-func (p *ChooserSet) chooses(id fleet.EntryID) bool {
-	if id == p.Self.ID {
-		return time.Since(p.Started) >= startupDelay
-	}
-	l, found := p.peers[id]
-	return found && l.chooses
-}
-
-// rankedEntries returns all entries in the order of preference as choosers, which all entries agree on.
-func (p *ChooserSet) rankedEntries() []fleet.Entry {
-	return p.ranking.Entries(&p.State.Entries)
-}
--- a/core/sharedload/report_targets.go
+++ b/core/sharedload/report_targets.go
@@ -27,6 +27,8 @@
 	// inFlight reports whether a report to the entry is in flight; none is sent before backoffUntil.
 	inFlight     bool
 	backoffUntil time.Time
+	// unanswered counts the choose requests in a row that the entry did not answer.
+	unanswered int
 }
 
 // reportTargets returns the entries to report to now and marks their reports as in flight. The leader is due on each
@@ -122,11 +124,28 @@
 	}
 }
 
-// recordFailure records that an entry did not answer a choose request.
-func (p *ChooserSet) recordFailure(entry fleet.Entry, err error) {
+// maxHeldFailures is the number of choose requests in a row that an entry leaves unanswered before it counts as not
+// choosing, if it may hold them. A held reply that is late once does not tell that the entry is down, and entries that
+// disagree on the leader split the queue between two choosers.
+const maxHeldFailures = 2
+
+// recordFailure records that an entry did not answer a choose request, which it may have held.
+func (p *ChooserSet) recordFailure(entry fleet.Entry, mayWait bool, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.peer(entry.ID)
+	l.unanswered++
+	if mayWait && l.unanswered < maxHeldFailures {
+		return
+	}
+	p.markUnreachable(entry, l, time.Now(), err)
+}
+
+// recordAnswer records that an entry answered a choose request.
+func (p *ChooserSet) recordAnswer(entry fleet.Entry) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.markUnreachable(entry, p.peer(entry.ID), time.Now(), err)
+	p.peer(entry.ID).unanswered = 0
 }
 
 // markUnreachable backs off from an entry that did not answer; the caller holds the lock.
@@ -135,5 +154,6 @@
 		p.Log.Warn().Str("peer", string(entry.ID)).Err(err).Msg("sharedload: entry does not answer")
 	}
 	l.chooses = false
+	l.unanswered = 0
 	l.backoffUntil = now.Add(unansweredBackoff)
 }
--- a/core/sharedload/waiting.go
+++ b/core/sharedload/waiting.go
@@ -14,8 +14,12 @@
 )
 
 const (
-	// holdTime is how long a choose call is held at most; with the time on the way it stays below chooseTimeout.
-	holdTime = 80 * time.Millisecond
+	// holdTime is how long a choose call is held at most, from its receipt. It leaves 40 ms of chooseTimeout for the way: with
+	// 4.9 ms one way between zones, a call over a new connection takes 19.6 ms, and a busy entry answers later.
+	holdTime = 60 * time.Millisecond
+	// askInterval is the shortest interval at which an entry asks for a request that waits, which bounds its messages to
+	// 12.5 a second for each.
+	askInterval = 80 * time.Millisecond
 	// passInterval is the interval at which waiting requests are placed without an event, since prefill progresses and
 	// endpoints come back without one.
 	passInterval = 10 * time.Millisecond
@@ -97,12 +101,13 @@
 	if !found || !mayHold(pool, need) {
 		return p.Chooser.Choose(need, role, time.Now(), record)
 	}
+	receivedAt := time.Now()
 	if need.ArrivedAt.IsZero() {
-		need.ArrivedAt = time.Now()
+		need.ArrivedAt = receivedAt
 	}
 	call := &heldCall{need: need, role: role, record: record, pool: pool, done: make(chan struct{})}
 	p.startCall(call)
-	timer := time.NewTimer(holdTime)
+	timer := time.NewTimer(holdTime - time.Since(receivedAt))
 	defer timer.Stop()
 	select {
 	case <-call.done:
--- a/core/sharedload/waiting_fleet_test.go
+++ b/core/sharedload/waiting_fleet_test.go
@@ -44,6 +44,8 @@
 	frozen    map[netip.AddrPort]bool
 	legacy    map[netip.AddrPort]bool
 	separated func(from fleet.EntryID, to netip.AddrPort) bool
+	// callTime and replyTime are the times that a choose call and its reply take.
+	callTime, replyTime time.Duration
 }
 
 // ReportUsage delivers a usage report unless the entries are separated or the receiver is frozen.
@@ -73,7 +75,12 @@
 		<-ctx.Done()
 		return Choice{}, ctx.Err()
 	}
+	time.Sleep(n.callTime)
 	choice, err := n.testNetwork.Choose(callCtx, to, request)
+	time.Sleep(n.replyTime)
+	if ctx.Err() != nil {
+		return Choice{}, ctx.Err()
+	}
 	if n.isFrozen(to) {
 		<-ctx.Done()
 		return Choice{}, ctx.Err()
@@ -244,6 +251,13 @@
 	})
 }
 
+// ended returns the number of requests that were placed or refused.
+func (w *waitingFleet) ended() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.results)
+}
+
 // waitingAt returns the number of requests that wait at a chooser.
 func waitingAt(p *ChooserSet) int {
 	p.waiting.mu.Lock()
