waiting: bound the late requests that a pass skips

Cause: sixteen late requests that fit no endpoint were skipped in each pass before any other request, which then ended: 17 of 20 requests that could meet their objective were not placed.

Change: after four skipped late requests, the pass goes on in the normal order.

Run: go test ./core/waiting; TestLateThatFitNowhere was red before (3 of 20 placed).

--- a/core/waiting/predict_test.go
+++ b/core/waiting/predict_test.go
@@ -39,3 +39,31 @@
 		t.Errorf("%d of 120 simultaneous requests are refused at %.0f placements/s, want none at %d/s", refused, got, capacity)
 	}
 }
+
+// TestLateThatFitNowhere guards against sixteen late requests that fit no endpoint and block all others for ever.
+func TestLateThatFitNowhere(t *testing.T) {
+	var q Queue[int]
+	now := time.Now()
+	late := quickRequest(now)
+	late.ArrivedAt = now.Add(-time.Second)
+	for range maxSkips {
+		q.Add(late, 0, now)
+	}
+	placed := 0
+	for range 20 {
+		q.Add(quickRequest(now), 1, now)
+		q.Refresh(now, testOverhead, 400)
+		for i := q.Next(); i != nil; i = q.Next() {
+			if i.Value == 1 {
+				placed++
+				q.Place(i)
+				break
+			}
+			q.Skip(i)
+		}
+		q.EndPass()
+	}
+	if placed != 20 {
+		t.Errorf("%d of 20 requests that can meet their objective are placed, want all", placed)
+	}
+}
--- a/core/waiting/queue.go
+++ b/core/waiting/queue.go
@@ -27,6 +27,9 @@
 	hopelessMargin = 2
 	// maxSkips bounds the requests of a pass that fit no endpoint although others may, so that a pass stays cheap.
 	maxSkips = 16
+	// maxLateSkips bounds the late requests among them whose turn comes before others, so that late ones that fit nowhere
+	// don't take the place of those that can meet their objective.
+	maxLateSkips = 4
 )
 
 // Queue holds the requests that wait for an endpoint of one pool. Its zero value is ready to use. It is not safe for
@@ -49,6 +52,8 @@
 	latePassedOver int
 	// skipped holds the items that don't fit in the current pass.
 	skipped []*Item[T]
+	// lateSkips counts the late ones among skipped.
+	lateSkips int
 	// left reports whether requests were left waiting at the end of the latest pass.
 	left bool
 }
@@ -153,7 +158,7 @@
 	if len(q.skipped) >= maxSkips {
 		return nil
 	}
-	if q.latePassedOver >= maxPassedOver {
+	if q.latePassedOver >= maxPassedOver && q.lateSkips < maxLateSkips {
 		for _, r := range q.ranks {
 			if i := q.head(r, laneLate); i != nil {
 				return i
@@ -174,6 +179,9 @@
 func (q *Queue[T]) Skip(i *Item[T]) {
 	q.pull(i)
 	q.skipped = append(q.skipped, i)
+	if i.Late() {
+		q.lateSkips++
+	}
 }
 
 // EndPass ends a pass; the skipped requests keep their order. A pass that places none without a look at the requests is
@@ -184,7 +192,7 @@
 			q.push(i)
 		}
 	}
-	q.skipped = q.skipped[:0]
+	q.skipped, q.lateSkips = q.skipped[:0], 0
 	wasLeft := q.left
 	q.left = len(q.items) > 0
 	if q.left && !wasLeft {
