waiting: refuse for a full queue only behind the requests ahead

Cause: Full counted all waiting requests, so that a large account or a less urgent rank filled the queue and the requests of small accounts and of rank 0 were refused, although they would have been placed first.

Change: below MaxLength, the limit applies to the predicted position.

Run: go test ./core/waiting ./core/sharedload; TestFullOfOthers was red before for another account and a more urgent rank.

--- a/core/waiting/predict.go
+++ b/core/waiting/predict.go
@@ -141,10 +141,14 @@
 	return Prediction{Position: int(max(inTime, late)), Start: turn.Add(r.PrefillTime + q.overhead)}
 }
 
-// Full reports whether as many requests wait as the pool serves within the time that a request can wait.
+// Full reports whether as many requests wait ahead of a request as the pool serves within the time that it can wait, or
+// MaxLength in all.
+//
+// Load pattern: one account, or a less urgent route, sends far more than the pool serves. The requests that others send
+// are placed before these, and are not refused for them.
 func (q *Queue[T]) Full(r Request, now time.Time) bool {
 	limit := q.throughput.perSecond() * r.LatestStart.Sub(now).Seconds()
-	return float64(len(q.items)) >= min(MaxLength, max(1, limit))
+	return len(q.items) >= MaxLength || float64(q.Predict(r, now).Position) >= max(1, limit)
 }
 
 // RetryAfter returns the delay after which the caller of a refused request should return: the predicted time until the
--- a/core/waiting/predict_test.go
+++ b/core/waiting/predict_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"wisteriadyke/core/fleet"
 )
 
 // quickRequest returns a quick request that arrives at a time.
@@ -67,3 +69,34 @@
 		t.Errorf("%d of 20 requests that can meet their objective are placed, want all", placed)
 	}
 }
+
+// TestFullOfOthers guards against requests of small accounts and of the most urgent rank that are refused because a large
+// account or a less urgent rank fills the queue.
+func TestFullOfOthers(t *testing.T) {
+	tests := map[string]struct {
+		account fleet.AccountID
+		rank    int
+		want    bool
+	}{
+		"same account":     {account: "large", rank: 1, want: true},
+		"other account":    {account: "small", rank: 1},
+		"more urgent rank": {account: "large"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var q Queue[int]
+			now := time.Now()
+			q.Refresh(now, testOverhead, 20)
+			large := quickRequest(now)
+			large.Account, large.Rank = "large", 1
+			for range 60 {
+				q.Add(large, 0, now)
+			}
+			r := quickRequest(now)
+			r.Account, r.Rank = tc.account, tc.rank
+			if got := q.Full(r, now); got != tc.want {
+				t.Errorf("full %t, want %t", got, tc.want)
+			}
+		})
+	}
+}
