waiting: count only late requests that stay as ahead

Cause: Refresh counted late requests that it refuses itself as ahead of the next ones, so that more were refused than have no turn.

Change: the position advances only for requests that stay.

Run: go test ./core/waiting; TestLateRefusalCountsThoseThatStay was red before.

--- a/core/waiting/predict_test.go
+++ b/core/waiting/predict_test.go
@@ -100,3 +100,28 @@
 		})
 	}
 }
+
+// TestLateRefusalCountsThoseThatStay guards against late requests that are refused although the ones ahead of them, which
+// are refused as well, take no turn.
+func TestLateRefusalCountsThoseThatStay(t *testing.T) {
+	var q Queue[int]
+	now := time.Now()
+	q.Refresh(now, testOverhead, 100)
+	for i := range 40 {
+		r := quickRequest(now.Add(-time.Second))
+		r.LatestStart = now.Add(testPrefill + testOverhead + time.Millisecond)
+		if i >= 20 {
+			r.LatestStart = now.Add(testPrefill + testOverhead + 50*time.Millisecond)
+		}
+		q.Add(r, i, now)
+	}
+	last := 0
+	for _, i := range q.Refresh(now, testOverhead, 100) {
+		if i.Value >= 20 {
+			last++
+		}
+	}
+	if last >= 20 {
+		t.Error("all requests with time for a turn are refused, want those kept that have one")
+	}
+}
--- a/core/waiting/queue.go
+++ b/core/waiting/queue.go
@@ -140,14 +140,17 @@
 	slices.SortFunc(late, func(a, b *Item[T]) int {
 		return cmp.Or(a.LatestStart.Compare(b.LatestStart), cmp.Compare(a.queued.Ticket, b.queued.Ticket))
 	})
-	for position, i := range late {
+	ahead := 0
+	for _, i := range late {
 		perSecond := q.throughput.latePerSecond()
 		if !i.lateSince.Equal(now) {
 			perSecond *= hopelessMargin
 		}
-		if now.Add(seconds(float64(position) / perSecond)).After(i.latestPlacement(overhead)) {
+		if now.Add(seconds(float64(ahead) / perSecond)).After(i.latestPlacement(overhead)) {
 			hopeless = append(hopeless, i)
+			continue
 		}
+		ahead++
 	}
 	return hopeless
 }
