sharedload: place nothing after a freeze until reports have come again

Cause: after a freeze of the leader of more than a second, all usage reports have expired, all endpoints look free, and the first pass placed every held call on full engines.

Change: if a tick is more than 200 ms late while requests wait, the held calls are answered with waiting, and nothing is placed from the queue for one report renewal.

Run: go test ./core/sharedload; TestFrozenLeaderPlacesNothing was red before (both calls placed at i-23, whose slots are all taken).

--- a/core/sharedload/pass.go
+++ b/core/sharedload/pass.go
@@ -12,6 +12,13 @@
 // refuses the requests that have become hopeless; the caller holds the lock.
 func (p *ChooserSet) pass(q *waitingPool, pool routing.Pool, now time.Time) {
 	q.passedAt = now
+	if p.waiting.isSuspended(now) {
+		for _, i := range q.queue.Items() {
+			p.endWaiting(q, i.Value)
+		}
+		q.overflow = q.overflow[:0]
+		return
+	}
 	if q.blocked && now.Sub(q.evaluatedAt) < maxEvaluationAge &&
 		!p.Chooser.Policy.hasFreeSlot(p.Chooser.Views.View(), pool.Name, now) {
 		for _, i := range q.queue.Refresh(now, q.overhead, q.capacity) {
--- a/core/sharedload/pass_test.go
+++ b/core/sharedload/pass_test.go
@@ -50,3 +50,32 @@
 		}
 	})
 }
+
+// TestFrozenLeaderPlacesNothing guards against a leader that wakes from a freeze with expired reports and places all
+// requests on endpoints that are full.
+func TestFrozenLeaderPlacesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, stop := newWaitingFleet(t, 6)
+		stop()
+		leader := w.leader()
+		pool := waitingTestPool()
+		now := time.Now()
+		call := &heldCall{pool: pool, record: func(Choice) {}, done: make(chan struct{}), need: placement.Need{
+			Pool: testPool.Name, PromptTokens: 5000, Objective: waitObjective, MayWait: true, ArrivedAt: now,
+			LatestStart: now.Add(time.Hour), Account: "0",
+		}}
+		leader.startCall(call)
+		leader.waiting.ticker.Stop()
+		time.Sleep(peerTTL * 3 / 2)
+		leader.tick()
+		if !call.hasEnded() || !call.choice.Waiting {
+			t.Errorf("the held call ended %t with %v, want the reply that it waits", call.hasEnded(), call.choice.Endpoint)
+		}
+		next := &heldCall{pool: pool, need: call.need, record: call.record, done: make(chan struct{})}
+		leader.startCall(next)
+		if next.hasEnded() && !next.choice.Waiting {
+			t.Errorf("the next call is placed at %s before the entries have reported again", next.choice.Endpoint)
+		}
+		time.Sleep(time.Second)
+	})
+}
--- a/core/sharedload/waiting.go
+++ b/core/sharedload/waiting.go
@@ -26,6 +26,9 @@
 	// minPassInterval is the shortest time between two passes that usage reports cause. Reports arrive some 1,500 times a
 	// second, and each pass adds up the usage of all entries.
 	minPassInterval = 5 * time.Millisecond
+	// maxTickDelay is the delay of a tick from which this entry was frozen: more than a busy machine causes, and less than
+	// the peerTTL after which the usage reports have expired and full endpoints look free.
+	maxTickDelay = 200 * time.Millisecond
 )
 
 // maxEvaluationAge is the time after which the endpoints are evaluated again although none has a free slot: their pass
@@ -88,6 +91,9 @@
 	count   int
 	ticker  *time.Timer
 	ticking bool
+	// tickedAt is when the latest tick ran or the first one was arranged. Nothing is placed before resumesAt, by which the
+	// entries have reported again after a freeze of this one.
+	tickedAt, resumesAt time.Time
 }
 
 // choose makes the choice for a request of this or another entry and calls record with it. A quick request of a contended
@@ -183,8 +189,13 @@
 	if call.hasEnded() {
 		return
 	}
+	p.endWaiting(w.pool(call.need.Pool), call)
+}
+
+// endWaiting ends a call with the choice that its request has to wait; the caller holds the lock.
+func (p *ChooserSet) endWaiting(q *waitingPool, call *heldCall) {
 	predicted := max(0, time.Until(call.predictedStart))
-	p.end(w.pool(call.need.Pool), call, Choice{Waiting: true, PredictedStart: predicted}, nil)
+	p.end(q, call, Choice{Waiting: true, PredictedStart: predicted}, nil)
 }
 
 // placeWaiting places waiting requests unless it was just done.
@@ -212,11 +223,12 @@
 
 // tick places waiting requests and arranges the next tick while there are any.
 func (p *ChooserSet) tick() {
-	p.placeWaiting(time.Now())
+	now := time.Now()
+	p.placeWaiting(now)
 	w := &p.waiting
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.ticking = w.count > 0
+	w.ticking, w.tickedAt = w.count > 0, now
 	if w.ticking {
 		w.ticker.Reset(passInterval)
 	}
@@ -261,6 +273,9 @@
 
 // startTicking calls tick after passInterval unless that is arranged already; the caller holds the lock.
 func (w *waitingCalls) startTicking(tick func()) {
+	if !w.ticking {
+		w.tickedAt = time.Now()
+	}
 	switch {
 	case w.ticking:
 	case w.ticker == nil:
@@ -271,6 +286,18 @@
 	w.ticking = true
 }
 
+// isSuspended reports whether nothing is placed since this entry was frozen while requests waited; the caller holds the
+// lock.
+//
+// Load pattern: the leader freezes for more than peerTTL. When it goes on, all reports have expired, and all endpoints
+// look free.
+func (w *waitingCalls) isSuspended(now time.Time) bool {
+	if w.ticking && now.Sub(w.tickedAt) > passInterval+maxTickDelay {
+		w.tickedAt, w.resumesAt = now, now.Add(reportRenewal)
+	}
+	return now.Before(w.resumesAt)
+}
+
 // waitingRequest returns the request of a need as the queue orders it.
 func waitingRequest(pool routing.Pool, need placement.Need) waiting.Request {
 	output := need.ExpectedOutput
--- a/core/sharedload/waiting_bench_test.go
+++ b/core/sharedload/waiting_bench_test.go
@@ -44,7 +44,8 @@
 		f.policy.Usages.UpdatePeer(fleet.EntryID(fmt.Sprint(i)), usages, 0, time.Now().Add(time.Hour))
 	}
 	p := f.reserver.Choosers
-	p.waiting.ticking = true
+	// No ticks run; the chooser does not count as frozen for that.
+	p.waiting.ticking, p.waiting.tickedAt = true, time.Now().Add(time.Hour)
 	for i := range waiters {
 		need := placement.Need{
 			Pool: testPool.Name, PromptTokens: 5000, Objective: waitObjective, MayWait: true, ArrivedAt: time.Now(),
