sharedload: drop calls whose entry no longer waits for the reply

Cause: choose did not check the context of the call before it queued the request, and a pass placed held calls whose entry had gone or had timed out long before, for example after a freeze; each took a slot, a rate token and a share of its account for nobody.

Change: a held call keeps its context and the time of its receipt; a pass first drops the calls that have ended or are older than chooseTimeout.

Run: go test ./core/sharedload; TestAbandonedCallsAreDropped was red before (both placed at i-01).

--- a/core/sharedload/pass.go
+++ b/core/sharedload/pass.go
@@ -19,6 +19,11 @@
 		q.overflow = q.overflow[:0]
 		return
 	}
+	for _, i := range q.queue.Items() {
+		if i.Value.isAbandoned(now) {
+			p.endWaiting(q, i.Value)
+		}
+	}
 	if q.blocked && now.Sub(q.evaluatedAt) < maxEvaluationAge &&
 		!p.Chooser.Policy.hasFreeSlot(p.Chooser.Views.View(), pool.Name, now) {
 		for _, i := range q.queue.Refresh(now, q.overhead, q.capacity) {
--- a/core/sharedload/pass_test.go
+++ b/core/sharedload/pass_test.go
@@ -1,12 +1,15 @@
 package sharedload
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/placement"
 	"wisteriadyke/core/reservation"
+	"wisteriadyke/core/routing"
 )
 
 // countingViews counts the views that are taken, at least one for each evaluation of the endpoints.
@@ -35,7 +38,7 @@
 				Pool: testPool.Name, PromptTokens: 5000, Objective: waitObjective, MayWait: true, ArrivedAt: time.Now(),
 				LatestStart: time.Now().Add(waitObjective / 2), Account: "0",
 			}
-			calls = append(calls, &heldCall{need: need, pool: pool, record: func(Choice) {}, done: make(chan struct{})})
+			calls = append(calls, &heldCall{need: need, pool: pool, record: func(Choice) {}, ctx: t.Context(), receivedAt: time.Now(), done: make(chan struct{})})
 			p.startCall(calls[len(calls)-1])
 		}
 		if views.count > 1 {
@@ -60,7 +63,7 @@
 		leader := w.leader()
 		pool := waitingTestPool()
 		now := time.Now()
-		call := &heldCall{pool: pool, record: func(Choice) {}, done: make(chan struct{}), need: placement.Need{
+		call := &heldCall{pool: pool, record: func(Choice) {}, ctx: t.Context(), receivedAt: time.Now(), done: make(chan struct{}), need: placement.Need{
 			Pool: testPool.Name, PromptTokens: 5000, Objective: waitObjective, MayWait: true, ArrivedAt: now,
 			LatestStart: now.Add(time.Hour), Account: "0",
 		}}
@@ -71,7 +74,7 @@
 		if !call.hasEnded() || !call.choice.Waiting {
 			t.Errorf("the held call ended %t with %v, want the reply that it waits", call.hasEnded(), call.choice.Endpoint)
 		}
-		next := &heldCall{pool: pool, need: call.need, record: call.record, done: make(chan struct{})}
+		next := &heldCall{pool: pool, need: call.need, record: call.record, ctx: t.Context(), receivedAt: time.Now(), done: make(chan struct{})}
 		leader.startCall(next)
 		if next.hasEnded() && !next.choice.Waiting {
 			t.Errorf("the next call is placed at %s before the entries have reported again", next.choice.Endpoint)
@@ -79,3 +82,43 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// TestAbandonedCallsAreDropped guards against slots, rates and shares of accounts that are spent on requests whose entry no
+// longer waits for the reply.
+func TestAbandonedCallsAreDropped(t *testing.T) {
+	tests := map[string]struct {
+		age  time.Duration
+		gone bool
+	}{
+		"entry gone":  {gone: true},
+		"call is old": {age: chooseTimeout + time.Millisecond},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(2)
+				pool := waitingTestPool()
+				f.policy.Pool = func(fleet.PoolName) (routing.Pool, bool) { return pool, true }
+				p := f.reserver.Choosers
+				ctx, cancel := context.WithCancel(t.Context())
+				if tc.gone {
+					cancel()
+				}
+				defer cancel()
+				now := time.Now()
+				call := &heldCall{
+					pool: pool, ctx: ctx, receivedAt: now.Add(-tc.age), done: make(chan struct{}),
+					record: func(c Choice) { t.Errorf("the request was placed at %s", c.Endpoint) },
+					need: placement.Need{
+						Pool: testPool.Name, PromptTokens: 5000, Objective: waitObjective, MayWait: true, ArrivedAt: now,
+						LatestStart: now.Add(waitPatience), Account: "0",
+					},
+				}
+				p.startCall(call)
+				if !call.hasEnded() || !call.choice.Waiting {
+					t.Errorf("the call ended %t with %v, want the reply that it waits", call.hasEnded(), call.choice)
+				}
+			})
+		})
+	}
+}
--- a/core/sharedload/waiting.go
+++ b/core/sharedload/waiting.go
@@ -42,6 +42,9 @@
 	record func(Choice)
 	pool   routing.Pool
 	item   *waiting.Item[*heldCall]
+	// ctx ends with the call, and receivedAt is when it was received.
+	ctx        context.Context
+	receivedAt time.Time
 	// predictedStart is when the first token was predicted when the call began.
 	predictedStart time.Time
 	// done is closed once choice or err is set.
@@ -60,6 +63,14 @@
 	}
 }
 
+// isAbandoned reports whether the entry that made the call no longer waits for the reply: it has gone, or asks another
+// chooser after chooseTimeout.
+//
+// Load pattern: a chooser freezes while it holds calls. A placement for one of them would take a slot for nobody.
+func (c *heldCall) isAbandoned(now time.Time) bool {
+	return c.ctx.Err() != nil || now.Sub(c.receivedAt) > chooseTimeout
+}
+
 // waitingPool holds the waiting requests of one pool.
 type waitingPool struct {
 	queue waiting.Queue[*heldCall]
@@ -111,7 +122,12 @@
 	if need.ArrivedAt.IsZero() {
 		need.ArrivedAt = receivedAt
 	}
-	call := &heldCall{need: need, role: role, record: record, pool: pool, done: make(chan struct{})}
+	call := &heldCall{
+		need: need, role: role, record: record, pool: pool, ctx: ctx, receivedAt: receivedAt, done: make(chan struct{}),
+	}
+	if call.isAbandoned(receivedAt) {
+		return Choice{Waiting: true}, nil
+	}
 	p.startCall(call)
 	timer := time.NewTimer(holdTime - time.Since(receivedAt))
 	defer timer.Stop()
--- a/core/sharedload/waiting_bench_test.go
+++ b/core/sharedload/waiting_bench_test.go
@@ -1,6 +1,7 @@
 package sharedload
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -51,7 +52,7 @@
 			Pool: testPool.Name, PromptTokens: 5000, Objective: waitObjective, MayWait: true, ArrivedAt: time.Now(),
 			LatestStart: time.Now().Add(time.Hour), Account: fleet.AccountID(fmt.Sprint(i % 24)),
 		}
-		p.startCall(&heldCall{need: need, pool: pool, record: func(Choice) {}, done: make(chan struct{})})
+		p.startCall(&heldCall{need: need, pool: pool, record: func(Choice) {}, ctx: context.Background(), receivedAt: time.Now().Add(time.Hour), done: make(chan struct{})})
 	}
 	return p, pool
 }
