sharedload: keep exclusions of unknown endpoints while a request waits

Cause: endpoints that the chooser chose but the entry doesn't know were excluded for the next call only; the reply that the request waits rebuilt the exclusions without them, so that the same endpoint could be chosen again.

Change: the wait keeps the excluded endpoints that the entry doesn't list and adds them to each call.

Run: go test ./core/sharedload; TestWaitKeepsExclusions was red before (calls 1 to 3 lacked the exclusion).

--- a/core/sharedload/await.go
+++ b/core/sharedload/await.go
@@ -34,6 +34,8 @@
 	request   reservation.Request
 	need      placement.Need
 	startedAt time.Time
+	// unknown holds the endpoints that were chosen for the request before although this entry doesn't know them.
+	unknown map[fleet.EndpointID]bool
 	// chooser is the entry that last replied that the request waits, or "" if none did.
 	chooser fleet.EntryID
 	// heldBytes is the memory that the request holds of Reserver.WaitMemory; hasMemory reports whether it holds any.
@@ -49,7 +51,7 @@
 func (g *Reserver) await(
 	ctx context.Context, request reservation.Request, need placement.Need,
 ) (Choice, func(), error) {
-	w := &wait{reserver: g, request: request, need: need, startedAt: time.Now()}
+	w := &wait{reserver: g, request: request, need: need, startedAt: time.Now(), unknown: g.unknownOf(need.Excluded)}
 	defer w.releaseMemory()
 	askCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -111,9 +113,24 @@
 		}
 	}
 	w.need.Excluded = w.reserver.excluded(w.request, time.Now())
+	for id := range w.unknown {
+		w.need.Excluded[id] = true
+	}
 	return nil
 }
 
+// unknownOf returns the endpoints of a set that this entry doesn't list.
+func (g *Reserver) unknownOf(excluded map[fleet.EndpointID]bool) map[fleet.EndpointID]bool {
+	unknown := make(map[fleet.EndpointID]bool)
+	listed := g.Views.View().Endpoints
+	for id := range excluded {
+		if _, found := listed[id]; !found {
+			unknown[id] = true
+		}
+	}
+	return unknown
+}
+
 // isDraining reports whether this entry stops to serve.
 func (g *Reserver) isDraining() bool {
 	return g.Draining != nil && g.Draining.Err() != nil
--- a/core/sharedload/held_call_test.go
+++ b/core/sharedload/held_call_test.go
@@ -1,12 +1,15 @@
 package sharedload
 
 import (
+	"context"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/placement"
+	"wisteriadyke/core/reservation"
 )
 
 // TestHeldCallsOnSlowLink guards against a leader that counts as down because the replies to held calls are late: the
@@ -68,3 +71,42 @@
 		stop()
 	})
 }
+
+// excludedRecorder records the endpoints that choose requests exclude.
+type excludedRecorder struct {
+	Transport
+	excluded []map[fleet.EndpointID]bool
+}
+
+// Choose records and forwards a choose request.
+func (r *excludedRecorder) Choose(ctx context.Context, to netip.AddrPort, request ChooseRequest) (Choice, error) {
+	r.excluded = append(r.excluded, request.Need.Excluded)
+	return r.Transport.Choose(ctx, to, request)
+}
+
+// TestWaitKeepsExclusions guards against a choice of an endpoint that the entry doesn't know, which was made before and is
+// made again after the request has waited.
+func TestWaitKeepsExclusions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, stop := newWaitingFleet(t, 6)
+		defer stop()
+		follower := w.follower()
+		recorder := &excludedRecorder{Transport: follower.Transport}
+		follower.Transport = recorder
+		request := waitRequest(0)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*askInterval)
+		defer cancel()
+		_, _, err := w.reservers[follower.Self.ID].await(ctx, request, placement.Need{
+			Pool: request.Pool, PromptTokens: request.PromptTokens, Objective: request.Objective, MayWait: true,
+			ArrivedAt: request.ArrivedAt, LatestStart: request.LatestStart, Excluded: map[fleet.EndpointID]bool{"unknown": true},
+		})
+		if reasonOf(err) != reservation.ReasonUnreachable || len(recorder.excluded) < 3 {
+			t.Fatalf("got %v after %d calls, want the end of the caller's time after three", err, len(recorder.excluded))
+		}
+		for i, excluded := range recorder.excluded {
+			if !excluded["unknown"] {
+				t.Errorf("call %d does not exclude the endpoint that the entry doesn't know", i)
+			}
+		}
+	})
+}
