dispatch: don't let forwarded requests wait

Cause: the entry that serves a forwarded request can't check its key again after a wait, and counts its age from its own receipt.

Change: a request with ForwardedBy is placed or refused at once.

Run: go test ./core/dispatch; TestForwardedRequestsDoNotWait was red before.

--- a/core/dispatch/wait.go
+++ b/core/dispatch/wait.go
@@ -33,9 +33,10 @@
 }
 
 // mayWait reports whether the request may wait for an endpoint: it can still be refused, and its caller still waits. A
-// request that may have run, or whose caller has a part of the answer, goes on at once.
+// request that may have run, or whose caller has a part of the answer, goes on at once. So does one that another entry has
+// forwarded: this entry can't check its key again, and does not know when it arrived there.
 func (r *requestRun) mayWait() bool {
-	return !r.mayHaveRun && r.position == r.request.ResumeAfter && time.Now().Before(r.latestStart())
+	return r.request.ForwardedBy == "" && !r.mayHaveRun && r.position == r.request.ResumeAfter && time.Now().Before(r.latestStart())
 }
 
 // checkWait checks after a wait for an endpoint whether the request may still be sent: its key, its route and its time. It
--- a/core/dispatch/wait_test.go
+++ b/core/dispatch/wait_test.go
@@ -106,3 +106,18 @@
 		}
 	})
 }
+
+// TestForwardedRequestsDoNotWait guards against a request that is sent after its key was revoked while it waited at an
+// entry that can't check it.
+func TestForwardedRequestsDoNotWait(t *testing.T) {
+	reservations := &fakeReservations{}
+	d := newTestDispatcher(&fakeEngines{script: []behavior{{}}}, reservations)
+	request := newTestRequest()
+	request.Objective, request.ForwardedBy = 300*time.Millisecond, "entry-2"
+	if err := d.Generate(t.Context(), request, &collector{}); err != nil {
+		t.Fatal(err)
+	}
+	if reservations.requests[0].MayWait {
+		t.Error("the reservation of a forwarded request may wait, want not")
+	}
+}
