sharedload: don't queue long prompts before waiting quick ones

Cause: long and middle prompts are admitted up to 1.5 attempts per slot, so that they queue at the engines and take the next slots that become free, while more urgent quick requests wait for engines with a free slot.

Change: while quick requests of the same or a more urgent rank wait in a contended pool, the decoder of a long prompt needs a free slot; another plan is tried as for a full decoder, else the prompt is refused with pool_behind.

Run: go test ./core/sharedload ./core/waiting ./core/placement; TestLongPromptsLeaveFreedSlots is red without the condition (placed in both cases in which quick requests come first).

--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -53,6 +53,9 @@
 	ArrivedAt, LatestStart time.Time
 	// MayWait reports whether the reply may be that the request has to wait.
 	MayWait bool
+	// FreeSlotOnly reports whether a long prompt must not queue at an engine. The chooser sets it while more urgent or
+	// equally urgent requests wait for a free slot.
+	FreeSlotOnly bool
 	// ExpectedOutput is the expected length of the answer, or 0 if it is unknown.
 	ExpectedOutput fleet.Tokens
 	// Prefixes holds the prefixes of the prompt, the shortest first.
--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -134,7 +134,7 @@
 		if !found {
 			break
 		}
-		refused := c.admit(&plan.decoder, role, now)
+		refused := c.admitLong(&plan.decoder, need, role, now)
 		if refused == nil {
 			return longChoice(pool, plan, need), nil
 		}
@@ -197,6 +197,18 @@
 	return nil
 }
 
+// admitLong is admit for the decoder of a long prompt, which needs a free slot if need.FreeSlotOnly is set; the caller
+// holds the lock.
+//
+// Load pattern: more urgent quick requests wait for a free slot. Long prompts that queue at the engines would take the
+// slots that become free before the requests that wait for them.
+func (c *Chooser) admitLong(s *endpointState, need placement.Need, role Role, now time.Time) *reservation.Refusal {
+	if need.FreeSlotOnly && !isSlotFree(s) {
+		return &reservation.Refusal{Reason: reservation.ReasonQueueFull, RetryAfter: fullRetryAfter}
+	}
+	return c.admit(s, role, now)
+}
+
 // preferRateRefusal returns b if a reached rate (ReasonCold) or limit (ReasonRateLimited) caused it, since such refusals
 // have the shortest retry delays, else a. Of two limits it returns the refusal with the shorter delay.
 func preferRateRefusal(a, b *reservation.Refusal) *reservation.Refusal {
--- a/core/sharedload/pass_test.go
+++ b/core/sharedload/pass_test.go
@@ -122,3 +122,45 @@
 		})
 	}
 }
+
+// TestLongPromptsLeaveFreedSlots guards against long prompts that queue at engines and take the next slots that become
+// free, while quick requests that are at least as urgent wait for them.
+func TestLongPromptsLeaveFreedSlots(t *testing.T) {
+	tests := map[string]struct {
+		quick, long, running int
+		want                 reservation.Reason
+	}{
+		"less urgent":                     {quick: 0, long: 2, running: 16, want: reservation.ReasonPoolBehind},
+		"equally urgent":                  {quick: 1, long: 1, running: 16, want: reservation.ReasonPoolBehind},
+		"more urgent":                     {quick: 2, long: 1, running: 16},
+		"less urgent, but a slot is free": {quick: 0, long: 2, running: 15},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(2)
+				pool := waitingTestPool()
+				f.policy.Pool = func(fleet.PoolName) (routing.Pool, bool) { return pool, true }
+				f.addUsage(0, 2, Usage{Running: 16})
+				p := f.reserver.Choosers
+				now := time.Now()
+				quick := placement.Need{
+					Pool: testPool.Name, PromptTokens: 5000, Objective: waitObjective, MayWait: true, ArrivedAt: now,
+					LatestStart: now.Add(waitPatience), Rank: tc.quick,
+				}
+				p.startCall(&heldCall{
+					pool: pool, ctx: t.Context(), receivedAt: now, need: quick, record: func(Choice) {}, done: make(chan struct{}),
+				})
+				f.addUsage(0, 2, Usage{Running: tc.running})
+				long := placement.Need{
+					Pool: testPool.Name, PromptTokens: 45_000, MaxTokens: 1500, Objective: 8 * time.Second, Rank: tc.long,
+				}
+				_, err := p.choose(t.Context(), long, RoleLeader, func(Choice) {})
+				if got := reasonOf(err); got != tc.want {
+					t.Errorf("got %q, want %q", got, tc.want)
+				}
+				time.Sleep(waitPatience)
+			})
+		})
+	}
+}
--- a/core/sharedload/waiting.go
+++ b/core/sharedload/waiting.go
@@ -116,6 +116,7 @@
 func (p *ChooserSet) choose(ctx context.Context, need placement.Need, role Role, record func(Choice)) (Choice, error) {
 	pool, found := p.Chooser.Policy.Pool(need.Pool)
 	if !found || !mayHold(pool, need) {
+		need.FreeSlotOnly = found && pool.Contended && p.waitsUpToRank(need.Pool, need.Rank)
 		return p.Chooser.Choose(need, role, time.Now(), record)
 	}
 	receivedAt := time.Now()
@@ -141,6 +142,14 @@
 	return call.choice, call.err
 }
 
+// waitsUpToRank reports whether any request of a rank, or of a more urgent one, waits for an endpoint of a pool.
+func (p *ChooserSet) waitsUpToRank(pool fleet.PoolName, rank int) bool {
+	w := &p.waiting
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.count > 0 && w.pool(pool).queue.LenUpToRank(rank) > 0
+}
+
 // mayHold reports whether the call for a request may be held.
 func mayHold(pool routing.Pool, need placement.Need) bool {
 	return pool.Contended && need.MayWait && pool.Engine != nil && isQuick(pool, need.PromptTokens) && !need.LatestStart.IsZero()
--- a/core/waiting/queue.go
+++ b/core/waiting/queue.go
@@ -82,6 +82,17 @@
 	return 0
 }
 
+// LenUpToRank returns the number of waiting requests of a rank and of all more urgent ones.
+func (q *Queue[T]) LenUpToRank(rank int) int {
+	length := 0
+	for _, r := range q.ranks {
+		if r.rank <= rank {
+			length += r.length()
+		}
+	}
+	return length
+}
+
 // Add adds a request.
 func (q *Queue[T]) Add(r Request, value T, now time.Time) *Item[T] {
 	if q.items == nil {
