--- a/core/sharedload/waiting.go
+++ b/core/sharedload/waiting.go
@@ -14,14 +14,21 @@
 )
 
 const (
-	// holdTime is how long a choose call is held at most; with the time on the way it stays below chooseTimeout.
-	holdTime = 80 * time.Millisecond
+	// holdTime is how long a choose call is held at most, from its receipt. It leaves 40 ms of chooseTimeout for the way: with
+	// 4.9 ms one way between zones, a call over a new connection takes 19.6 ms, and a busy entry answers later.
+	holdTime = 60 * time.Millisecond
+	// askInterval is the shortest interval at which an entry asks for a request that waits, which bounds its messages to
+	// 12.5 a second for each.
+	askInterval = 80 * time.Millisecond
 	// passInterval is the interval at which waiting requests are placed without an event, since prefill progresses and
 	// endpoints come back without one.
 	passInterval = 10 * time.Millisecond
 	// minPassInterval is the shortest time between two passes that usage reports cause. Reports arrive some 1,500 times a
 	// second, and each pass adds up the usage of all entries.
 	minPassInterval = 5 * time.Millisecond
+	// maxTickDelay is the delay of a tick from which this entry was frozen: more than a busy machine causes, and less than
+	// the peerTTL after which the usage reports have expired and full endpoints look free.
+	maxTickDelay = 200 * time.Millisecond
 )
 
 // maxEvaluationAge is the time after which the endpoints are evaluated again although none has a free slot: their pass
@@ -35,6 +42,9 @@
 	record func(Choice)
 	pool   routing.Pool
 	item   *waiting.Item[*heldCall]
+	// ctx ends with the call, and receivedAt is when it was received.
+	ctx        context.Context
+	receivedAt time.Time
 	// predictedStart is when the first token was predicted when the call began.
 	predictedStart time.Time
 	// done is closed once choice or err is set.
@@ -53,6 +63,14 @@
 	}
 }
 
+// isAbandoned reports whether the entry that made the call no longer waits for the reply: it has gone, or asks another
+// chooser after chooseTimeout.
+//
+// Load pattern: a chooser freezes while it holds calls. A placement for one of them would take a slot for nobody.
+func (c *heldCall) isAbandoned(now time.Time) bool {
+	return c.ctx.Err() != nil || now.Sub(c.receivedAt) > chooseTimeout
+}
+
 // waitingPool holds the waiting requests of one pool.
 type waitingPool struct {
 	queue waiting.Queue[*heldCall]
@@ -84,6 +102,9 @@
 	count   int
 	ticker  *time.Timer
 	ticking bool
+	// tickedAt is when the latest tick ran or the first one was arranged. Nothing is placed before resumesAt, by which the
+	// entries have reported again after a freeze of this one.
+	tickedAt, resumesAt time.Time
 }
 
 // choose makes the choice for a request of this or another entry and calls record with it. A quick request of a
@@ -95,14 +116,21 @@
 func (p *ChooserSet) choose(ctx context.Context, need placement.Need, role Role, record func(Choice)) (Choice, error) {
 	pool, found := p.Chooser.Policy.Pool(need.Pool)
 	if !found || !mayHold(pool, need) {
+		need.FreeSlotOnly = found && pool.Contended && p.waitsUpToRank(need.Pool, need.Rank)
 		return p.Chooser.Choose(need, role, time.Now(), record)
 	}
+	receivedAt := time.Now()
 	if need.ArrivedAt.IsZero() {
-		need.ArrivedAt = time.Now()
+		need.ArrivedAt = receivedAt
+	}
+	call := &heldCall{
+		need: need, role: role, record: record, pool: pool, ctx: ctx, receivedAt: receivedAt, done: make(chan struct{}),
+	}
+	if call.isAbandoned(receivedAt) {
+		return Choice{Waiting: true}, nil
 	}
-	call := &heldCall{need: need, role: role, record: record, pool: pool, done: make(chan struct{})}
 	p.startCall(call)
-	timer := time.NewTimer(holdTime)
+	timer := time.NewTimer(holdTime - time.Since(receivedAt))
 	defer timer.Stop()
 	select {
 	case <-call.done:
@@ -114,6 +142,14 @@
 	return call.choice, call.err
 }
 
+// waitsUpToRank reports whether any request of a rank, or of a more urgent one, waits for an endpoint of a pool.
+func (p *ChooserSet) waitsUpToRank(pool fleet.PoolName, rank int) bool {
+	w := &p.waiting
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.count > 0 && w.pool(pool).queue.LenUpToRank(rank) > 0
+}
+
 // mayHold reports whether the call for a request may be held.
 func mayHold(pool routing.Pool, need placement.Need) bool {
 	return pool.Contended && need.MayWait && pool.Engine != nil && isQuick(pool, need.PromptTokens) &&
@@ -179,8 +215,13 @@
 	if call.hasEnded() {
 		return
 	}
+	p.endWaiting(w.pool(call.need.Pool), call)
+}
+
+// endWaiting ends a call with the choice that its request has to wait; the caller holds the lock.
+func (p *ChooserSet) endWaiting(q *waitingPool, call *heldCall) {
 	predicted := max(0, time.Until(call.predictedStart))
-	p.end(w.pool(call.need.Pool), call, Choice{Waiting: true, PredictedStart: predicted}, nil)
+	p.end(q, call, Choice{Waiting: true, PredictedStart: predicted}, nil)
 }
 
 // placeWaiting places waiting requests unless it was just done.
@@ -208,11 +249,12 @@
 
 // tick places waiting requests and arranges the next tick while there are any.
 func (p *ChooserSet) tick() {
-	p.placeWaiting(time.Now())
+	now := time.Now()
+	p.placeWaiting(now)
 	w := &p.waiting
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.ticking = w.count > 0
+	w.ticking, w.tickedAt = w.count > 0, now
 	if w.ticking {
 		w.ticker.Reset(passInterval)
 	}
@@ -259,6 +301,9 @@
 
 // startTicking calls tick after passInterval unless that is arranged already; the caller holds the lock.
 func (w *waitingCalls) startTicking(tick func()) {
+	if !w.ticking {
+		w.tickedAt = time.Now()
+	}
 	switch {
 	case w.ticking:
 	case w.ticker == nil:
@@ -269,6 +314,18 @@
 	w.ticking = true
 }
 
+// isSuspended reports whether nothing is placed since this entry was frozen while requests waited; the caller holds the
+// lock.
+//
+// Load pattern: the leader freezes for more than peerTTL. When it goes on, all reports have expired, and all endpoints
+// look free.
+func (w *waitingCalls) isSuspended(now time.Time) bool {
+	if w.ticking && now.Sub(w.tickedAt) > passInterval+maxTickDelay {
+		w.tickedAt, w.resumesAt = now, now.Add(reportRenewal)
+	}
+	return now.Before(w.resumesAt)
+}
+
 // waitingRequest returns the request of a need as the queue orders it.
 func waitingRequest(pool routing.Pool, need placement.Need) waiting.Request {
 	output := need.ExpectedOutput
--- a/core/sharedload/waiting_bench_test.go
+++ b/core/sharedload/waiting_bench_test.go
@@ -1,6 +1,7 @@
 package sharedload
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -44,13 +45,14 @@
 		f.policy.Usages.UpdatePeer(fleet.EntryID(fmt.Sprint(i)), usages, 0, time.Now().Add(time.Hour))
 	}
 	p := f.reserver.Choosers
-	p.waiting.ticking = true
+	// No ticks run; the chooser does not count as frozen for that.
+	p.waiting.ticking, p.waiting.tickedAt = true, time.Now().Add(time.Hour)
 	for i := range waiters {
 		need := placement.Need{
 			Pool: testPool.Name, PromptTokens: 5000, Objective: waitObjective, MayWait: true, ArrivedAt: time.Now(),
 			LatestStart: time.Now().Add(time.Hour), Account: fleet.AccountID(fmt.Sprint(i % 24)),
 		}
-		p.startCall(&heldCall{need: need, pool: pool, record: func(Choice) {}, done: make(chan struct{})})
+		p.startCall(&heldCall{need: need, pool: pool, record: func(Choice) {}, ctx: context.Background(), receivedAt: time.Now().Add(time.Hour), done: make(chan struct{})})
 	}
 	return p, pool
 }
--- a/core/waiting/queue.go
+++ b/core/waiting/queue.go
@@ -27,6 +27,9 @@
 	hopelessMargin = 2
 	// maxSkips bounds the requests of a pass that fit no endpoint although others may, so that a pass stays cheap.
 	maxSkips = 16
+	// maxLateSkips bounds the late requests among them whose turn comes before others, so that late ones that fit nowhere
+	// don't take the place of those that can meet their objective.
+	maxLateSkips = 4
 )
 
 // Queue holds the requests that wait for an endpoint of one pool. Its zero value is ready to use. It is not safe for
@@ -51,6 +54,8 @@
 	leftOver bool
 	// skipped holds the items that don't fit in the current pass.
 	skipped []*Item[T]
+	// lateSkips counts the late ones among skipped.
+	lateSkips int
 }
 
 // Len returns the number of waiting requests.
@@ -77,6 +82,17 @@
 	return 0
 }
 
+// LenUpToRank returns the number of waiting requests of a rank and of all more urgent ones.
+func (q *Queue[T]) LenUpToRank(rank int) int {
+	length := 0
+	for _, r := range q.ranks {
+		if r.rank <= rank {
+			length += r.length()
+		}
+	}
+	return length
+}
+
 // Add adds a request.
 func (q *Queue[T]) Add(r Request, value T, now time.Time) *Item[T] {
 	if q.items == nil {
@@ -136,14 +152,17 @@
 	slices.SortFunc(late, func(a, b *Item[T]) int {
 		return cmp.Or(a.LatestStart.Compare(b.LatestStart), cmp.Compare(a.queued.Ticket, b.queued.Ticket))
 	})
-	for position, i := range late {
+	ahead := 0
+	for _, i := range late {
 		perSecond := q.throughput.latePerSecond()
 		if !i.lateSince.Equal(now) {
 			perSecond *= hopelessMargin
 		}
-		if now.Add(seconds(float64(position) / perSecond)).After(i.latestPlacement(overhead)) {
+		if now.Add(seconds(float64(ahead) / perSecond)).After(i.latestPlacement(overhead)) {
 			hopeless = append(hopeless, i)
+			continue
 		}
+		ahead++
 	}
 	return hopeless
 }
@@ -154,7 +173,7 @@
 	if len(q.skipped) >= maxSkips {
 		return nil
 	}
-	if q.latePassedOver >= maxPassedOver {
+	if q.latePassedOver >= maxPassedOver && q.lateSkips < maxLateSkips {
 		for _, r := range q.ranks {
 			if i := q.head(r, laneLate); i != nil {
 				return i
@@ -175,6 +194,9 @@
 func (q *Queue[T]) Skip(i *Item[T]) {
 	q.pull(i)
 	q.skipped = append(q.skipped, i)
+	if i.Late() {
+		q.lateSkips++
+	}
 }
 
 // EndPass ends a pass; the skipped requests keep their order.
@@ -184,7 +206,7 @@
 			q.push(i)
 		}
 	}
-	q.skipped = q.skipped[:0]
+	q.skipped, q.lateSkips = q.skipped[:0], 0
 	q.leftOver = len(q.items) > 0
 }
 
