Move stalled attempts only after half of the caller's time

Cause: attempts were moved once their first token was later than the objective and three times the prediction. In a burst 330 were moved within 6 s; the moved ones took slots twice, until most slots were taken. Change: an attempt counts as stalled at the earliest after half of the time for which its caller waits.

--- a/core/sharedload/pace.go
+++ b/core/sharedload/pace.go
@@ -55,12 +55,19 @@
 }
 
 // stallAfter returns the time without a first token after which a request may be moved to another endpoint, or 0 without
-// an estimate: three times the prediction, and at least the objective.
-func (e firstTokenEstimate) stallAfter(objective time.Duration) time.Duration {
+// an estimate: three times the prediction, and at least half of the time for which the caller waits.
+//
+// Load pattern: quick requests burst until most slots are taken, and first tokens come later than predicted. Attempts that
+// are moved then take slots twice, which makes more of them late.
+func (e firstTokenEstimate) stallAfter(need placement.Need) time.Duration {
 	if e.predicted <= 0 {
 		return 0
 	}
-	return max(stallFactor*e.predicted, objective)
+	shortest := need.Objective
+	if !need.LatestStart.IsZero() {
+		shortest = max(shortest, need.LatestStart.Sub(need.ArrivedAt)/2)
+	}
+	return max(stallFactor*e.predicted, shortest)
 }
 
 // stallFactor is the multiple of the prediction after which an attempt without a first token counts as stalled; a part of
--- a/core/sharedload/pace_test.go
+++ b/core/sharedload/pace_test.go
@@ -113,3 +113,28 @@
 		t.Errorf("pace = %.2f, want at least 2", pace)
 	}
 }
+
+// TestBusyAttemptIsNotStalled guards against attempts that are moved as soon as they miss their objective: in a burst, the
+// moved ones take slots twice, and the pool that was nearly full becomes overloaded.
+func TestBusyAttemptIsNotStalled(t *testing.T) {
+	const objective, callerTimeout = 300 * time.Millisecond, 2 * time.Second
+	now := time.Unix(1000, 0)
+	tests := map[string]struct {
+		predicted   time.Duration
+		latestStart time.Time
+		want        time.Duration
+	}{
+		"short prediction":       {predicted: 120 * time.Millisecond, latestStart: now.Add(callerTimeout), want: callerTimeout / 2},
+		"long prediction":        {predicted: 500 * time.Millisecond, latestStart: now.Add(callerTimeout), want: 1500 * time.Millisecond},
+		"caller timeout unknown": {predicted: 50 * time.Millisecond, want: objective},
+		"no estimate":            {latestStart: now.Add(callerTimeout)},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			need := placement.Need{Objective: objective, ArrivedAt: now, LatestStart: tc.latestStart}
+			if got := (firstTokenEstimate{predicted: tc.predicted}).stallAfter(need); got != tc.want {
+				t.Errorf("got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/core/sharedload/reserver.go
+++ b/core/sharedload/reserver.go
@@ -236,7 +236,7 @@
 		Helpers:     choice.Helpers,
 
 		OverdueAfter: held.estimate.overdueAfter(),
-		StallAfter:   held.estimate.stallAfter(need.Objective),
+		StallAfter:   held.estimate.stallAfter(need),
 	}
 }
 
