Measure the error of predicted first tokens

Cause: how well the chooser predicts was only in the lines of single attempts. Run: go test ./core/dispatch, passed.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -217,6 +217,7 @@
 		res.release.PrefilledTokens = a.request.PromptTokens - event.CachedTokens
 		res.release.TimeToFirstToken = now.Sub(startedAt)
 		a.recordFirstToken(now)
+		a.recordPrediction(a.grant, res.release.TimeToFirstToken)
 	} else {
 		res.longestPause = max(res.longestPause, now.Sub(res.lastTokenAt))
 	}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/placement"
 	"wisteriadyke/core/quarantine"
+	"wisteriadyke/core/reservation"
 	"wisteriadyke/core/retry"
 	"wisteriadyke/core/timeline"
 )
@@ -23,6 +24,10 @@
 	metricDone = "dispatch.done"
 	// metricFailed counts requests that failed.
 	metricFailed = "dispatch.failed"
+	// metricPrediction and metricHelpedPrediction are the times to the first token in percent of the prediction, of attempts
+	// without and with prefill helpers.
+	metricPrediction       = "dispatch.prediction_percent"
+	metricHelpedPrediction = "dispatch.helped_prediction_percent"
 	// metricStalled counts attempts that were ended since their first token was late.
 	metricStalled = "dispatch.stalled"
 	// metricRetries counts retries after attempts that ran or may have run.
@@ -141,3 +146,24 @@
 		metrics.GetOrRegisterTimer(name, d.Metrics).Update(took)
 	}
 }
+
+// recordPrediction adds the ratio of the measured to the predicted time to the first token to a histogram, unless metrics
+// are disabled or the grant has no prediction that is meant to be checked.
+func (d *Dispatcher) recordPrediction(grant reservation.Grant, took time.Duration) {
+	if d.Metrics == nil || grant.OverdueAfter <= 0 {
+		return
+	}
+	name := metricPrediction
+	if len(grant.Helpers) > 0 {
+		name = metricHelpedPrediction
+	}
+	sample := metrics.NewExpDecaySample(predictionSamples, predictionDecay)
+	metrics.GetOrRegisterHistogram(name, d.Metrics, sample).Update(int64(100 * took / grant.Predicted))
+}
+
+// predictionSamples and predictionDecay are the size and the decay of the samples of a histogram, as the library's timers
+// have them.
+const (
+	predictionSamples = 1028
+	predictionDecay   = 0.015
+)
