dispatch: do not record attempts that were cut short while connecting

Cause: an attempt whose caller left, whose deadline passed or whose request became suspected while it connected was recorded as a lost path and a failure to connect, unless its connect timeout was the short one and its caller had left. Change: a release tells whether the entry ended the attempt early. Reserver records nothing then for an endpoint of a contended pool that was not connected to; other pools are unchanged. Run: without the change, TestCutShortWhileConnecting: cut short = false in all three cases; TestCutShortIsNoEvidence: usable = false, and the path counts as lost. Both pass now, as do go test ./core/dispatch ./core/sharedload.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -140,7 +140,8 @@
 	a.sentAt = time.Now()
 	res := a.stream(ctx)
 	res.endedAt = time.Now()
-	endedByEntry := ctx.Err() != nil || res.sinkErr != nil || res.malformed
+	res.release.CutShort = ctx.Err() != nil
+	endedByEntry := res.release.CutShort || res.sinkErr != nil || res.malformed
 	cancel(nil)
 	_ = group.Wait()
 	// A connection that the engine broke is reported as broken without a cancel call, since the engine may have died.
@@ -331,14 +332,9 @@
 
 // release releases the reservation with the outcome and measurements of the attempt, even if ctx has ended.
 func (a *attemptRun) release(ctx context.Context, res attemptResult) {
-	callerLeft := ctx.Err() != nil
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
 	release := res.release
-	if callerLeft && a.grant.ConnectTimeout > 0 && !wasSent(release.Outcome) {
-		// A connection that was not awaited says nothing about the endpoint.
-		release.Outcome = reservation.OutcomeCanceled
-	}
 	release.Endpoint = a.grant.Endpoint
 	release.Owner = a.grant.Owner
 	release.Reservation = a.grant.Reservation
--- a/core/dispatch/forward_test.go
+++ b/core/dispatch/forward_test.go
@@ -198,6 +198,54 @@
 	})
 }
 
+// TestCutShortWhileConnecting guards against attempts that are recorded as failures of the endpoint although this entry
+// ended them while it connected.
+func TestCutShortWhileConnecting(t *testing.T) {
+	tests := map[string]func(ctx context.Context, d *Dispatcher) context.Context{
+		"caller left": func(ctx context.Context, _ *Dispatcher) context.Context {
+			ctx, cancel := context.WithCancel(ctx)
+			time.AfterFunc(50*time.Millisecond, cancel)
+			return ctx
+		},
+		"deadline": func(ctx context.Context, _ *Dispatcher) context.Context {
+			ctx, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+			context.AfterFunc(ctx, cancel)
+			return ctx
+		},
+		"suspected": func(ctx context.Context, d *Dispatcher) context.Context {
+			time.AfterFunc(50*time.Millisecond, func() { d.Suspects.RecordDeath(ctx, "f", retry.Death{Endpoint: "a1"}) })
+			ctx, cancel := context.WithTimeout(ctx, time.Second)
+			context.AfterFunc(ctx, cancel)
+			return ctx
+		},
+	}
+	for name, end := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				reservations := &fakeReservations{}
+				d := newTestDispatcher(&fakeEngines{}, reservations)
+				d.Engines = &connectingEngines{}
+				startedAt, request := time.Now(), newTestRequest()
+				request.Fingerprint = "f"
+				_ = d.Generate(end(t.Context(), d), request, &collector{})
+				if release := reservations.released[0]; !release.CutShort || release.Outcome != reservation.OutcomeNotRun {
+					t.Errorf("cut short = %v with outcome %q after %v", release.CutShort, release.Outcome, time.Since(startedAt))
+				}
+			})
+		})
+	}
+}
+
+// connectingEngines connect until the attempt is ended.
+type connectingEngines struct {
+	fakeEngines
+}
+
+func (*connectingEngines) Generate(ctx context.Context, _ Attempt) (Stream, error) {
+	<-ctx.Done()
+	return nil, &AttemptError{Certainty: CertainNotRun, Err: ctx.Err()}
+}
+
 // failingEngines fail the first attempts with a certainty.
 type failingEngines struct {
 	fakeEngines
--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -149,6 +149,9 @@
 	Outcome Outcome
 	// FailedHelper is the prefill helper because of which the endpoint refused the attempt, or "".
 	FailedHelper fleet.EndpointID
+	// CutShort reports whether the entry ended the attempt early: its caller left, its deadline passed, or the request is
+	// suspected of crashing endpoints.
+	CutShort bool
 	// Incarnation is the incarnation of the endpoint that answered, or 0.
 	Incarnation fleet.Incarnation
 	// PrefilledTokens is the number of prompt tokens that were prefilled, which excludes cached ones.
--- a/core/sharedload/lost_paths_test.go
+++ b/core/sharedload/lost_paths_test.go
@@ -294,3 +294,27 @@
 		}
 	})
 }
+
+// TestCutShortIsNoEvidence guards against endpoints of a contended pool that are left out since a caller left while its
+// request was connecting. Other pools record a failure.
+func TestCutShortIsNoEvidence(t *testing.T) {
+	for name, contended := range map[string]bool{"contended": true, "not contended": false} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			p := newChooserSets(&testNetwork{}, 2, 4)[0]
+			paths := newPaths(p)
+			paths.Contended = func(fleet.PoolName) bool { return contended }
+			paths.RecordReached(testEndpoint(1), now)
+			g := &Reserver{State: p.State, Outliers: &outlier.Detector{}, Paths: paths}
+			g.recordOutcome(reservation.Release{
+				Endpoint: testEndpoint(0).ID, Outcome: reservation.OutcomeNotRun, CutShort: true,
+			}, now)
+			if got := g.Outliers.Usable(testEndpoint(0), now); got != contended {
+				t.Errorf("usable = %v, want %v", got, contended)
+			}
+			if paths.Lost(testEndpoint(0), p.Self.Zone, now) {
+				t.Error("the path counts as lost")
+			}
+		})
+	}
+}
--- a/core/sharedload/reserver.go
+++ b/core/sharedload/reserver.go
@@ -298,6 +298,10 @@
 	if !found {
 		return
 	}
+	if release.CutShort && release.Outcome == reservation.OutcomeNotRun && g.Paths != nil && g.Paths.Contended(endpoint.Pool) {
+		// A connection that was not awaited says nothing about the endpoint.
+		return
+	}
 	g.recordPath(endpoint, release.Outcome, now)
 	switch release.Outcome {
 	case reservation.OutcomeRefused:
