outlier: record paths of the incarnation that was attempted

Cause: the outcome of an attempt was recorded for the listed incarnation of the endpoint, so that an attempt at the one before made its replacement count as lost. A report of an older incarnation also dropped the record of the newer one. Change: a release carries the incarnation that was listed when the attempt was sent.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -336,6 +336,7 @@
 	defer cancel()
 	release := res.release
 	release.Endpoint = a.grant.Endpoint
+	release.Attempted = a.endpoint.Incarnation
 	release.Owner = a.grant.Owner
 	release.Reservation = a.grant.Reservation
 	release.Generation = a.grant.Generation
--- a/core/outlier/suspicion.go
+++ b/core/outlier/suspicion.go
@@ -140,8 +140,8 @@
 	case !p.suspect(endpoint, p.Self.Zone, now):
 		return false
 	}
-	r := p.record(endpoint, p.Self.Zone)
-	if now.Sub(r.probedAt) < sharedProbePeriod {
+	r, found := p.record(endpoint, p.Self.Zone)
+	if !found || now.Sub(r.probedAt) < sharedProbePeriod {
 		return false
 	}
 	r.probedAt = now
@@ -159,8 +159,8 @@
 		delete(p.recheck, endpoint.ID)
 		return false
 	}
-	r := p.record(endpoint, p.Self.Zone)
-	if now.Sub(r.recheckedAt) < sharedProbePeriod {
+	r, found := p.record(endpoint, p.Self.Zone)
+	if !found || now.Sub(r.recheckedAt) < sharedProbePeriod {
 		return false
 	}
 	r.recheckedAt = now
--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -149,6 +149,8 @@
 	Outcome Outcome
 	// FailedHelper is the prefill helper because of which the endpoint refused the attempt, or "".
 	FailedHelper fleet.EndpointID
+	// Attempted is the incarnation that was listed when the attempt was sent, or 0.
+	Attempted fleet.Incarnation
 	// CutShort reports whether the entry ended the attempt early: its caller left, its deadline passed, or the request is
 	// suspected of crashing endpoints.
 	CutShort bool
--- a/core/sharedload/lost_paths_test.go
+++ b/core/sharedload/lost_paths_test.go
@@ -318,3 +318,26 @@
 		})
 	}
 }
+
+// TestReplacedEndpointIsNotLost guards against an endpoint that is left out because an attempt at the incarnation before it
+// fails after the new one was listed.
+func TestReplacedEndpointIsNotLost(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newChooserSets(&testNetwork{}, 2, 4)[0]
+	paths := newPaths(p)
+	replaced := testEndpoint(0)
+	old := replaced.Incarnation + 1
+	replaced.Incarnation = old + 1
+	p.State.Endpoints.Set(replaced.ID, replaced)
+	paths.RecordReached(testEndpoint(1), now)
+	g := &Reserver{State: p.State, Outliers: &outlier.Detector{}, Paths: paths}
+	g.recordOutcome(reservation.Release{Endpoint: replaced.ID, Outcome: reservation.OutcomeNotRun, Attempted: old}, now)
+	if paths.Lost(replaced, p.Self.Zone, now) || len(paths.Own(now)) > 0 {
+		t.Error("the new incarnation counts as lost")
+	}
+	g.recordOutcome(reservation.Release{Endpoint: replaced.ID, Outcome: reservation.OutcomeNotRun, Attempted: replaced.Incarnation}, now)
+	g.recordOutcome(reservation.Release{Endpoint: replaced.ID, Outcome: reservation.OutcomeNotRun, Attempted: old}, now)
+	if !paths.Lost(replaced, p.Self.Zone, now) {
+		t.Error("a report of the old incarnation drops that of the new one")
+	}
+}
--- a/core/sharedload/reserver.go
+++ b/core/sharedload/reserver.go
@@ -302,7 +302,11 @@
 		// A connection that was not awaited says nothing about the endpoint.
 		return
 	}
-	g.recordPath(endpoint, release.Outcome, now)
+	attempted := endpoint
+	if release.Attempted != 0 {
+		attempted.Incarnation = release.Attempted
+	}
+	g.recordPath(attempted, release.Outcome, now)
 	switch release.Outcome {
 	case reservation.OutcomeRefused:
 		g.Outliers.RecordFailure(endpoint, now)
@@ -317,7 +321,7 @@
 	}
 }
 
-// recordPath records whether the path to the endpoint of an attempt is lost. An endpoint that refuses or fails an attempt
+// recordPath records whether the path to the incarnation of an endpoint that was attempted is lost. An endpoint that refuses or fails an attempt
 // was reached.
 func (g *Reserver) recordPath(endpoint fleet.Endpoint, outcome reservation.Outcome, now time.Time) {
 	if g.Paths == nil {
