dispatch: end only callers that stop reading, not those that read steadily

Cause: endpoints waited for a caller for 1 s in total over the whole answer, which ended callers that read steadily but somewhat slowly. The waits also counted as pauses and decode time of the endpoint. Change: a wait ends when the caller has taken no piece for 1 s, or after 2 s without a read from the endpoint, which aborts a response that stays unread for some seconds. The waits are left out of the pauses and the decode time. Run: before the change, TestBufferedGenerator 'steady caller, long answer': caller reads too slowly, 4 pieces of 100; TestCallerWaitIsNotMeasured: 1.09 s, want 90 ms. go test ./core/dispatch passes now.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -104,8 +104,10 @@
 	cause error
 	// lastTokenAt is when the last token arrived.
 	lastTokenAt time.Time
-	// longestPause is the longest time between two tokens.
+	// longestPause is the longest time between two tokens, without the time for which the endpoint waited for the caller.
 	longestPause time.Duration
+	// callerWait is how long the endpoint waited for the caller.
+	callerWait time.Duration
 	// malformed reports whether the answer was invalid while the connection was intact.
 	malformed bool
 }
@@ -223,7 +225,7 @@
 	}
 	res.lastTokenAt = now
 	res.release.GeneratedTokens++
-	res.release.DecodeTime = now.Sub(startedAt) - res.release.TimeToFirstToken
+	res.release.DecodeTime = now.Sub(startedAt) - res.release.TimeToFirstToken - res.callerWait
 	if !a.settled && res.release.DecodeTime >= quarantine.SettleTime {
 		a.settled = true
 		a.recordSurvival(now)
@@ -236,14 +238,27 @@
 		p.PrefilledTokens = res.release.PrefilledTokens
 		p.TimeToFirstToken = res.release.TimeToFirstToken
 	})
+	before := a.callerWait()
 	if err := a.sink.WriteToken(event.Position, event.Text); err != nil {
 		res.sinkErr = err
 		res.release.Outcome = reservation.OutcomeBroken
 		return err
 	}
+	waited := a.callerWait() - before
+	res.callerWait += waited
+	res.lastTokenAt = now.Add(waited)
 	return nil
 }
 
+// callerWait returns how long endpoints waited for the caller of the request, which says nothing about their pace. It is 0
+// without a buffer.
+func (r *requestRun) callerWait() time.Duration {
+	if sink, ok := r.sink.(interface{ callerWait() time.Duration }); ok {
+		return sink.callerWait()
+	}
+	return 0
+}
+
 // recordSurvival records that an endpoint has survived the prompt of the request.
 func (r *requestRun) recordSurvival(now time.Time) {
 	if r.Parts != nil {
--- a/core/dispatch/buffered_generator.go
+++ b/core/dispatch/buffered_generator.go
@@ -18,9 +18,12 @@
 	callerBufferBytes = 64 << 10
 	// pieceOverheadBytes is the memory of a piece that waits, in addition to its text.
 	pieceOverheadBytes = 64
-	// callerWaitTimeout bounds the time for which a request makes its endpoints wait for its caller, all waits together.
-	// An endpoint aborts a response that stays unread for some seconds, and its slot is lost to others meanwhile.
+	// callerWaitTimeout bounds the time for which a request makes its endpoint wait while its caller takes no piece. The slot
+	// of the endpoint is lost to others meanwhile.
 	callerWaitTimeout = time.Second
+	// maxUnreadTime bounds one wait of an endpoint for a caller that does take pieces, since endpoints abort a response that
+	// stays unread for some seconds.
+	maxUnreadTime = 2 * time.Second
 )
 
 // metricSlowCallers counts requests that were ended because their caller read too slowly.
--- a/core/dispatch/buffered_generator_test.go
+++ b/core/dispatch/buffered_generator_test.go
@@ -69,6 +69,8 @@
 		"slow caller, short answer":   {pacedGenerator{pieces: 50, size: 1000}, second / 5, 1 << 20, nil, 0, 50},
 		"slow caller, long answer":    {pacedGenerator{pieces: 500, size: 1000}, 10 * second, 1 << 20, ErrSlowCaller, callerWaitTimeout, 0},
 		"slow caller without memory":  {pacedGenerator{pieces: 500, size: 1000}, 10 * second, 0, ErrSlowCaller, callerWaitTimeout, 0},
+		"steady caller, long answer":  {pacedGenerator{pieces: 100, size: 1000}, second / 4, 1 << 20, nil, 10 * second, 100},
+		"caller that stops":           {pacedGenerator{pieces: 500, size: 4000}, 5 * second / 4, 1 << 20, ErrSlowCaller, callerWaitTimeout, 0},
 		"slow caller, whole body":     {pacedGenerator{pieces: 1, size: 1 << 20}, 3 * second, 1 << 20, nil, 3 * second, 1},
 	}
 	for name, test := range tests {
@@ -99,3 +101,33 @@
 		})
 	}
 }
+
+// waitingSink lets the endpoint wait for the caller at one token.
+type waitingSink struct {
+	collector
+	waited time.Duration
+}
+
+func (s *waitingSink) callerWait() time.Duration { return s.waited }
+
+func (s *waitingSink) WriteToken(position fleet.Tokens, text string) error {
+	if position == 5 {
+		time.Sleep(time.Second)
+		s.waited += time.Second
+	}
+	return s.collector.WriteToken(position, text)
+}
+
+// TestCallerWaitIsNotMeasured guards against endpoints that count as slow because their callers read slowly.
+func TestCallerWaitIsNotMeasured(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reservations := &fakeReservations{}
+		d := newTestDispatcher(&fakeEngines{script: []behavior{{}}}, reservations)
+		if err := d.Generate(t.Context(), newTestRequest(), &waitingSink{}); err != nil {
+			t.Fatal(err)
+		}
+		if got, want := reservations.released[0].DecodeTime, 90*time.Millisecond; got != want {
+			t.Errorf("decode time = %v, want %v", got, want)
+		}
+	})
+}
--- a/core/dispatch/sink_buffer.go
+++ b/core/dispatch/sink_buffer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -33,6 +34,8 @@
 	waited time.Duration
 	// room is the free part of the buffer.
 	room *semaphore.Weighted
+	// writtenAt is when the caller took the latest piece, in nanoseconds since the epoch.
+	writtenAt atomic.Int64
 	// wake tells run that pieces, closed or err have changed.
 	wake chan struct{}
 
@@ -50,8 +53,8 @@
 	}
 }
 
-// WriteToken adds a piece to the buffer. If there is no room, it waits until callerWaitTimeout is used up, and then ends
-// the request with ErrSlowCaller. A piece that finds no memory waits until all earlier ones are written; it is held
+// WriteToken adds a piece to the buffer. If there is no room, it waits as long as awaitRoom allows, and then ends the
+// request with ErrSlowCaller. A piece that finds no memory waits until all earlier ones are written; it is held
 // once, as without a buffer. A piece longer than the buffer is a complete body whose memory its stream accounts for, so
 // that it is written before WriteToken returns.
 func (b *sinkBuffer) WriteToken(position fleet.Tokens, text string) error {
@@ -85,14 +88,20 @@
 	return b.failure()
 }
 
-// awaitRoom takes room in the buffer, and waits for it within callerWaitTimeout.
+// awaitRoom takes room in the buffer, and waits for it until the caller has taken no piece for callerWaitTimeout, or until
+// maxUnreadTime has passed.
+//
+// Load pattern: callers that read steadily, but somewhat more slowly than the endpoint decodes, beside callers that have
+// stopped reading.
 func (b *sinkBuffer) awaitRoom(size int64) error {
 	if b.room.TryAcquire(size) {
 		return nil
 	}
 	startedAt := time.Now()
-	ctx, cancel := context.WithTimeout(b.ctx, callerWaitTimeout-b.waited)
+	ctx, cancel := context.WithTimeout(b.ctx, maxUnreadTime)
 	defer cancel()
+	stopLimit := b.limitWait(startedAt, cancel)
+	defer stopLimit()
 	err := b.room.Acquire(ctx, size)
 	b.waited += time.Since(startedAt)
 	switch {
@@ -106,6 +115,34 @@
 	return ErrSlowCaller
 }
 
+// limitWait calls expired once the caller has taken no piece for callerWaitTimeout since the wait started. The returned
+// function ends the limit.
+func (b *sinkBuffer) limitWait(startedAt time.Time, expired func()) (stop func()) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(b.ctx))
+	var check func()
+	check = func() {
+		latest := startedAt
+		if written := time.Unix(0, b.writtenAt.Load()); written.After(latest) {
+			latest = written
+		}
+		left := time.Until(latest.Add(callerWaitTimeout))
+		switch {
+		case ctx.Err() != nil:
+		case left <= 0:
+			expired()
+		default:
+			time.AfterFunc(left, check)
+		}
+	}
+	time.AfterFunc(callerWaitTimeout, check)
+	return cancel
+}
+
+// callerWait returns how long endpoints waited for the caller so far.
+func (b *sinkBuffer) callerWait() time.Duration {
+	return b.waited
+}
+
 // endSlowCaller drops the pieces and ends the write to the caller.
 func (b *sinkBuffer) endSlowCaller() {
 	buffered := b.fail(ErrSlowCaller)
@@ -148,6 +185,8 @@
 		err := b.sink.WriteToken(p.position, p.text)
 		if err != nil {
 			b.fail(err)
+		} else {
+			b.writtenAt.Store(time.Now().UnixNano())
 		}
 		b.release(p)
 	}
