--- a/core/dispatch/buffered_generator.go
+++ b/core/dispatch/buffered_generator.go
@@ -72,7 +72,7 @@
 		ctx:               ctx,
 		request:           request.ID,
 		sink:              sink,
-		room:              semaphore.NewWeighted(callerBufferBytes),
+		freeBytes:         semaphore.NewWeighted(callerBufferBytes),
 		wake:              make(chan struct{}, 1),
 	}
 	var group errgroup.Group
--- a/core/dispatch/forward.go
+++ b/core/dispatch/forward.go
@@ -9,7 +9,7 @@
 )
 
 // minConnectFailures is the number of endpoints that a request could not connect to after which another entry is asked
-// to serve it, although this entry does not take itself for cut off yet.
+// to serve it, although this entry does not consider itself cut off yet.
 const minConnectFailures = 2
 
 // maxAlternatesBackoffs is the number of back-offs, together a sixth of a second in the mean, in which a request waits
--- a/core/dispatch/forward_test.go
+++ b/core/dispatch/forward_test.go
@@ -119,7 +119,7 @@
 }
 
 // TestForwardAfterConnectFailures checks that a request that can't connect to two endpoints is forwarded although its
-// entry does not take itself for cut off yet.
+// entry does not consider itself cut off yet.
 func TestForwardAfterConnectFailures(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		forwards := &fakeForwards{steps: []forwardStep{{tokens: 10}}}
--- a/core/dispatch/sink_buffer.go
+++ b/core/dispatch/sink_buffer.go
@@ -16,8 +16,8 @@
 type bufferedPiece struct {
 	position fleet.Tokens
 	text     string
-	// room is what the piece takes of the buffer of its request, reserved what it takes of the memory of all buffers.
-	room, reserved int64
+	// bufferBytes is what the piece takes of the buffer of its request, memoryBytes what it takes of the memory of all buffers.
+	bufferBytes, memoryBytes int64
 }
 
 // sinkBuffer passes the pieces of one answer on to a sink that may block. Its methods are called by the goroutine that
@@ -32,8 +32,8 @@
 	begun bool
 	// waited is how long the endpoints of the request waited for room.
 	waited time.Duration
-	// room is the free part of the buffer.
-	room *semaphore.Weighted
+	// freeBytes is the free part of the buffer.
+	freeBytes *semaphore.Weighted
 	// writtenAt is when the caller took the latest piece, in nanoseconds since the epoch.
 	writtenAt atomic.Int64
 	// wake tells run that pieces, closed or err have changed.
@@ -60,19 +60,19 @@
 func (b *sinkBuffer) WriteToken(position fleet.Tokens, text string) error {
 	b.begun = true
 	size := int64(len(text) + pieceOverheadBytes)
-	p := bufferedPiece{position: position, text: text, room: min(size, callerBufferBytes)}
-	if err := b.awaitRoom(p.room); err != nil {
+	p := bufferedPiece{position: position, text: text, bufferBytes: min(size, callerBufferBytes)}
+	if err := b.awaitRoom(p.bufferBytes); err != nil {
 		return err
 	}
 	switch {
 	case size <= callerBufferBytes && b.Memory.TryAcquire(size):
-		p.reserved = size
+		p.memoryBytes = size
 		b.buffered.Add(size)
 	case size < callerBufferBytes:
 		if err := b.awaitRoom(callerBufferBytes - size); err != nil {
 			return err
 		}
-		p.room = callerBufferBytes
+		p.bufferBytes = callerBufferBytes
 	}
 	if err := b.push(p); err != nil {
 		return err
@@ -81,10 +81,10 @@
 		return nil
 	}
 	// The write has a deadline of its own.
-	if err := b.room.Acquire(context.WithoutCancel(b.ctx), callerBufferBytes); err != nil {
+	if err := b.freeBytes.Acquire(context.WithoutCancel(b.ctx), callerBufferBytes); err != nil {
 		return err
 	}
-	b.room.Release(callerBufferBytes)
+	b.freeBytes.Release(callerBufferBytes)
 	return b.failure()
 }
 
@@ -94,7 +94,7 @@
 // Load pattern: callers that read steadily, but somewhat more slowly than the endpoint decodes, beside callers that have
 // stopped reading.
 func (b *sinkBuffer) awaitRoom(size int64) error {
-	if b.room.TryAcquire(size) {
+	if b.freeBytes.TryAcquire(size) {
 		return nil
 	}
 	startedAt := time.Now()
@@ -102,7 +102,7 @@
 	defer cancel()
 	stopLimit := b.limitWait(startedAt, cancel)
 	defer stopLimit()
-	err := b.room.Acquire(ctx, size)
+	err := b.freeBytes.Acquire(ctx, size)
 	b.waited += time.Since(startedAt)
 	switch {
 	case err == nil:
@@ -249,10 +249,10 @@
 
 // release frees the room and the memory of a piece.
 func (b *sinkBuffer) release(p bufferedPiece) {
-	b.room.Release(p.room)
-	if p.reserved > 0 {
-		b.Memory.Release(p.reserved)
-		b.buffered.Add(-p.reserved)
+	b.freeBytes.Release(p.bufferBytes)
+	if p.memoryBytes > 0 {
+		b.Memory.Release(p.memoryBytes)
+		b.buffered.Add(-p.memoryBytes)
 	}
 }
 
--- a/core/outlier/reach.go
+++ b/core/outlier/reach.go
@@ -11,7 +11,7 @@
 	"wisteriadyke/core/fleet"
 )
 
-// cutOffShare is the share of the live endpoints of a pool from which on this entry takes itself for cut off from the
+// cutOffShare is the share of the live endpoints of a pool from which on this entry considers itself cut off from the
 // pool, since that many rarely end at once.
 const cutOffShare = 0.5
 
--- a/core/outlier/reach_test.go
+++ b/core/outlier/reach_test.go
@@ -11,7 +11,7 @@
 	"wisteriadyke/core/fleet"
 )
 
-// TestReach checks when an entry takes itself for cut off: if half of the live endpoints accept no connection, but not
+// TestReach checks when an entry considers itself cut off: if half of the live endpoints accept no connection, but not
 // if they answer with failures.
 func TestReach(t *testing.T) {
 	tests := map[string]struct {
--- a/core/sharedload/choice.go
+++ b/core/sharedload/choice.go
@@ -67,8 +67,8 @@
 	// LostPaths are reports of paths from the zone of the entry that the choice is for.
 	LostPaths []outlier.PathReport
 
-	// insteadOfLost reports whether a lost endpoint would have been the first choice.
-	insteadOfLost bool
+	// replacesLost reports whether a lost endpoint would have been the first choice.
+	replacesLost bool
 }
 
 // prefillUsages returns the usage by endpoint that lasts until the prompt is prefilled.
--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -84,7 +84,7 @@
 		return Choice{}, err
 	}
 	c.addLimit(&choice)
-	if choice.insteadOfLost {
+	if choice.replacesLost {
 		c.spared.Add(1)
 	}
 	record(choice)
@@ -283,7 +283,7 @@
 // quickChoice returns the choice of a single endpoint for a quick request or a call to a plain service.
 func quickChoice(pool routing.Pool, s *endpointState, need placement.Need) Choice {
 	usage := Usage{Running: 1, Memory: need.PromptTokens + need.MaxTokens}
-	choice := Choice{Endpoint: s.endpoint.ID, insteadOfLost: s.insteadOfLost}
+	choice := Choice{Endpoint: s.endpoint.ID, replacesLost: s.replacesLost}
 	if pool.Engine != nil {
 		choice.PrefillTime = s.atPace(pool.Engine.PrefillTime(need.PromptTokens))
 		choice.passTime, choice.pace, choice.prefillWait = s.passTime(pool), s.pace, s.prefill.wait
@@ -314,7 +314,7 @@
 		Predicted:    plan.firstToken,
 		Usages:       make(map[fleet.EndpointID]Usage),
 
-		insteadOfLost: plan.decoder.insteadOfLost,
+		replacesLost: plan.decoder.replacesLost,
 	}
 	for i, s := range plan.helpers {
 		helper := s.endpoint.ID
--- a/core/sharedload/estimate.go
+++ b/core/sharedload/estimate.go
@@ -44,8 +44,8 @@
 	// lost and suspect report whether the endpoint is lost or suspect for the entry that sends the request; see
 	// outlier.PathTable.
 	lost, suspect bool
-	// insteadOfLost reports whether an endpoint that is lost came before all others.
-	insteadOfLost bool
+	// replacesLost reports whether an endpoint that is lost came before all others.
+	replacesLost bool
 }
 
 // passTime returns the duration of one pass of the endpoint's engine without prefill.
--- a/core/sharedload/lost_paths.go
+++ b/core/sharedload/lost_paths.go
@@ -25,18 +25,18 @@
 // withoutLost returns the endpoints that are not lost for the entry that sends the request, or all if no other is left.
 // The order is kept. If the first one was lost, the others are marked as used instead of it.
 func withoutLost(states []endpointState) []endpointState {
-	left := keepSome(states, func(s endpointState) bool { return !s.lost })
+	left := filterOrAll(states, func(s endpointState) bool { return !s.lost })
 	if len(left) == len(states) || !states[0].lost {
 		return left
 	}
 	for i := range left {
-		left[i].insteadOfLost = true
+		left[i].replacesLost = true
 	}
 	return left
 }
 
-// keepSome returns the endpoints that meet a condition, or all if none does.
-func keepSome(states []endpointState, keep func(s endpointState) bool) []endpointState {
+// filterOrAll returns the endpoints that meet a condition, or all if none does.
+func filterOrAll(states []endpointState, keep func(s endpointState) bool) []endpointState {
 	left := slices.DeleteFunc(slices.Clone(states), func(s endpointState) bool { return !keep(s) })
 	if len(left) == 0 {
 		return states
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -137,7 +137,7 @@
 	if plan, found := planTrial(pool, states, need); found {
 		return plan, true
 	}
-	trusted := keepSome(withoutLost(states), func(s endpointState) bool { return !s.suspect })
+	trusted := filterOrAll(withoutLost(states), func(s endpointState) bool { return !s.suspect })
 	preferred := without(without(without(trusted, recentlyExcluded), limited), isSlow)
 	plan, found := p.plan(pool, preferred, need, demand)
 	if !found || !p.worthwhile(pool, len(states), need, plan.firstToken, demand) {
