outlier: let a failed probe after a connect timeout reveal that the entry is cut off

Cause: an entry whose quick requests all end at the short connect timeout never marked a zone as unreachable, so that it neither probed the zone nor found out that it was cut off. Change: a probe that was requested after a connect timeout and fails counts as a request that could not connect.

--- a/core/outlier/prober.go
+++ b/core/outlier/prober.go
@@ -80,7 +80,7 @@
 			if err != nil && ctx.Err() == context.Canceled {
 				return nil
 			}
-			p.recordProbe(endpoint, err == nil, time.Now())
+			p.recordProbe(endpoint, err == nil, requested[endpoint.ID], time.Now())
 			return nil
 		})
 	}
@@ -101,11 +101,16 @@
 		p.Detector.probeDue(endpoint, now) && !p.Paths.avoided(endpoint, now)
 }
 
-// recordProbe records the result of a probe. A failed probe starts or extends the back-off of the endpoint. A successful
+// recordProbe records the result of a probe. A failed probe starts or extends the back-off of the endpoint; one that was
+// requested after a connect timeout counts as a request that could not connect. A successful
 // one ends it in a contended pool, where few endpoints have capacity to spare; in other pools it changes nothing.
-func (p *Prober) recordProbe(endpoint fleet.Endpoint, reached bool, now time.Time) {
+func (p *Prober) recordProbe(endpoint fleet.Endpoint, reached, requested bool, now time.Time) {
 	if !reached {
-		p.Detector.extendBackoff(endpoint, now)
+		if requested {
+			p.Detector.RecordUnreachable(endpoint, now)
+		} else {
+			p.Detector.extendBackoff(endpoint, now)
+		}
 		if p.Paths != nil {
 			p.Paths.RecordLost(endpoint, now)
 		}
--- a/core/outlier/prober_test.go
+++ b/core/outlier/prober_test.go
@@ -140,3 +140,28 @@
 		})
 	}
 }
+
+// TestCutOffEntryWithConnectTimeouts guards against an entry that is cut off and never finds out, since its quick requests
+// end at the short connect timeout: the probes that follow must lead to probes of the whole zone.
+func TestCutOffEntryWithConnectTimeouts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPathTable("e1")
+		network := &fakeNetwork{partitioned: map[fleet.Zone]bool{"a": true, "b": true}, probes: make(map[fleet.EndpointID]int)}
+		prober := &Prober{State: p.State, Detector: &Detector{}, Connect: network.Connect, Paths: p}
+		ctx, stop := context.WithCancel(t.Context())
+		var group errgroup.Group
+		group.Go(func() error { return prober.Run(ctx) })
+		for _, id := range []fleet.EndpointID{"b1", "b2"} {
+			prober.Detector.RequestProbe(id)
+			p.RecordConnectTimeout(p.endpoint(id), time.Now())
+		}
+		time.Sleep(time.Second)
+		if network.probes["b9"] == 0 {
+			t.Error("the other endpoints of the zone were not probed")
+		}
+		stop()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+}
