--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -38,6 +38,8 @@
 	endpoint fleet.Endpoint
 	grant    reservation.Grant
 	id       fleet.AttemptID
+	// firstTokenDue is when the first token of the attempt is due, as of its start.
+	firstTokenDue time.Time
 
 	// sentAt is when the attempt was sent; settled reports whether it was answered for quarantine.SettleTime.
 	sentAt  time.Time
@@ -59,7 +61,10 @@
 		endpoint:   endpoint,
 		grant:      grant,
 		id:         r.attemptID(r.attempts),
-		renewNow:   make(chan struct{}, 1),
+
+		firstTokenDue: r.firstTokenDeadline(),
+
+		renewNow: make(chan struct{}, 1),
 		progress: reservation.Progress{
 			Endpoint:    endpoint.ID,
 			Owner:       grant.Owner,
@@ -104,8 +109,10 @@
 	cause error
 	// lastTokenAt is when the last token arrived.
 	lastTokenAt time.Time
-	// longestPause is the longest time between two tokens.
+	// longestPause is the longest time between two tokens, without the time for which the endpoint waited for the caller.
 	longestPause time.Duration
+	// callerWait is how long the endpoint waited for the caller.
+	callerWait time.Duration
 	// malformed reports whether the answer was invalid while the connection was intact.
 	malformed bool
 }
@@ -140,7 +147,8 @@
 	a.sentAt = time.Now()
 	res := a.stream(ctx)
 	res.endedAt = time.Now()
-	endedByEntry := ctx.Err() != nil || res.sinkErr != nil || res.malformed
+	res.release.CutShort = ctx.Err() != nil
+	endedByEntry := res.release.CutShort || res.sinkErr != nil || res.malformed
 	cancel(nil)
 	_ = group.Wait()
 	// A connection that the engine broke is reported as broken without a cancel call, since the engine may have died.
@@ -223,7 +231,7 @@
 	}
 	res.lastTokenAt = now
 	res.release.GeneratedTokens++
-	res.release.DecodeTime = now.Sub(startedAt) - res.release.TimeToFirstToken
+	res.release.DecodeTime = now.Sub(startedAt) - res.release.TimeToFirstToken - res.callerWait
 	if !a.settled && res.release.DecodeTime >= quarantine.SettleTime {
 		a.settled = true
 		a.recordSurvival(now)
@@ -236,14 +244,27 @@
 		p.PrefilledTokens = res.release.PrefilledTokens
 		p.TimeToFirstToken = res.release.TimeToFirstToken
 	})
+	before := a.callerWait()
 	if err := a.sink.WriteToken(event.Position, event.Text); err != nil {
 		res.sinkErr = err
 		res.release.Outcome = reservation.OutcomeBroken
 		return err
 	}
+	waited := a.callerWait() - before
+	res.callerWait += waited
+	res.lastTokenAt = now.Add(waited)
 	return nil
 }
 
+// callerWait returns how long endpoints waited for the caller of the request, which says nothing about their pace. It is 0
+// without a buffer.
+func (r *requestRun) callerWait() time.Duration {
+	if sink, ok := r.sink.(interface{ callerWait() time.Duration }); ok {
+		return sink.callerWait()
+	}
+	return 0
+}
+
 // recordSurvival records that an endpoint has survived the prompt of the request.
 func (r *requestRun) recordSurvival(now time.Time) {
 	if r.Parts != nil {
@@ -264,9 +285,9 @@
 	a.record(timeline.Event{Kind: timeline.KindFirstToken, Attempt: a.id, Endpoint: a.endpoint.ID, Duration: took})
 }
 
-// renew reports progress to the owner until ctx ends: periodically, and at once when the attempt starts, when its
-// first token arrives and when that is overdue. It cancels the attempt when its reservation has lapsed, when its answer stalls, or when an
-// endpoint has died while it ran another copy of the request.
+// renew reports progress to the owner until ctx ends: periodically, and at once when the attempt starts, when its first
+// token arrives and when that is overdue. It cancels the attempt when its reservation has lapsed, when its answer stalls,
+// or when an endpoint has died while it ran another copy of the request.
 func (a *attemptRun) renew(ctx context.Context, suspected <-chan struct{}, cancel context.CancelCauseFunc) {
 	ticker := time.NewTicker(a.renewInterval())
 	defer ticker.Stop()
@@ -332,15 +353,11 @@
 
 // release releases the reservation with the outcome and measurements of the attempt, even if ctx has ended.
 func (a *attemptRun) release(ctx context.Context, res attemptResult) {
-	callerLeft := ctx.Err() != nil
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
 	release := res.release
-	if callerLeft && a.grant.ConnectTimeout > 0 && !wasSent(release.Outcome) {
-		// A connection that was not awaited says nothing about the endpoint.
-		release.Outcome = reservation.OutcomeCanceled
-	}
 	release.Endpoint = a.grant.Endpoint
+	release.Attempted = a.endpoint.Incarnation
 	release.Owner = a.grant.Owner
 	release.Reservation = a.grant.Reservation
 	release.Generation = a.grant.Generation
--- a/core/dispatch/sink_buffer.go
+++ b/core/dispatch/sink_buffer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -15,8 +16,8 @@
 type bufferedPiece struct {
 	position fleet.Tokens
 	text     string
-	// room is what the piece takes of the buffer of its request, reserved what it takes of the memory of all buffers.
-	room, reserved int64
+	// bufferBytes is what the piece takes of the buffer of its request, memoryBytes what it takes of the memory of all buffers.
+	bufferBytes, memoryBytes int64
 }
 
 // sinkBuffer passes the pieces of one answer on to a sink that may block. Its methods are called by the goroutine that
@@ -31,8 +32,10 @@
 	begun bool
 	// waited is how long the endpoints of the request waited for room.
 	waited time.Duration
-	// room is the free part of the buffer.
-	room *semaphore.Weighted
+	// freeBytes is the free part of the buffer.
+	freeBytes *semaphore.Weighted
+	// writtenAt is when the caller took the latest piece, in nanoseconds since the epoch.
+	writtenAt atomic.Int64
 	// wake tells run that pieces, closed or err have changed.
 	wake chan struct{}
 
@@ -50,26 +53,26 @@
 	}
 }
 
-// WriteToken adds a piece to the buffer. If there is no room, it waits until callerWaitTimeout is used up, and then ends
-// the request with ErrSlowCaller. A piece that finds no memory waits until all earlier ones are written; it is held
+// WriteToken adds a piece to the buffer. If there is no room, it waits as long as awaitRoom allows, and then ends the
+// request with ErrSlowCaller. A piece that finds no memory waits until all earlier ones are written; it is held
 // once, as without a buffer. A piece longer than the buffer is a complete body whose memory its stream accounts for, so
 // that it is written before WriteToken returns.
 func (b *sinkBuffer) WriteToken(position fleet.Tokens, text string) error {
 	b.begun = true
 	size := int64(len(text) + pieceOverheadBytes)
-	p := bufferedPiece{position: position, text: text, room: min(size, callerBufferBytes)}
-	if err := b.awaitRoom(p.room); err != nil {
+	p := bufferedPiece{position: position, text: text, bufferBytes: min(size, callerBufferBytes)}
+	if err := b.awaitRoom(p.bufferBytes); err != nil {
 		return err
 	}
 	switch {
 	case size <= callerBufferBytes && b.Memory.TryAcquire(size):
-		p.reserved = size
+		p.memoryBytes = size
 		b.buffered.Add(size)
 	case size < callerBufferBytes:
 		if err := b.awaitRoom(callerBufferBytes - size); err != nil {
 			return err
 		}
-		p.room = callerBufferBytes
+		p.bufferBytes = callerBufferBytes
 	}
 	if err := b.push(p); err != nil {
 		return err
@@ -78,22 +81,28 @@
 		return nil
 	}
 	// The write has a deadline of its own.
-	if err := b.room.Acquire(context.WithoutCancel(b.ctx), callerBufferBytes); err != nil {
+	if err := b.freeBytes.Acquire(context.WithoutCancel(b.ctx), callerBufferBytes); err != nil {
 		return err
 	}
-	b.room.Release(callerBufferBytes)
+	b.freeBytes.Release(callerBufferBytes)
 	return b.failure()
 }
 
-// awaitRoom takes room in the buffer, and waits for it within callerWaitTimeout.
+// awaitRoom takes room in the buffer, and waits for it until the caller has taken no piece for callerWaitTimeout, or until
+// maxUnreadTime has passed.
+//
+// Load pattern: callers that read steadily, but somewhat more slowly than the endpoint decodes, beside callers that have
+// stopped reading.
 func (b *sinkBuffer) awaitRoom(size int64) error {
-	if b.room.TryAcquire(size) {
+	if b.freeBytes.TryAcquire(size) {
 		return nil
 	}
 	startedAt := time.Now()
-	ctx, cancel := context.WithTimeout(b.ctx, callerWaitTimeout-b.waited)
+	ctx, cancel := context.WithTimeout(b.ctx, maxUnreadTime)
 	defer cancel()
-	err := b.room.Acquire(ctx, size)
+	stopLimit := b.limitWait(startedAt, cancel)
+	defer stopLimit()
+	err := b.freeBytes.Acquire(ctx, size)
 	b.waited += time.Since(startedAt)
 	switch {
 	case err == nil:
@@ -106,6 +115,34 @@
 	return ErrSlowCaller
 }
 
+// limitWait calls expired once the caller has taken no piece for callerWaitTimeout since the wait started. The returned
+// function ends the limit.
+func (b *sinkBuffer) limitWait(startedAt time.Time, expired func()) (stop func()) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(b.ctx))
+	var check func()
+	check = func() {
+		latest := startedAt
+		if written := time.Unix(0, b.writtenAt.Load()); written.After(latest) {
+			latest = written
+		}
+		left := time.Until(latest.Add(callerWaitTimeout))
+		switch {
+		case ctx.Err() != nil:
+		case left <= 0:
+			expired()
+		default:
+			time.AfterFunc(left, check)
+		}
+	}
+	time.AfterFunc(callerWaitTimeout, check)
+	return cancel
+}
+
+// callerWait returns how long endpoints waited for the caller so far.
+func (b *sinkBuffer) callerWait() time.Duration {
+	return b.waited
+}
+
 // endSlowCaller drops the pieces and ends the write to the caller.
 func (b *sinkBuffer) endSlowCaller() {
 	buffered := b.fail(ErrSlowCaller)
@@ -148,6 +185,8 @@
 		err := b.sink.WriteToken(p.position, p.text)
 		if err != nil {
 			b.fail(err)
+		} else {
+			b.writtenAt.Store(time.Now().UnixNano())
 		}
 		b.release(p)
 	}
@@ -210,10 +249,10 @@
 
 // release frees the room and the memory of a piece.
 func (b *sinkBuffer) release(p bufferedPiece) {
-	b.room.Release(p.room)
-	if p.reserved > 0 {
-		b.Memory.Release(p.reserved)
-		b.buffered.Add(-p.reserved)
+	b.freeBytes.Release(p.bufferBytes)
+	if p.memoryBytes > 0 {
+		b.Memory.Release(p.memoryBytes)
+		b.buffered.Add(-p.memoryBytes)
 	}
 }
 
--- a/core/dispatch/stalled.go
+++ b/core/dispatch/stalled.go
@@ -22,7 +22,7 @@
 		return false
 	case r.request.MaxAttempts > 0 && r.sentAttempts+1 >= r.request.MaxAttempts:
 		return false
-	case now.Add(a.grant.Predicted).After(r.firstTokenDeadline()):
+	case now.Add(a.grant.Predicted).After(a.firstTokenDue):
 		return false
 	case !r.Budget.TryRetry():
 		return false
