dispatch: fix a data race in a test

Cause: TestCutShortWhileConnecting reassigned a context that a timer function used. Change: the derived context has a variable of its own. Run: go test -race ./core/dispatch -run TestCutShort passes.

--- a/core/dispatch/forward_test.go
+++ b/core/dispatch/forward_test.go
@@ -214,9 +214,9 @@
 		},
 		"suspected": func(ctx context.Context, d *Dispatcher) context.Context {
 			time.AfterFunc(50*time.Millisecond, func() { d.Suspects.RecordDeath(ctx, "f", retry.Death{Endpoint: "a1"}) })
-			ctx, cancel := context.WithTimeout(ctx, time.Second)
-			context.AfterFunc(ctx, cancel)
-			return ctx
+			limited, cancel := context.WithTimeout(ctx, time.Second)
+			context.AfterFunc(limited, cancel)
+			return limited
 		},
 	}
 	for name, end := range tests {
