--- a/core/dispatch/wait.go
+++ b/core/dispatch/wait.go
@@ -8,12 +8,12 @@
 )
 
 const (
-	// minPatience is the shortest time for which callers wait for the first event of an answer.
-	minPatience = 2 * time.Second
-	// patiencePerObjective and patiencePerPause are the multiples of the objective and of the pause objective for which
+	// minCallerTimeout is the shortest time for which callers wait for the first event of an answer.
+	minCallerTimeout = 2 * time.Second
+	// callerTimeoutPerObjective and callerTimeoutPerPause are the multiples of the objective and of the pause objective for which
 	// callers wait if these are longer.
-	patiencePerObjective = 4
-	patiencePerPause     = 8
+	callerTimeoutPerObjective = 4
+	callerTimeoutPerPause     = 8
 	// lateRetryAfter is the retry delay for a request whose time has passed while it waited.
 	lateRetryAfter = 100 * time.Millisecond
 )
@@ -24,8 +24,8 @@
 	if r.request.Objective <= 0 {
 		return time.Time{}
 	}
-	patience := max(minPatience, patiencePerObjective*r.request.Objective, patiencePerPause*r.request.PauseObjective)
-	latest := r.arrivedAt.Add(patience)
+	timeout := max(minCallerTimeout, callerTimeoutPerObjective*r.request.Objective, callerTimeoutPerPause*r.request.PauseObjective)
+	latest := r.arrivedAt.Add(timeout)
 	if deadline := r.firstTokenDeadline(); !deadline.IsZero() && deadline.Before(latest) {
 		return deadline
 	}
--- a/core/dispatch/wait_test.go
+++ b/core/dispatch/wait_test.go
@@ -101,7 +101,7 @@
 		if first, second := reservations.requests[0], reservations.requests[1]; !first.MayWait || second.MayWait {
 			t.Errorf("first reservation may wait %t, second %t; want only the first", first.MayWait, second.MayWait)
 		}
-		if got, want := reservations.requests[0].LatestStart.Sub(reservations.requests[0].ArrivedAt), minPatience; got != want {
+		if got, want := reservations.requests[0].LatestStart.Sub(reservations.requests[0].ArrivedAt), minCallerTimeout; got != want {
 			t.Errorf("got latest start after %v, want %v", got, want)
 		}
 	})
--- a/core/sharedload/held_call_test.go
+++ b/core/sharedload/held_call_test.go
@@ -45,7 +45,7 @@
 			now := time.Now()
 			choice, settle, err := follower.Choose(t.Context(), placement.Need{
 				Pool: testPool.Name, PromptTokens: 5000, MaxTokens: 1500, Objective: waitObjective, MayWait: true,
-				ArrivedAt: now, LatestStart: now.Add(waitPatience),
+				ArrivedAt: now, LatestStart: now.Add(waitCallerTimeout),
 			})
 			if err != nil {
 				t.Fatal(err)
--- a/core/sharedload/pass.go
+++ b/core/sharedload/pass.go
@@ -9,7 +9,7 @@
 )
 
 // pass evaluates the endpoints of a pool once and places requests in the order of the queue while slots are free. It
-// refuses the requests that have become hopeless; the caller holds the lock.
+// refuses the requests that can no longer be served in time; the caller holds the lock.
 func (p *ChooserSet) pass(q *waitingPool, pool routing.Pool, now time.Time) {
 	q.passedAt = now
 	if p.waiting.isSuspended(now) {
--- a/core/sharedload/pass_test.go
+++ b/core/sharedload/pass_test.go
@@ -111,7 +111,7 @@
 					record: func(c Choice) { t.Errorf("the request was placed at %s", c.Endpoint) },
 					need: placement.Need{
 						Pool: testPool.Name, PromptTokens: 5000, Objective: waitObjective, MayWait: true, ArrivedAt: now,
-						LatestStart: now.Add(waitPatience), Account: "0",
+						LatestStart: now.Add(waitCallerTimeout), Account: "0",
 					},
 				}
 				p.startCall(call)
@@ -146,7 +146,7 @@
 				now := time.Now()
 				quick := placement.Need{
 					Pool: testPool.Name, PromptTokens: 5000, Objective: waitObjective, MayWait: true, ArrivedAt: now,
-					LatestStart: now.Add(waitPatience), Rank: tc.quick,
+					LatestStart: now.Add(waitCallerTimeout), Rank: tc.quick,
 				}
 				p.startCall(&heldCall{
 					pool: pool, ctx: t.Context(), receivedAt: now, need: quick, record: func(Choice) {}, done: make(chan struct{}),
@@ -159,7 +159,7 @@
 				if got := reasonOf(err); got != tc.want {
 					t.Errorf("got %q, want %q", got, tc.want)
 				}
-				time.Sleep(waitPatience)
+				time.Sleep(waitCallerTimeout)
 			})
 		})
 	}
--- a/core/sharedload/role_choosers.go
+++ b/core/sharedload/role_choosers.go
@@ -52,7 +52,7 @@
 	return RoleAlone
 }
 
-// Leads reports whether this entry is the leader, or takes itself for it.
+// Leads reports whether this entry is the leader, or considers itself to be.
 func (p *ChooserSet) Leads() bool {
 	return p.ownRole() == RoleLeader
 }
--- a/core/sharedload/waiting_fleet_test.go
+++ b/core/sharedload/waiting_fleet_test.go
@@ -19,9 +19,9 @@
 const (
 	// waitEngines is the number of engines of a waitingFleet.
 	waitEngines = 24
-	// waitObjective is the objective of its requests, and waitPatience the time after which their callers give up.
-	waitObjective = 300 * time.Millisecond
-	waitPatience  = 2 * time.Second
+	// waitObjective is the objective of its requests, and waitCallerTimeout the time after which their callers give up.
+	waitObjective     = 300 * time.Millisecond
+	waitCallerTimeout = 2 * time.Second
 )
 
 // waitingTestPool returns testPool as a contended pool with published mean lengths.
@@ -220,7 +220,7 @@
 	return reservation.Request{
 		Request: fleet.RequestID(fmt.Sprintf("request-%03d", number)), Pool: testPool.Name, Account: "account",
 		PromptTokens: 5000, MaxTokens: 1500, Objective: waitObjective, PauseObjective: 200 * time.Millisecond,
-		ArrivedAt: now, LatestStart: now.Add(waitPatience), MayWait: true,
+		ArrivedAt: now, LatestStart: now.Add(waitCallerTimeout), MayWait: true,
 	}
 }
 
--- a/core/sharedload/waiting_test.go
+++ b/core/sharedload/waiting_test.go
@@ -62,8 +62,8 @@
 					if r.err == nil {
 						placed++
 					}
-					if r.endedAt.Sub(r.arrivedAt) > waitPatience {
-						t.Errorf("a request ended %v after its arrival, want at most %v", r.endedAt.Sub(r.arrivedAt), waitPatience)
+					if r.endedAt.Sub(r.arrivedAt) > waitCallerTimeout {
+						t.Errorf("a request ended %v after its arrival, want at most %v", r.endedAt.Sub(r.arrivedAt), waitCallerTimeout)
 					}
 				}
 				for _, r := range w.results {
@@ -175,7 +175,7 @@
 			want:   reservation.ReasonWaitingMemory,
 			within: holdTime,
 		},
-		"the time is over": {want: reservation.ReasonWaitTooLong, within: waitPatience},
+		"the time is over": {want: reservation.ReasonWaitTooLong, within: waitCallerTimeout},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -289,7 +289,7 @@
 				f.addUsage(0, 2, tc.usage)
 				need := placement.Need{
 					Pool: testPool.Name, PromptTokens: 5000, MaxTokens: 1500, Objective: waitObjective, MayWait: true,
-					ArrivedAt: time.Now().Add(-tc.arrived), LatestStart: time.Now().Add(waitPatience - tc.arrived),
+					ArrivedAt: time.Now().Add(-tc.arrived), LatestStart: time.Now().Add(waitCallerTimeout - tc.arrived),
 				}
 				startedAt := time.Now()
 				choice, settle, err := f.reserver.Choosers.Choose(t.Context(), need)
--- a/core/waiting/item.go
+++ b/core/waiting/item.go
@@ -13,17 +13,17 @@
 // as the prefill of one token.
 const outputWork = 10
 
-// The lanes of one rank, each with its own order by account. They use the bands of admission.Queue, where Long counts
+// The bands of one rank, each with its own order by account. They use the bands of admission.Queue, where Long counts
 // as work ahead of Long items only.
 const (
-	// laneReturned holds requests that can meet their objective and whose caller was refused before.
-	laneReturned = admission.Quick
-	// laneNew holds other requests that can meet their objective.
-	laneNew = admission.Medium
-	// laneLate holds requests that can't meet their objective any more.
-	laneLate = admission.Long
-	// laneCount is the number of lanes.
-	laneCount = int(laneLate) + 1
+	// bandReturned holds requests that can meet their objective and whose caller was refused before.
+	bandReturned = admission.Quick
+	// bandNew holds other requests that can meet their objective.
+	bandNew = admission.Medium
+	// bandLate holds requests that can't meet their objective any more.
+	bandLate = admission.Long
+	// bandCount is the number of bands.
+	bandCount = int(bandLate) + 1
 )
 
 // Request describes a request that waits.
@@ -91,7 +91,7 @@
 
 // Late reports whether the request can't meet its objective any more, as of the latest Refresh.
 func (i *Item[T]) Late() bool {
-	return i.queued.Band == laneLate
+	return i.queued.Band == bandLate
 }
 
 // NeverInTime reports whether no endpoint could have met the objective, even if the request had been placed on arrival.
@@ -103,21 +103,21 @@
 type rankQueue struct {
 	rank  int
 	queue *admission.Queue
-	// lengths holds the number of items by lane.
-	lengths [laneCount]int
+	// lengths holds the number of items by band.
+	lengths [bandCount]int
 	// newPassedOver counts the placements of returned requests since the last one of a new request while one waited.
 	newPassedOver int
 }
 
 // length returns the number of items.
 func (r *rankQueue) length() int {
-	return r.lengths[laneReturned] + r.lengths[laneNew] + r.lengths[laneLate]
+	return r.lengths[bandReturned] + r.lengths[bandNew] + r.lengths[bandLate]
 }
 
-// lanes returns the lanes in the order in which they are served.
-func (r *rankQueue) lanes() [laneCount]admission.Band {
+// bands returns the bands in the order in which they are served.
+func (r *rankQueue) bands() [bandCount]admission.Band {
 	if r.newPassedOver >= maxPassedOver {
-		return [laneCount]admission.Band{laneNew, laneReturned, laneLate}
+		return [bandCount]admission.Band{bandNew, bandReturned, bandLate}
 	}
-	return [laneCount]admission.Band{laneReturned, laneNew, laneLate}
+	return [bandCount]admission.Band{bandReturned, bandNew, bandLate}
 }
--- a/core/waiting/load_test.go
+++ b/core/waiting/load_test.go
@@ -144,7 +144,7 @@
 		t.Errorf("%.3f of the new requests are served, of all %.3f; want at least a quarter as often", gotNew, all)
 	}
 	for _, c := range p.returns {
-		if c.ArrivedAt.Sub(p.now) > testPatience/3 {
+		if c.ArrivedAt.Sub(p.now) > testCallerTimeout/3 {
 			t.Errorf("a caller was told to return in %v, want at most a third of its time", c.ArrivedAt.Sub(p.now))
 		}
 	}
--- a/core/waiting/predict.go
+++ b/core/waiting/predict.go
@@ -101,25 +101,25 @@
 // Load pattern: a flood of quick requests exceeds the capacity for seconds. A request whose turn comes after its caller
 // has given up is refused on arrival instead of after seconds.
 func (q *Queue[T]) Predict(r Request, now time.Time) Prediction {
-	lane := laneOf(&r, q.overhead, now)
+	band := bandOf(&r, q.overhead, now)
 	rank := q.rankQueue(r.Rank)
 	inTime, late := 0.0, 0.0
 	for _, other := range q.ranks {
 		if other.rank < r.Rank {
 			inTime += float64(other.length())
-			late += float64(other.lengths[laneLate])
+			late += float64(other.lengths[bandLate])
 		}
 	}
-	sameInTime := float64(rank.lengths[laneReturned] + rank.lengths[laneNew])
-	if lane == laneReturned {
-		sameInTime = float64(rank.lengths[laneReturned]) + float64(rank.lengths[laneNew])*lateShare
+	sameInTime := float64(rank.lengths[bandReturned] + rank.lengths[bandNew])
+	if band == bandReturned {
+		sameInTime = float64(rank.lengths[bandReturned]) + float64(rank.lengths[bandNew])*lateShare
 	}
-	inTime += min(sameInTime, rank.queue.WorkAhead(r.Account, laneNew, r.weight(), r.work())/r.work())
-	late += min(float64(rank.lengths[laneLate]), rank.queue.WorkAhead(r.Account, laneLate, r.weight(), r.work())/r.work())
+	inTime += min(sameInTime, rank.queue.WorkAhead(r.Account, bandNew, r.weight(), r.work())/r.work())
+	late += min(float64(rank.lengths[bandLate]), rank.queue.WorkAhead(r.Account, bandLate, r.weight(), r.work())/r.work())
 	inTimePerSecond := q.throughput.inTimePerSecond(q.lateWaiting() > 0)
 	turn := now.Add(seconds(inTime / inTimePerSecond))
 	latest := r.latestInTime(q.overhead)
-	if lane != laneLate && !turn.After(latest) {
+	if band != bandLate && !turn.After(latest) {
 		return Prediction{Position: int(inTime), Start: turn.Add(r.PrefillTime + q.overhead)}
 	}
 	// The request becomes late before its turn, and then waits behind the late requests and those that become late with
@@ -127,7 +127,7 @@
 	if latest.Before(now) {
 		latest = now
 	}
-	if lane != laneLate {
+	if band != bandLate {
 		late += max(0, inTime-inTimePerSecond*latest.Sub(now).Seconds())
 	}
 	turn = latest.Add(seconds(late / q.throughput.latePerSecond()))
--- a/core/waiting/predict_test.go
+++ b/core/waiting/predict_test.go
@@ -11,7 +11,7 @@
 func quickRequest(now time.Time) Request {
 	return Request{
 		Account: "account", Prompt: 5000, Output: 500, PrefillTime: testPrefill, ArrivedAt: now, Objective: testObjective,
-		LatestStart: now.Add(testPatience),
+		LatestStart: now.Add(testCallerTimeout),
 	}
 }
 
--- a/core/waiting/queue.go
+++ b/core/waiting/queue.go
@@ -21,10 +21,10 @@
 	// about two quick requests, so that the milliseconds between two calls for one request don't cost its account its
 	// place.
 	accountCredit = 20_000
-	// hopelessMargin is the factor by which the throughput may exceed the measured one before a request that waits among
-	// the late ones is refused for it: the refusal is final, and the measurement reacts to each short standstill. It does
+	// refusalMargin is the factor by which the throughput may exceed the measured one before a request that waits among
+	// the late ones is refused for it: the refusal is final, and the measurement reacts to each short stall. It does
 	// not apply when a request joins them, since a refused request is better off the less it was held.
-	hopelessMargin = 2
+	refusalMargin = 2
 	// maxSkips bounds the requests of a pass that fit no endpoint although others may, so that a pass stays cheap.
 	maxSkips = 16
 	// maxLateSkips bounds the late requests among them whose turn comes before others, so that late ones that fit nowhere
@@ -104,7 +104,7 @@
 	i := &Item[T]{Request: r, Value: value, rank: rank, queued: &admission.Item{
 		Ticket:      q.lastTicket,
 		Request:     reservation.Request{Account: r.Account},
-		Band:        laneOf(&r, q.overhead, now),
+		Band:        bandOf(&r, q.overhead, now),
 		Cost:        r.work(),
 		QueuedAt:    now,
 		LatestStart: r.LatestStart,
@@ -133,15 +133,15 @@
 	q.overhead = overhead
 	q.throughput.update(now, capacity, q.leftOver)
 	q.leftOver = len(q.items) > 0
-	var hopeless, late []*Item[T]
+	var expired, late []*Item[T]
 	for _, i := range q.items {
 		if i.latestPlacement(overhead).Before(now) {
-			hopeless = append(hopeless, i)
+			expired = append(expired, i)
 			continue
 		}
-		if lane := laneOf(&i.Request, overhead, now); lane != i.queued.Band {
+		if band := bandOf(&i.Request, overhead, now); band != i.queued.Band {
 			q.pull(i)
-			i.queued.Band = lane
+			i.queued.Band = band
 			i.lateSince = now
 			q.push(i)
 		}
@@ -156,15 +156,15 @@
 	for _, i := range late {
 		perSecond := q.throughput.latePerSecond()
 		if !i.lateSince.Equal(now) {
-			perSecond *= hopelessMargin
+			perSecond *= refusalMargin
 		}
 		if now.Add(seconds(float64(ahead) / perSecond)).After(i.latestPlacement(overhead)) {
-			hopeless = append(hopeless, i)
+			expired = append(expired, i)
 			continue
 		}
 		ahead++
 	}
-	return hopeless
+	return expired
 }
 
 // Next returns the next request to place in the current pass, or nil if there is none or too many were skipped. The
@@ -175,14 +175,14 @@
 	}
 	if q.latePassedOver >= maxPassedOver && q.lateSkips < maxLateSkips {
 		for _, r := range q.ranks {
-			if i := q.head(r, laneLate); i != nil {
+			if i := q.head(r, bandLate); i != nil {
 				return i
 			}
 		}
 	}
 	for _, r := range q.ranks {
-		for _, lane := range r.lanes() {
-			if i := q.head(r, lane); i != nil {
+		for _, band := range r.bands() {
+			if i := q.head(r, band); i != nil {
 				return i
 			}
 		}
@@ -214,27 +214,27 @@
 func (q *Queue[T]) Place(i *Item[T]) {
 	delete(q.items, i.queued.Ticket)
 	i.out = true
-	lane := i.queued.Band
-	i.rank.lengths[lane]--
+	band := i.queued.Band
+	i.rank.lengths[band]--
 	i.rank.queue.Dequeue(i.queued)
-	q.throughput.count(lane == laneLate)
+	q.throughput.count(band == bandLate)
 	switch {
-	case lane == laneLate:
+	case band == bandLate:
 		q.latePassedOver = 0
 	case q.lateWaiting() > 0:
 		q.latePassedOver++
 	}
 	switch {
-	case lane == laneNew:
+	case band == bandNew:
 		i.rank.newPassedOver = 0
-	case lane == laneReturned && i.rank.lengths[laneNew] > 0:
+	case band == bandReturned && i.rank.lengths[bandNew] > 0:
 		i.rank.newPassedOver++
 	}
 }
 
-// head returns the first request of a lane, or nil.
-func (q *Queue[T]) head(r *rankQueue, lane admission.Band) *Item[T] {
-	queued, _ := r.queue.Head(lane)
+// head returns the first request of a band, or nil.
+func (q *Queue[T]) head(r *rankQueue, band admission.Band) *Item[T] {
+	queued, _ := r.queue.Head(band)
 	if queued == nil {
 		return nil
 	}
@@ -259,7 +259,7 @@
 func (q *Queue[T]) lateWaiting() int {
 	late := 0
 	for _, r := range q.ranks {
-		late += r.lengths[laneLate]
+		late += r.lengths[bandLate]
 	}
 	return late
 }
@@ -276,14 +276,14 @@
 	return q.ranks[index]
 }
 
-// laneOf returns the lane of a request.
-func laneOf(r *Request, overhead time.Duration, now time.Time) admission.Band {
+// bandOf returns the band of a request.
+func bandOf(r *Request, overhead time.Duration, now time.Time) admission.Band {
 	switch {
 	case r.latestInTime(overhead).Before(now):
-		return laneLate
+		return bandLate
 	case r.Returned:
-		return laneReturned
+		return bandReturned
 	default:
-		return laneNew
+		return bandNew
 	}
 }
--- a/core/waiting/simulation_test.go
+++ b/core/waiting/simulation_test.go
@@ -9,13 +9,13 @@
 )
 
 const (
-	testStep      = 5 * time.Millisecond
-	testOverhead  = 60 * time.Millisecond
-	testPrefill   = 30 * time.Millisecond
-	testObjective = 300 * time.Millisecond
-	testPatience  = 2 * time.Second
-	testSlots     = 300
-	testService   = 2 * time.Second
+	testStep          = 5 * time.Millisecond
+	testOverhead      = 60 * time.Millisecond
+	testPrefill       = 30 * time.Millisecond
+	testObjective     = 300 * time.Millisecond
+	testCallerTimeout = 2 * time.Second
+	testSlots         = 300
+	testService       = 2 * time.Second
 )
 
 // callerState is one caller's request and what became of it.
@@ -74,14 +74,14 @@
 		for _, account := range arrivals(p.now.Sub(p.started)) {
 			p.arrive(&callerState{Request: Request{
 				Account: account, Prompt: 5000, Output: 500, PrefillTime: testPrefill, ArrivedAt: p.now,
-				Objective: testObjective, LatestStart: p.now.Add(testPatience),
+				Objective: testObjective, LatestStart: p.now.Add(testCallerTimeout),
 			}}, returning)
 		}
 		p.pass()
 	}
 }
 
-// arrive adds a request, or refuses it if it is hopeless or the queue is full.
+// arrive adds a request, or refuses it if it can no longer be served in time or the queue is full.
 func (p *pool) arrive(c *callerState, returning bool) {
 	c.arrivedAt = p.now
 	p.callers = append(p.callers, c)
@@ -99,7 +99,7 @@
 	}
 	back := c.Request
 	back.ArrivedAt = p.now.Add(p.queue.RetryAfter(c.Request, p.now, p.random.Float64()))
-	back.LatestStart = back.ArrivedAt.Add(testPatience)
+	back.LatestStart = back.ArrivedAt.Add(testCallerTimeout)
 	back.Returned = true
 	p.returns = append(p.returns, &callerState{Request: back})
 }
