--- a/core/outlier/prober_test.go
+++ b/core/outlier/prober_test.go
@@ -156,7 +156,10 @@
 			p.RecordConnectTimeout(p.endpoint(id), time.Now())
 		}
 		time.Sleep(time.Second)
-		if network.probes["b9"] == 0 {
+		network.mu.Lock()
+		probes := network.probes["b9"]
+		network.mu.Unlock()
+		if probes == 0 {
 			t.Error("the other endpoints of the zone were not probed")
 		}
 		stop()
