Don't reserve endpoints for quick requests that wait at the chooser

Cause: placements of waiting requests were counted in the demand for which endpoints stay free of long prefill. Change: only quick requests that are placed without the queue count.

--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -120,6 +120,11 @@
 			refusal = preferRateRefusal(refusal, refused)
 			continue
 		}
+		if pool.Contended {
+			// Requests that wait at the chooser don't count: the order of the queue protects them, and endpoints kept free
+			// for them as well would make long prompts late.
+			c.Policy.demand.countQuick(pool.Name, now)
+		}
 		return quickChoice(pool, &states[i], need), nil
 	}
 	return Choice{}, refusal
--- a/core/sharedload/policy.go
+++ b/core/sharedload/policy.go
@@ -326,11 +326,7 @@
 	if !pool.Contended {
 		return
 	}
-	quick := isQuick(pool, need.PromptTokens)
-	if quick {
-		p.demand.countQuick(pool.Name, now)
-	}
-	p.demand.countPlaced(pool.Name, quick, residence(pool.Engine, choice, need.ExpectedOutput))
+	p.demand.countPlaced(pool.Name, isQuick(pool, need.PromptTokens), residence(pool.Engine, choice, need.ExpectedOutput))
 	p.markTried(choice, now)
 	p.logChoice(need, choice)
 }
