--- a/core/cost/paces.go
+++ b/core/cost/paces.go
@@ -71,7 +71,7 @@
 // Paces holds the paces of endpoints, measured by this entry and reported by others. Its zero value is ready to use; its
 // methods are safe for concurrent use.
 //
-// Load pattern: an endpoint becomes 4 to 7.5 times slower than published without announcing it. Its attempts run long,
+// Load pattern: an endpoint becomes several times slower than published without announcing it. Its attempts run long,
 // each long prompt with a part there waits for it, and requests keep coming because it looks no busier than others.
 type Paces struct {
 	// Listed reports whether an endpoint is listed; samples of others are dropped. Nil means that all are.
--- a/core/sharedload/demand.go
+++ b/core/sharedload/demand.go
@@ -29,7 +29,7 @@
 	// endpoints prefill.
 	maxUtilization = 0.9
 	// burstFactor is the demand of quick requests for which endpoints are kept free of long prefill, relative to the current
-	// one: quick requests burst at 1.5 to 2.5 times their usual rate.
+	// one, since a burst fills slots faster than running parts of long prompts end.
 	burstFactor = 2
 	// maxReservedShare bounds the share of a pool that is kept free of long prefill, so that long prompts always find
 	// endpoints.
--- a/core/sharedload/slack_plan.go
+++ b/core/sharedload/slack_plan.go
@@ -12,7 +12,7 @@
 
 const (
 	// stragglerShare is the assumed share of endpoints that are slow without being known for it, and stragglerPace their
-	// pace: such endpoints take 4 to 7.5 times the published time.
+	// pace: a part there is late unless it is short.
 	stragglerShare = 0.02
 	stragglerPace  = 5
 	// slackDelayCost is the cost of a delay as long as the objective, as a share of the request's value; it is small, since
