--- a/review/standins/case_drain.go
+++ b/review/standins/case_drain.go
@@ -10,8 +10,7 @@
 
 func init() { cases["drain"] = caseDrain }
 
-// silent is the gateway whose connection goes silent, and through which the requests come: by their names, the one that
-// chooses for all.
+// silent is the gateway whose connection goes silent: by their names, the one that chooses for all.
 const silent = 2
 
 // drainBound is drainMs of the small sites.
@@ -75,7 +74,7 @@
 	time.Sleep(4 * time.Second)
 	var group sync.WaitGroup
 	stop := make(chan struct{})
-	for client := range 4 {
+	for client := range 12 {
 		group.Go(func() {
 			for i := 0; ; i++ {
 				select {
@@ -83,7 +82,7 @@
 					return
 				case <-time.After(100 * time.Millisecond):
 				}
-				r.once(gateways[silent], request{
+				r.once(gateways[client%len(gateways)], request{
 					method: "POST", path: fmt.Sprintf("%s%d-%d", unsafePath, client, i), key: key, deadline: time.Second,
 				})
 			}
