review: make case 2 crash two workers in turn

Change: the streams and the crash come twice in a run; the crash takes the worker with most new streams.

--- a/review/standins/case_lost.go
+++ b/review/standins/case_lost.go
@@ -10,7 +10,7 @@
 func init() { cases["lost"] = caseLost }
 
 // caseLost runs three gateways and seven model workers. Clients send streams on kept connections, one worker crashes, and
-// the streams at the other workers are watched.
+// the streams at the other workers are watched; that is done twice.
 func caseLost(r *run) error {
 	storeAddress, err := r.serveStore("all")
 	if err != nil {
@@ -43,6 +43,19 @@
 	}
 	time.Sleep(4 * time.Second)
 
+	crashed := map[string]bool{}
+	for round := range 2 {
+		if err := r.streamsAndCrash(round, gateways, workers, crashed); err != nil {
+			return err
+		}
+	}
+	r.judgeLost(crashed)
+	return nil
+}
+
+// streamsAndCrash sends streams on kept connections and lets one worker crash while they run; the worker starts again
+// afterwards. It adds the worker to crashed.
+func (r *run) streamsAndCrash(round int, gateways []*process, workers map[string]*process, crashed map[string]bool) error {
 	var group sync.WaitGroup
 	stream := func(i int, wait time.Duration) {
 		group.Go(func() {
@@ -55,47 +68,53 @@
 			defer c.close()
 			c.send(r, g.name, request{method: "GET", path: safePath + "2f", key: key, deadline: time.Second})
 			// As in the example of the protocol page: the same path, no body, and the prompt in the headers.
-			a := c.send(r, g.name, request{
+			c.send(r, g.name, request{
 				method: "POST", path: streamPath + "2f", key: key, deadline: 10 * time.Second,
-				tokens: "4960,1600", prefix: fmt.Sprintf("5c1e07a2:40,%08x:4920", 0x1000+i),
+				tokens: "4960,1600", prefix: fmt.Sprintf("5c1e07a2:40,%08x:4920", 0x1000*(round+1)+i),
 			})
-			r.note(event{"event": "stream done", "id": a.id, "whole": a.whole, "began": a.began, "error": a.err})
 		})
 	}
 	for i := range 14 {
 		stream(i, time.Duration(i)*30*time.Millisecond)
 	}
-	for i := range 7 {
-		stream(14+i, 1500*time.Millisecond+time.Duration(i)*20*time.Millisecond)
+	for i := range 21 {
+		stream(14+i, 1500*time.Millisecond+time.Duration(i)*10*time.Millisecond)
 	}
-	time.Sleep(1750 * time.Millisecond)
-	victim := r.latestRunner()
+	time.Sleep(1800 * time.Millisecond)
+	victim := r.latestRunner(21)
 	if r.trouble {
 		if victim == "" {
 			return fmt.Errorf("no worker runs a stream")
 		}
+		crashed[victim] = true
 		r.signal(workers[victim], syscall.SIGKILL)
-	} else {
-		victim = ""
 	}
 	group.Wait()
-	time.Sleep(300 * time.Millisecond)
-	r.judgeLost(victim)
+	if r.trouble {
+		if err := r.restartWorker(workers[victim]); err != nil {
+			return err
+		}
+	}
+	time.Sleep(3 * time.Second)
 	return nil
 }
 
-// latestRunner returns the model worker that began a stream last.
-func (r *run) latestRunner() string {
+// latestRunner returns the model worker that began most of the latest streams, or "" if none began any.
+func (r *run) latestRunner(latest int) string {
 	found := r.find(func(e event) bool { return e["event"] == "runs" && e["service"] == modelService })
-	if len(found) == 0 {
-		return ""
+	began, most := map[string]int{}, ""
+	for _, e := range found[max(0, len(found)-latest):] {
+		worker := e.text("worker")
+		if began[worker]++; began[worker] > began[most] {
+			most = worker
+		}
 	}
-	return found[len(found)-1].text("worker")
+	return most
 }
 
 // judgeLost counts the streams that were passed on to a sound worker and whose connection was closed without a whole
 // answer.
-func (r *run) judgeLost(victim string) {
+func (r *run) judgeLost(crashed map[string]bool) {
 	ranAt := map[string]string{}
 	for _, e := range r.find(func(e event) bool { return e["event"] == "runs" && e["service"] == modelService }) {
 		ranAt[e.text("id")] = e.text("worker")
@@ -103,7 +122,7 @@
 	var closed, wrong []string
 	for _, e := range r.find(func(e event) bool { return e["event"] == "answered" }) {
 		worker, ran := ranAt[e.text("id")]
-		if !ran || worker == victim || e["whole"] == true {
+		if !ran || crashed[worker] || e["whole"] == true {
 			continue
 		}
 		if e.text("error") == "connection closed" {
