Give a leader only the share of the entries that follow it

Cause: each entry that takes itself for the leader used half of the rate of an endpoint, whatever the number of entries that it chooses for. Change: entries tell in their usage reports in which role the receiver chooses for them. A leader, and a chooser of a zone, uses the share of the entries that follow it. The roles have 0.4, 0.05 and 0.1 of the rate, 0.5, 0.25 and 0.25 before, and the leaders 1 of a limit that an endpoint states. Why it works: an entry follows one leader, so that the shares of all leaders add up to one, however they are cut off. Reports expire after one second, in which the old and the new leader may both count an entry; twice 0.4 and 0.05, and 0.1 are one rate.

--- a/core/sharedload/chooser_set.go
+++ b/core/sharedload/chooser_set.go
@@ -34,6 +34,8 @@
 type UsageReport struct {
 	// Entry is the ID of that entry.
 	Entry fleet.EntryID
+	// Role is the role in which the receiver of the report chooses for the entry; RoleAlone means that it doesn't.
+	Role Role
 	// Usages is its usage by endpoint.
 	Usages map[fleet.EndpointID]Usage
 	// Settled is the largest number up to which all choices of the entry are settled: Usages includes them unless they
@@ -99,8 +101,8 @@
 
 // ChooserSet finds the entries that choose endpoints for others, which are the leader of all entries and the first
 // chooser of this zone, and requests choices from them. All entries use the same ranking, so that those that reach the
-// same entries agree on the leader. Two leaders at the same time make worse choices, but not incorrect ones. The fields
-// must be set before use.
+// same entries agree on the leader. Several leaders at the same time make worse choices, but not incorrect ones: each uses
+// only its Share of what all entries may send. The fields must be set before use.
 type ChooserSet struct {
 	// Self is this entry.
 	Self fleet.Entry
@@ -132,10 +134,11 @@
 	// Metrics counts the requests that wait at this entry as the chooser; nil disables that.
 	Metrics metrics.Registry
 
-	waiting waitingCalls
-	ranking clusterstate.Ranking
-	mu      sync.Mutex
-	peers   map[fleet.EntryID]*peerState
+	waiting   waitingCalls
+	ranking   clusterstate.Ranking
+	followers followers
+	mu        sync.Mutex
+	peers     map[fleet.EntryID]*peerState
 	// lastNumber is the number of the latest choice for this entry; outstanding holds the numbers that are not settled.
 	lastNumber  uint64
 	outstanding map[uint64]bool
@@ -203,6 +206,7 @@
 // has gone or asks another chooser, and a choice that was just made is dropped.
 func (p *ChooserSet) HandleChoose(ctx context.Context, request ChooseRequest) (Choice, error) {
 	now := time.Now()
+	request.Report.Role = request.Role
 	p.recordReport(request.Report, now)
 	if !slices.Contains(request.Report.CutOff, request.Need.Pool) {
 		p.Usages.RecordExclusions(request.Need.Excluded, now)
@@ -239,6 +243,7 @@
 
 // recordReport stores the usage of another entry and what endpoints stated to it: that they leave, and their limits.
 func (p *ChooserSet) recordReport(report UsageReport, now time.Time) {
+	p.followers.record(report.Entry, report.Role, now)
 	p.Usages.UpdatePeer(report.Entry, report.Usages, report.Settled, now)
 	p.Usages.DropSettled(report.Entry, report.Latest, report.Outstanding)
 	p.recordPaths(report)
@@ -295,7 +300,7 @@
 	ctx, cancel := context.WithTimeout(ctx, chooseTimeout)
 	defer cancel()
 	return p.Transport.Choose(ctx, c.entry.Address, ChooseRequest{
-		Report: p.limitPaths(p.usageReport(), c.entry.ID), Number: number, Role: c.role, Need: need,
+		Report: p.reportTo(c.entry.ID, p.usageReport()), Number: number, Role: c.role, Need: need,
 	})
 }
 
--- a/core/sharedload/lost_paths.go
+++ b/core/sharedload/lost_paths.go
@@ -91,12 +91,6 @@
 	return p.LostPaths.Own(now)
 }
 
-// limitPaths returns a report to another entry without the lost paths that were sent to it often enough.
-func (p *ChooserSet) limitPaths(report UsageReport, to fleet.EntryID) UsageReport {
-	report.LostPaths = p.sentPaths.Select(to, report.LostPaths, time.Now())
-	return report
-}
-
 // recordLostPaths records the lost paths that another entry reports. The witness and its zone are those of the entry that
 // sent the report.
 func (p *ChooserSet) recordLostPaths(report UsageReport, now time.Time) {
--- a/core/sharedload/reporter.go
+++ b/core/sharedload/reporter.go
@@ -65,7 +65,7 @@
 		group.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 			defer cancel()
-			reply, err := t.Choosers.Transport.ReportUsage(ctx, entry.Address, t.Choosers.limitPaths(report, entry.ID))
+			reply, err := t.Choosers.Transport.ReportUsage(ctx, entry.Address, t.Choosers.reportTo(entry.ID, report))
 			t.Choosers.recordReply(entry, reply, err)
 			return nil
 		})
--- a/core/sharedload/role_choosers.go
+++ b/core/sharedload/role_choosers.go
@@ -44,12 +44,7 @@
 
 // ownRole returns the role in which this entry chooses for itself: RoleAlone if it is not a chooser for others.
 func (p *ChooserSet) ownRole() Role {
-	for _, c := range p.roleChoosers() {
-		if c.entry.ID == p.Self.ID {
-			return c.role
-		}
-	}
-	return RoleAlone
+	return p.roleOf(p.Self.ID)
 }
 
 // Leads reports whether this entry is the leader, or considers itself to be.
--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -41,6 +41,8 @@
 	contracts []string
 	// memory is the memory of entries that start, in MiB.
 	memory int
+	// peerProxies makes the other entries reach an entry that starts through its peerProxy.
+	peerProxies bool
 	// direct makes entries that start connect to endpoints as in a deployment, instead of by their path.
 	direct bool
 }
@@ -54,8 +56,9 @@
 type runningEntry struct {
 	settings settings.Gateway
 	process  *Process
-	// path is the entry's path to the endpoints.
-	path  *faultproxy.Path
+	// path is the entry's path to the endpoints, and peerProxy the path of the other entries to it, or nil.
+	path      *faultproxy.Path
+	peerProxy *faultproxy.Proxy
 	stop  context.CancelFunc
 	ended chan error
 }
@@ -136,6 +139,14 @@
 		stop:  stop,
 		ended: make(chan error, 1),
 	}
+	if w.peerProxies {
+		e.peerProxy = &faultproxy.Proxy{Target: e.settings.PeerAddress}
+		if err := e.peerProxy.Start(); err != nil {
+			w.t.Fatal(err)
+		}
+		w.t.Cleanup(e.peerProxy.Close)
+		e.settings.PublicPeerAddress = e.peerProxy.Address()
+	}
 	e.path = &faultproxy.Path{}
 	e.process = &Process{Settings: e.settings, DialEndpoint: e.path.Dial, Log: zerolog.New(zerolog.NewTestWriter(w.t)).Level(zerolog.InfoLevel)}
 	if w.direct {
--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -14,18 +14,18 @@
 	// at any time, so the factor is small. The actual rate is usually below the limit, since not all entries use their
 	// whole share at the same time.
 	warmRateFactor = 2
-	// leaderRateShare is the share of an endpoint's rate for the choices of the leader. fallbackRateShare is the share
-	// for each other role, which chooses while entries can't reach the leader.
-	leaderRateShare   = 0.5
-	fallbackRateShare = 0.25
+	// leaderRateShare, zoneRateShare and aloneRateShare are the shares of an endpoint's rate for the choices of all leaders,
+	// of the choosers of all zones, and of all entries that choose for themselves. While entries turn to another chooser,
+	// the old one and the new one may both use their share, so that the sum is twice the first two and the third.
+	leaderRateShare = 0.4
+	zoneRateShare   = 0.05
+	aloneRateShare  = 0.1
 	// limitTrialRate is the number of requests per second that the leader sends to an endpoint whatever limit it states.
 	limitTrialRate = 0.25
 )
 
-// maxRate returns the number of requests per second, possibly below one, that the choices of a role may send to an
-// endpoint; it reports false if the rate is unlimited. The leader gets half of the endpoint's rate since entries may
-// disagree briefly on who is the leader. The choosers of all zones together get a quarter, and so do all entries
-// together when each chooses for itself.
+// maxRate returns the number of requests per second, possibly below one, that the choices of a role at this entry may
+// send to an endpoint; it reports false if the rate is unlimited.
 func (p *Process) maxRate(endpoint fleet.Endpoint, role sharedload.Role, now time.Time) (float64, bool) {
 	pool, _ := p.pool(endpoint.Pool)
 	if pool.ColdRate <= 0 {
@@ -35,41 +35,34 @@
 	if now.After(endpoint.ColdUntil) {
 		rate *= warmRateFactor
 	}
-	return rate * p.rateShare(role, leaderRateShare), true
+	return rate * p.rateShare(role, leaderRateShare, now), true
 }
 
-// maxLimitRate returns the number of requests per second that the choices of a role may send to an endpoint that states
-// a limit; it reports false if it states none. The leader gets the whole limit, since nobody else chooses while entries
-// agree on it, but at least limitTrialRate, since only responses show that a limit has ended.
+// maxLimitRate returns the number of requests per second that the choices of a role at this entry may send to an endpoint
+// that states a limit; it reports false if it states none. All leaders together get the whole limit, and each of them at
+// least its share of limitTrialRate, since only responses show that a limit has ended.
 func (p *Process) maxLimitRate(endpoint fleet.Endpoint, role sharedload.Role) (float64, bool) {
 	limit, limited := p.limits.Limit(endpoint)
 	if limited && role == sharedload.RoleLeader {
 		limit = max(limit, limitTrialRate)
 	}
-	return limit * p.rateShare(role, 1), limited
+	return limit * p.rateShare(role, 1, time.Now()), limited
 }
 
-// rateShare returns the share of an endpoint's rate for the choices of a role at this entry.
-func (p *Process) rateShare(role sharedload.Role, leaderShare float64) float64 {
+// rateShare returns the share of an endpoint's rate for the choices of a role at this entry. All leaders together get
+// leaderShare.
+func (p *Process) rateShare(role sharedload.Role, leaderShare float64, now time.Time) float64 {
+	share := p.choosers.Share(role, now)
 	switch role {
 	case sharedload.RoleLeader:
-		return leaderShare
+		return leaderShare * share
 	case sharedload.RoleZone:
-		return fallbackRateShare / float64(p.zoneCount())
+		return zoneRateShare * share
 	default:
-		return fallbackRateShare / float64(p.entryCount())
+		return aloneRateShare * share
 	}
 }
 
-// zoneCount returns the number of zones that have known entries, at least one.
-func (p *Process) zoneCount() int {
-	zones := make(map[fleet.Zone]bool)
-	for _, entry := range p.state.Entries.Snapshot().Rows {
-		zones[entry.Zone] = true
-	}
-	return max(1, len(zones))
-}
-
 // entryCount returns the number of known entries, at least one.
 func (p *Process) entryCount() int {
 	return max(1, len(p.state.Entries.Snapshot().Rows))
--- a/io/peer/usages.go
+++ b/io/peer/usages.go
@@ -192,6 +192,8 @@
 		Entry: string(report.Entry), Usages: toUsages(report.Usages), Settled: report.Settled,
 		Latest: report.Latest, Outstanding: report.Outstanding,
 	}
+	role := int64(report.Role)
+	m.Role = &role
 	for _, pool := range report.CutOff {
 		m.CutOff = append(m.CutOff, string(pool))
 	}
@@ -210,10 +212,12 @@
 	return m
 }
 
-// fromUsageSet converts a message to a usage report.
+// fromUsageSet converts a message to a usage report. An entry of an earlier version, which doesn't tell in which role the
+// receiver chooses for it, counts as one that the receiver leads.
 func fromUsageSet(m *UsageSet) sharedload.UsageReport {
 	report := sharedload.UsageReport{
 		Entry:   fleet.EntryID(m.GetEntry()),
+		Role:    sharedload.RoleLeader,
 		Usages:  fromUsages(m.GetUsages()),
 		Settled: m.GetSettled(),
 
@@ -223,6 +227,9 @@
 		Leaving: make(map[fleet.EndpointID]fleet.Incarnation, len(m.GetLeaving())),
 		Limits:  make(map[fleet.EndpointID]ratelimit.Statement, len(m.GetLimits())),
 	}
+	if m.Role != nil {
+		report.Role = sharedload.Role(*m.Role)
+	}
 	for _, pool := range m.GetCutOff() {
 		report.CutOff = append(report.CutOff, fleet.PoolName(pool))
 	}
--- a/standin/cierzo/configuration.go
+++ b/standin/cierzo/configuration.go
@@ -5,6 +5,9 @@
 	"encoding/json"
 )
 
+// defaultColdRate is the number of requests per second that a cold engine takes, unless a configuration names another one.
+const defaultColdRate = 300
+
 // Route is the JSON form of a route in a configuration.
 type Route map[string]any
 
@@ -14,7 +17,12 @@
 // Configuration writes a configuration to the store, with a pool of engines, a pool of plain services, the given routes
 // and the API keys of each client account.
 func Configuration(s *Store, version int, keys map[string][]string, routes ...Route) {
-	configurationWith(s, version, keys, figures(4), routes)
+	configurationWith(s, version, keys, figures(4), defaultColdRate, routes)
+}
+
+// ColdConfiguration is like Configuration, but publishes the requests per second that a cold engine takes.
+func ColdConfiguration(s *Store, version int, coldPerSecond float64, keys map[string][]string, routes ...Route) {
+	configurationWith(s, version, keys, figures(4), coldPerSecond, routes)
 }
 
 // ContendedConfiguration is like Configuration, with ContendedRoutes if no routes are given, but the pool of engines is
@@ -28,11 +36,13 @@
 	engine["kvCapacity"] = 267_750
 	engine["step_ms"] = 1.0
 	engine["usual"] = map[string]any{"prompt": 14_000, "answer": 1_700}
-	configurationWith(s, version, keys, engine, routes)
+	configurationWith(s, version, keys, engine, defaultColdRate, routes)
 }
 
 // configurationWith writes a configuration to the store.
-func configurationWith(s *Store, version int, keys map[string][]string, engine Figures, routes []Route) {
+func configurationWith(
+	s *Store, version int, keys map[string][]string, engine Figures, coldPerSecond float64, routes []Route,
+) {
 	accounts := []map[string]any{}
 	for name, list := range keys {
 		accounts = append(accounts, map[string]any{"name": name, "apiKeys": list, "priority": 1})
@@ -40,7 +50,7 @@
 	value, _ := json.Marshal(map[string]any{
 		"version": version, "routes": routes, "tenants": accounts,
 		"services": []map[string]any{
-			{"name": "engines", "maxConns": 100, "coldS": 1, "coldPerS": 300, "engine": engine},
+			{"name": "engines", "maxConns": 100, "coldS": 1, "coldPerS": coldPerSecond, "engine": engine},
 			{"name": "services", "maxConns": 100},
 		},
 		"limits": map[string]any{
--- a/standin/cierzo/endpoint.go
+++ b/standin/cierzo/endpoint.go
@@ -28,6 +28,8 @@
 	Body string
 	// From is the address of the client's connection.
 	From string
+	// At is when the request arrived.
+	At time.Time
 	// Ran reports whether X-Expect-Instance names this endpoint or is absent. The endpoint then runs the request, unless
 	// Intercept answers it.
 	Ran bool
@@ -54,6 +56,8 @@
 	TokensPerMs int
 	// Queue makes requests wait while Slots of them run. Otherwise, all run at once.
 	Queue bool
+	// ColdTime is how long the endpoint stays cold from its registration, as Register states it.
+	ColdTime time.Duration
 	// Public is the address that Register states in the registry; the zero value means the listen address.
 	Public netip.AddrPort
 	// CrashPart is the ID of a prompt part. The endpoint crashes when it begins to write the answer to a prompt with this
@@ -111,7 +115,7 @@
 	}
 	record, _ := json.Marshal(map[string]any{
 		"service": k.Service, "address": address.String(), "zone": k.Zone, "version": "v1",
-		"slots": k.Slots, "state": state, "coldLeftMs": 0, "sequence": 1, "born": k.startedAtMs,
+		"slots": k.Slots, "state": state, "coldLeftMs": k.ColdTime.Milliseconds(), "sequence": 1, "born": k.startedAtMs,
 	})
 	s.Put("servers", k.ID, base64.StdEncoding.EncodeToString(record))
 }
@@ -211,6 +215,7 @@
 	body, _ := io.ReadAll(r.Body)
 	received := ReceivedRequest{
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header.Clone(), Body: string(body), From: r.RemoteAddr,
+		At: time.Now(),
 	}
 	expected := r.Header.Get("X-Expect-Instance")
 	received.Ran = expected == "" || expected == k.ID
