Use no shared rate before the other entries are known

Cause: an entry that has read the configuration and the endpoints, but not yet the list of entries, counted itself as the only one. Entries that start together could each use the rate of all at a cold endpoint, and the burst of all in the retry budget. Change: the share of an entry is 0 until the list was read, so that pools with a cold rate are refused as cold for that moment; the retry budget allows one retry. A bucket without a rate has a bounded retry delay. Why it works: an entry adds itself to the list on the first read, so that an empty list means that it was not read. Not seen with real processes.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -12,7 +12,7 @@
 	// Burst is the number of retries that can accumulate across all entries. Each entry can accumulate its equal share,
 	// and at least one.
 	Burst float64
-	// EntryCount returns the number of entries that share Burst; nil means one.
+	// EntryCount returns the number of entries that share Burst, or 0 if it is not known yet; nil means one.
 	EntryCount func() int
 
 	mu sync.Mutex
@@ -42,7 +42,11 @@
 	return true
 }
 
-// Capacity returns the number of retries that can accumulate at each of the given number of entries.
+// Capacity returns the number of retries that can accumulate at each of the given number of entries: one if that is not
+// known, so that entries that start at the same time don't each use the whole burst.
 func Capacity(burst float64, entries int) float64 {
-	return max(1, burst/float64(max(1, entries)))
+	if entries <= 0 {
+		return 1
+	}
+	return max(1, burst/float64(entries))
 }
--- a/core/retry/budget_test.go
+++ b/core/retry/budget_test.go
@@ -2,6 +2,24 @@
 
 import "testing"
 
+// TestBudgetOfUnknownEntries guards against entries that start at the same time and each use the burst of all: while the
+// number of entries is not known, an entry accumulates one retry.
+func TestBudgetOfUnknownEntries(t *testing.T) {
+	tests := map[string]struct{ entries, want int }{"unknown": {0, 1}, "one": {1, 90}, "nine": {9, 10}, "many": {900, 1}}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			budget := &Budget{Burst: 90, EntryCount: func() int { return tc.entries }}
+			retries := 0
+			for budget.TryRetry() {
+				retries++
+			}
+			if retries != tc.want {
+				t.Errorf("got %d retries, want %d", retries, tc.want)
+			}
+		})
+	}
+}
+
 func TestBudget(t *testing.T) {
 	tests := map[string]struct {
 		// requests is the number of requests after the burst is spent, each followed by an attempt to retry. If it is
--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -192,9 +192,7 @@
 	}
 	bucket, limited := c.limitBucket(s.endpoint, role, now)
 	if limited && bucket.TokensAt(now) < 1 {
-		missing := (1 - bucket.TokensAt(now)) / float64(bucket.Limit())
-		retryAfter := min(time.Duration(missing*float64(time.Second)), maxLimitRetryAfter)
-		return &reservation.Refusal{Reason: reservation.ReasonRateLimited, RetryAfter: retryAfter}
+		return &reservation.Refusal{Reason: reservation.ReasonRateLimited, RetryAfter: limitRetryAfter(bucket, now)}
 	}
 	if !c.consumeRate(s.endpoint, role, now) {
 		return &reservation.Refusal{Reason: reservation.ReasonCold, RetryAfter: coldRetryAfter}
@@ -267,6 +265,15 @@
 	return bucket, true
 }
 
+// limitRetryAfter returns the time until a bucket allows the next request, at most maxLimitRetryAfter.
+func limitRetryAfter(bucket *rate.Limiter, now time.Time) time.Duration {
+	missing := 1 - bucket.TokensAt(now)
+	if missing >= maxLimitRetryAfter.Seconds()*float64(bucket.Limit()) {
+		return maxLimitRetryAfter
+	}
+	return time.Duration(missing / float64(bucket.Limit()) * float64(time.Second))
+}
+
 // consumeRate counts a request against the rate of an endpoint and reports whether the rate allows it; the caller holds
 // the lock.
 func (c *Chooser) consumeRate(endpoint fleet.Endpoint, role Role, now time.Time) bool {
--- a/core/sharedload/followers.go
+++ b/core/sharedload/followers.go
@@ -59,9 +59,12 @@
 // Share returns the share of all entries for which this one chooses in a role: of those that follow it, and of itself if
 // that is its own role. An entry follows one leader and one chooser of its zone, so that the shares of several leaders add
 // up to one, however the entries are cut off from each other. For at most peerTTL after an entry has turned to another
-// leader, both count it.
+// leader, both count it. Before any entry is known, the share is 0, since others may start at the same time.
 func (p *ChooserSet) Share(role Role, now time.Time) float64 {
-	known := max(1, len(p.State.Entries.Snapshot().Rows))
+	known := len(p.State.Entries.Snapshot().Rows)
+	if known == 0 {
+		return 0
+	}
 	if role == RoleAlone {
 		return 1 / float64(known)
 	}
--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -63,9 +63,9 @@
 	}
 }
 
-// entryCount returns the number of known entries, at least one.
+// entryCount returns the number of known entries, or 0 if none has been read yet.
 func (p *Process) entryCount() int {
-	return max(1, len(p.state.Entries.Snapshot().Rows))
+	return len(p.state.Entries.Snapshot().Rows)
 }
 
 // retryBudget returns the retry budget of this entry, which holds an equal share of the burst of all entries.
