Spread the first requests of entries with rates below one

Cause: an entry whose share of a cold endpoint's rate is below one request per second was allowed its first request at once. When many entries begin to choose for themselves at the same time, all of them send one in the same second, and so do the many leaders of a deployment that is cut to pieces. Change: the window of such an entry begins at a random point of the time between two requests. The rate of a window is bounded below, so that no interval overflows. Why it works: the first requests of all entries are spread over the interval in which each of them may send one.

--- a/core/ratelimit/window.go
+++ b/core/ratelimit/window.go
@@ -1,7 +1,13 @@
 // Package ratelimit limits the requests within a sliding window: one second, or longer for rates below one per second.
 package ratelimit
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// maxInterval bounds the time between two requests of the lowest rates.
+const maxInterval = time.Hour
 
 // Window holds the times of the latest allowed requests. Its zero value is ready to use; it is not safe for concurrent
 // use.
@@ -9,6 +15,15 @@
 	allowedAt []time.Time
 }
 
+// NewWindow returns a window for one of many senders that share a rate and may begin at the same time. If its own rate is
+// below one request per second, its first request is allowed after a random part of the time between two requests.
+func NewWindow(rate float64, now time.Time) *Window {
+	if rate <= 0 || rate >= 1 {
+		return &Window{}
+	}
+	return &Window{allowedAt: []time.Time{now.Add(-rand.N(windowInterval(rate)))}}
+}
+
 // Allow reports whether a request at time now is within the rate, in requests per second, and records it if so. The
 // fractional part of a rate above one is ignored. A rate below one allows one request per 1/rate seconds; a rate of
 // zero or less allows none.
@@ -16,7 +31,7 @@
 	if rate <= 0 {
 		return false
 	}
-	interval := max(time.Second, time.Duration(float64(time.Second)/rate))
+	interval := windowInterval(rate)
 	expired := 0
 	for expired < len(w.allowedAt) && now.Sub(w.allowedAt[expired]) >= interval {
 		expired++
@@ -28,3 +43,9 @@
 	w.allowedAt = append(w.allowedAt, now)
 	return true
 }
+
+// windowInterval returns the length of the window of a positive rate: one second, or the time between two requests of a
+// rate below one.
+func windowInterval(rate float64) time.Duration {
+	return time.Duration(max(1, min(1/rate, maxInterval.Seconds())) * float64(time.Second))
+}
--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -288,7 +288,7 @@
 	window, found := c.windows[key]
 	if !found {
 		c.dropUnlisted()
-		window = &ratelimit.Window{}
+		window = ratelimit.NewWindow(perSecond, now)
 		c.windows[key] = window
 	}
 	return window.Allow(perSecond, now)
