Spread the first requests of many leaders to a limited endpoint

Cause: the bucket of a leader for an endpoint that states a limit began with one request, and those of other roles filled from the same moment. The leaders of a deployment that is cut to pieces each sent one at once. Change: a bucket begins with one request only if the choices of the role may use the whole limit, else at a random point of the time between two. Why it works: the requests of all entries are spread over the interval in which each of them may send one. Run: TestManyLeadersKeepALimit failed before with 60 requests of 60 entries within 4 s, want 11 at most, and passes 10 of 10 with the other tests of limits.

--- a/core/ratelimit/window.go
+++ b/core/ratelimit/window.go
@@ -21,7 +21,7 @@
 	if rate <= 0 || rate >= 1 {
 		return &Window{}
 	}
-	return &Window{allowedAt: []time.Time{now.Add(-rand.N(windowInterval(rate)))}}
+	return &Window{allowedAt: []time.Time{now.Add(-rand.N(Interval(rate)))}}
 }
 
 // Allow reports whether a request at time now is within the rate, in requests per second, and records it if so. The
@@ -31,7 +31,7 @@
 	if rate <= 0 {
 		return false
 	}
-	interval := windowInterval(rate)
+	interval := Interval(rate)
 	expired := 0
 	for expired < len(w.allowedAt) && now.Sub(w.allowedAt[expired]) >= interval {
 		expired++
@@ -44,8 +44,8 @@
 	return true
 }
 
-// windowInterval returns the length of the window of a positive rate: one second, or the time between two requests of a
-// rate below one.
-func windowInterval(rate float64) time.Duration {
+// Interval returns the length of the window of a positive rate: one second, or the time between two requests of a rate
+// below one.
+func Interval(rate float64) time.Duration {
 	return time.Duration(max(1, min(1/rate, maxInterval.Seconds())) * float64(time.Second))
 }
--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -230,9 +231,10 @@
 	}
 }
 
-// limitBucket returns the token bucket of an endpoint that states a limit; it reports false for others. The bucket of
-// the leader begins with one request, the others begin empty: many entries may begin to choose for themselves at the same
-// time. The caller holds the lock.
+// limitBucket returns the token bucket of an endpoint that states a limit; it reports false for others. The bucket begins
+// with one request if the choices of the role may use the whole limit. Else its first request is allowed after a random
+// part of the time between two, since many entries may begin to choose for themselves at the same time. The caller holds
+// the lock.
 func (c *Chooser) limitBucket(endpoint fleet.Endpoint, role Role, now time.Time) (*rate.Limiter, bool) {
 	if c.Limits == nil {
 		return nil, false
@@ -251,9 +253,12 @@
 		}
 		c.dropUnlisted()
 		bucket = rate.NewLimiter(rate.Limit(perSecond), burst)
-		if role == RoleLeader {
+		switch limit, _ := c.Limits.Limit(endpoint); {
+		case perSecond >= limit:
 			bucket.AllowN(now, burst-1)
-		} else {
+		case perSecond > 0:
+			bucket.AllowN(now.Add(-rand.N(ratelimit.Interval(perSecond))), burst)
+		default:
 			bucket.AllowN(now, burst)
 		}
 		c.buckets[key] = bucket
--- a/core/sharedload/limits_test.go
+++ b/core/sharedload/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -82,6 +83,44 @@
 	}
 }
 
+// TestManyLeadersKeepALimit guards against entries that are cut off from each other and all lead: their buckets must not
+// all allow a request at the same time, neither at first nor when they have filled.
+func TestManyLeadersKeepALimit(t *testing.T) {
+	// The platform allows one and a half times the limit, and five more, within limitSpan.
+	const (
+		entries, limit = 60, 1.0
+		limitSpan      = 4 * time.Second
+		most           = 11
+		span           = 2 * entries * time.Second
+	)
+	var chosenAt []time.Duration
+	start := time.Now()
+	for range entries {
+		f := newFleet(1)
+		f.limitEndpoints(1, limit, map[Role]float64{RoleLeader: 1.0 / entries})
+		for elapsed := time.Duration(0); elapsed < span; elapsed += 100 * time.Millisecond {
+			need := placement.Need{Pool: testPool.Name, PromptTokens: 1000, MaxTokens: 100}
+			if _, err := f.chooser.Choose(need, RoleLeader, start.Add(elapsed), func(Choice) {}); err == nil {
+				chosenAt = append(chosenAt, elapsed)
+			}
+		}
+	}
+	slices.Sort(chosenAt)
+	got, from := 0, 0
+	for to := range chosenAt {
+		for chosenAt[to]-chosenAt[from] >= limitSpan {
+			from++
+		}
+		got = max(got, to-from+1)
+	}
+	if got > most {
+		t.Errorf("%d choices within %v, want %d at most", got, limitSpan, most)
+	}
+	if least := int(limit * span.Seconds() / 2); len(chosenAt) < least {
+		t.Errorf("%d choices in %v, want %d or more", len(chosenAt), span, least)
+	}
+}
+
 // TestReachedLimits requests choices from a pool whose endpoints all have reached their limit.
 func TestReachedLimits(t *testing.T) {
 	f := newFleet(3)
