--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -59,8 +59,8 @@
 	// path is the entry's path to the endpoints, and peerProxy the path of the other entries to it, or nil.
 	path      *faultproxy.Path
 	peerProxy *faultproxy.Proxy
-	stop  context.CancelFunc
-	ended chan error
+	stop      context.CancelFunc
+	ended     chan error
 }
 
 // newCluster starts a store that holds a configuration. The cluster is stopped when the test ends.
