Cut no begun answer that can't go on when an endpoint dies elsewhere

Cause: the first recorded death of a fingerprint ends all attempts with it. Prompts that are told by headers share one. Change: an attempt that has begun to answer and can't be continued goes on. Attempts without a token end as before, with a status, and resumable streams go on elsewhere. Why it works: what is cut has an answer or goes on. A begun copy that crashes its endpoint would have crashed it before it was cut as well.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -287,7 +287,8 @@
 
 // renew reports progress to the owner until ctx ends: periodically, and at once when the attempt starts, when its first
 // token arrives and when that is overdue. It cancels the attempt when its reservation has lapsed, when its answer stalls,
-// or when an endpoint has died while it ran another copy of the request.
+// or when an endpoint has died while it ran another copy of the request, unless its answer has begun and can't be
+// continued elsewhere.
 func (a *attemptRun) renew(ctx context.Context, suspected <-chan struct{}, cancel context.CancelCauseFunc) {
 	ticker := time.NewTicker(a.renewInterval())
 	defer ticker.Stop()
@@ -300,8 +301,13 @@
 		case <-ctx.Done():
 			return
 		case <-suspected:
-			cancel(errSuspected)
-			return
+			if progress, _ := a.currentProgress(); !progress.Started || a.request.RetryPolicy == RetryResume {
+				cancel(errSuspected)
+				return
+			}
+			// The caller would lose an answer that can't be continued, and the endpoint may have survived the request.
+			suspected = nil
+			continue
 		case <-stalled:
 			if a.moveStalled(time.Now()) {
 				cancel(errNoFirstToken)
