--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -139,6 +139,12 @@
 		"not run, once":      {call{method: "POST", uri: "/u/x"}, notRun, http.StatusServiceUnavailable, "", 1},
 		"not run, repeated":  {call{method: "GET", uri: "/r/x"}, notRun, http.StatusServiceUnavailable, "", 2},
 		"not found, as said": {call{method: "POST", uri: "/u/x"}, head("attempt-1", "s", 404), http.StatusNotFound, "body", 1},
+
+		// The endpoint has run the call, but these statuses promise callers that it has not.
+		"full, run once":       {call{method: "POST", uri: "/u/x"}, head("attempt-1", "s", 503), http.StatusBadGateway, "", 1},
+		"too many, run once":   {call{method: "POST", uri: "/u/x"}, head("attempt-1", "s", 429), http.StatusBadGateway, "", 1},
+		"timeout, run once":    {call{method: "POST", uri: "/u/x"}, head("attempt-1", "s", 408), http.StatusBadGateway, "", 1},
+		"full, run repeatedly": {call{method: "GET", uri: "/r/x"}, head("attempt-1", "s", 503), http.StatusServiceUnavailable, "body", 2},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -149,6 +155,9 @@
 			if got.status != tc.status || got.body != tc.body {
 				t.Errorf("answer = %+v, want status %d and body %q", got, tc.status, tc.body)
 			}
+			if got.status == http.StatusBadGateway && got.header.Get("X-Response-Seal") != "" {
+				t.Error("an answer of the entry has the seal of an endpoint")
+			}
 			if n := len(first.Requests()) + len(second.Requests()); n != tc.arrivals {
 				t.Errorf("%d requests reached endpoints, want %d", n, tc.arrivals)
 			}
