--- a/core/sharedload/chooser.go
+++ b/core/sharedload/chooser.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -192,9 +193,7 @@
 	}
 	bucket, limited := c.limitBucket(s.endpoint, role, now)
 	if limited && bucket.TokensAt(now) < 1 {
-		missing := (1 - bucket.TokensAt(now)) / float64(bucket.Limit())
-		retryAfter := min(time.Duration(missing*float64(time.Second)), maxLimitRetryAfter)
-		return &reservation.Refusal{Reason: reservation.ReasonRateLimited, RetryAfter: retryAfter}
+		return &reservation.Refusal{Reason: reservation.ReasonRateLimited, RetryAfter: limitRetryAfter(bucket, now)}
 	}
 	if !c.consumeRate(s.endpoint, role, now) {
 		return &reservation.Refusal{Reason: reservation.ReasonCold, RetryAfter: coldRetryAfter}
@@ -232,9 +231,10 @@
 	}
 }
 
-// limitBucket returns the token bucket of an endpoint that states a limit; it reports false for others. The bucket of
-// the leader begins with one request, the others begin empty: many entries may begin to choose for themselves at the same
-// time. The caller holds the lock.
+// limitBucket returns the token bucket of an endpoint that states a limit; it reports false for others. The bucket begins
+// with one request if the choices of the role may use the whole limit. Else its first request is allowed after a random
+// part of the time between two, since many entries may begin to choose for themselves at the same time. The caller holds
+// the lock.
 func (c *Chooser) limitBucket(endpoint fleet.Endpoint, role Role, now time.Time) (*rate.Limiter, bool) {
 	if c.Limits == nil {
 		return nil, false
@@ -253,9 +253,12 @@
 		}
 		c.dropUnlisted()
 		bucket = rate.NewLimiter(rate.Limit(perSecond), burst)
-		if role == RoleLeader {
+		switch limit, _ := c.Limits.Limit(endpoint); {
+		case perSecond >= limit:
 			bucket.AllowN(now, burst-1)
-		} else {
+		case perSecond > 0:
+			bucket.AllowN(now.Add(-rand.N(ratelimit.Interval(perSecond))), burst)
+		default:
 			bucket.AllowN(now, burst)
 		}
 		c.buckets[key] = bucket
@@ -267,6 +270,15 @@
 	return bucket, true
 }
 
+// limitRetryAfter returns the time until a bucket allows the next request, at most maxLimitRetryAfter.
+func limitRetryAfter(bucket *rate.Limiter, now time.Time) time.Duration {
+	missing := 1 - bucket.TokensAt(now)
+	if missing >= maxLimitRetryAfter.Seconds()*float64(bucket.Limit()) {
+		return maxLimitRetryAfter
+	}
+	return time.Duration(missing / float64(bucket.Limit()) * float64(time.Second))
+}
+
 // consumeRate counts a request against the rate of an endpoint and reports whether the rate allows it; the caller holds
 // the lock.
 func (c *Chooser) consumeRate(endpoint fleet.Endpoint, role Role, now time.Time) bool {
@@ -281,7 +293,7 @@
 	window, found := c.windows[key]
 	if !found {
 		c.dropUnlisted()
-		window = &ratelimit.Window{}
+		window = ratelimit.NewWindow(perSecond, now)
 		c.windows[key] = window
 	}
 	return window.Allow(perSecond, now)
