--- a/core/sharedload/cold_rate_test.go
+++ b/core/sharedload/cold_rate_test.go
@@ -28,22 +28,15 @@
 					choosers[i] = newFleet(1).chooser
 					choosers[i].Rate = func(fleet.Endpoint, Role, time.Time) (float64, bool) { return coldRate / float64(entries), true }
 				}
-				var sentAt []time.Time
+				var sentAt []time.Duration
 				for start := time.Now(); time.Since(start) < span; time.Sleep(10 * time.Millisecond) {
 					for _, c := range choosers {
 						if c.consumeRate(endpoint, RoleAlone, time.Now()) {
-							sentAt = append(sentAt, time.Now())
+							sentAt = append(sentAt, time.Since(start))
 						}
 					}
 				}
-				most, from := 0, 0
-				for to := range sentAt {
-					for sentAt[to].Sub(sentAt[from]) >= time.Second {
-						from++
-					}
-					most = max(most, to-from+1)
-				}
-				if most > coldBound {
+				if most := mostWithin(sentAt, time.Second); most > coldBound {
 					t.Errorf("%d requests in a second from %d entries, want %d at most", most, entries, coldBound)
 				}
 				if least := int(coldRate * span.Seconds() / 2); len(sentAt) < least {
@@ -53,3 +46,15 @@
 		})
 	}
 }
+
+// mostWithin returns the largest number of times that lie within a span; times are in ascending order.
+func mostWithin(times []time.Duration, span time.Duration) int {
+	most, from := 0, 0
+	for to := range times {
+		for times[to]-times[from] >= span {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	return most
+}
--- a/core/sharedload/limits_test.go
+++ b/core/sharedload/limits_test.go
@@ -106,14 +106,7 @@
 		}
 	}
 	slices.Sort(chosenAt)
-	got, from := 0, 0
-	for to := range chosenAt {
-		for chosenAt[to]-chosenAt[from] >= limitSpan {
-			from++
-		}
-		got = max(got, to-from+1)
-	}
-	if got > most {
+	if got := mostWithin(chosenAt, limitSpan); got > most {
 		t.Errorf("%d choices within %v, want %d at most", got, limitSpan, most)
 	}
 	if least := int(limit * span.Seconds() / 2); len(chosenAt) < least {
