Remove the rows of entries that are gone

Cause: the row of an entry stays in the store for good. Since a leader uses the share of all listed entries that follow it, each replaced entry would have lowered that share. Change: the leader removes the row of an entry of which it has heard nothing for an hour. An entry that was only cut off writes its row again, as after any loss of it. Run: TestGoneEntriesAreFound, of code that is new; tests of store and cmd.

--- a/gateway/process.go
+++ b/gateway/process.go
@@ -208,7 +208,9 @@
 		Log:       p.Log,
 	}
 	entryDirectory := &store.EntryDirectory{
-		Feed: p.feed, Self: p.self(), FirstStart: p.Settings.FirstStart, State: p.state, Log: p.Log,
+		Feed: p.feed, Self: p.self(), FirstStart: p.Settings.FirstStart, State: p.state, Leads: p.choosers.Leads,
+		Heard: func(id fleet.EntryID) bool { return p.usages.HasReport(id, time.Now()) },
+		Log:   p.Log,
 	}
 	quarantineTable := &store.QuarantineTable{
 		Client: p.feed.Client, FirstStart: p.Settings.FirstStart, Parts: p.parts, Leads: p.choosers.Leads, Log: p.Log,
