List TestZoneLostForOneEntryIsLostForItsZone, traced

In trials that log each failure, all attempts at the endpoint that had failed were of one entry, which had waited for the short connect timeout (entry-2 at 106 ms after the cut, four times; the next entry was sent there at 212 ms). Such a report takes effect only with a second witness or after a probe of 300 ms, so that nothing spares the others within 100 ms. In other runs the process itself was stalled (73 ms between two ticks of 5 ms) and reports came late.

--- a/gateway/paths_test.go
+++ b/gateway/paths_test.go
@@ -103,6 +103,7 @@
 	entry           fleet.EntryID
 	endpoint        fleet.EndpointID
 	granted, failed time.Time
+	outcome         string
 }
 
 // connectFailures returns the attempts at all entries that could not connect and were granted after a time.
@@ -118,6 +119,7 @@
 				(event.Reason == string(reservation.OutcomeNotRun) || event.Reason == string(reservation.OutcomeNotConnected)):
 				found = append(found, connectFailure{
 					entry: e.settings.Entry, endpoint: event.Endpoint, granted: granted[event.Attempt], failed: event.Timestamp.Wall,
+					outcome: event.Reason,
 				})
 			}
 		}
@@ -125,6 +127,18 @@
 	return found
 }
 
+// failuresBefore describes the failures at an endpoint before an attempt there was granted: the entry, how long before, and
+// the outcome.
+func failuresBefore(failures []connectFailure, late connectFailure) []string {
+	var before []string
+	for _, f := range failures {
+		if f.endpoint == late.endpoint && f.failed.Before(late.granted) {
+			before = append(before, fmt.Sprintf("%s %v %s", f.entry, late.granted.Sub(f.failed).Round(time.Millisecond), f.outcome))
+		}
+	}
+	return before
+}
+
 // TestZoneLostForOneEntryIsLostForItsZone guards against entries that find out one after the other, endpoint by endpoint,
 // that they can't reach a zone. 100 ms after an endpoint was lost by one of them, no other request of the zone of entries
 // waits for a connection to it; after the cut, it is used again within two seconds.
@@ -151,8 +165,8 @@
 	for _, f := range failures {
 		if f.granted.After(first[f.endpoint].Add(spread)) {
 			late++
-			t.Logf("%s: attempt at %s granted %v after the cut, %v after the first failure there",
-				f.entry, f.endpoint, f.granted.Sub(cutAt), f.granted.Sub(first[f.endpoint]))
+			t.Logf("%s: attempt at %s granted %v after the cut, %v after the first failure there; failures before that: %v",
+				f.entry, f.endpoint, f.granted.Sub(cutAt), f.granted.Sub(first[f.endpoint]), failuresBefore(failures, f))
 		}
 	}
 	t.Logf("%d attempts failed to connect, %d of them over %v after the first one; %d streams were not served",
