Count an entry in part until its previous leader has lost it

Cause: for a second after an entry has turned to another leader, the old and the new one both use its share of the rate of a cold endpoint. The shares of the roles allow for that once. Change: for cold endpoints, a leader or a chooser of a zone counts an entry with a quarter until the previous one can no longer count it, 1.3 s. Why it works: at most one chooser counts an entry in full; four changes within that time add one.

--- a/core/sharedload/followers_test.go
+++ b/core/sharedload/followers_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,14 +13,25 @@
 )
 
 // shareSums returns the sums of the shares of all entries as leaders and as choosers of their zones.
-func shareSums(all []*ChooserSet) (leaders, zones float64) {
+func shareSums(all []*ChooserSet, share func(*ChooserSet, Role, time.Time) float64) (leaders, zones float64) {
 	for _, p := range all {
-		leaders += p.Share(RoleLeader, time.Now())
-		zones += p.Share(RoleZone, time.Now())
+		leaders += share(p, RoleLeader, time.Now())
+		zones += share(p, RoleZone, time.Now())
 	}
 	return leaders, zones
 }
 
+// chooseAll chooses an endpoint at each entry.
+func (w *waitingFleet) chooseAll(t *testing.T) {
+	t.Helper()
+	for _, p := range w.entries {
+		_, settle, err := p.Choose(t.Context(), placement.Need{Pool: testPool.Name, PromptTokens: 5000, MaxTokens: 1500})
+		if err == nil {
+			settle()
+		}
+	}
+}
+
 // TestSharesOfSplitEntries guards against several leaders, or choosers of a zone, that each use what all entries together
 // may send, however the entries are cut off from each other. For peerTTL after entries have turned to other choosers, the
 // sum of the shares may be two, else one at most. Before and after, the leader has the share of all entries.
@@ -56,14 +68,6 @@
 				for rank, entry := range w.entries[0].rankedEntries() {
 					ranks[entry.ID], addressRanks[entry.Address] = rank, rank
 				}
-				chooseAll := func() {
-					for _, p := range w.entries {
-						_, settle, err := p.Choose(t.Context(), placement.Need{Pool: testPool.Name, PromptTokens: 5000, MaxTokens: 1500})
-						if err == nil {
-							settle()
-						}
-					}
-				}
 				checkWhole := func(when string) {
 					if share := w.leader().Share(RoleLeader, time.Now()); len(leaders(w.entries)) != 1 || math.Abs(share-1) > epsilon {
 						t.Errorf("%s: %d leaders, with a share of %.2f, want one with 1", when, len(leaders(w.entries)), share)
@@ -73,8 +77,8 @@
 				w.network.separate(func(from fleet.EntryID, to netip.AddrPort) bool { return isCut(ranks[from], addressRanks[to]) })
 				var most, mostZones, settled, settledZones float64
 				for start := time.Now(); time.Since(start) < cutTime; time.Sleep(step) {
-					chooseAll()
-					leaderSum, zoneSum := shareSums(w.entries)
+					w.chooseAll(t)
+					leaderSum, zoneSum := shareSums(w.entries, (*ChooserSet).Share)
 					most, mostZones = max(most, leaderSum), max(mostZones, zoneSum)
 					if time.Since(start) >= settleTime {
 						settled, settledZones = max(settled, leaderSum), max(settledZones, zoneSum)
@@ -94,3 +98,49 @@
 		})
 	}
 }
+
+// TestSharesWhileLeadersFailInTurn guards against a third leader, or more, that counts entries which the first two still
+// count: while the leader and its successors are cut off one after the other, faster than counts expire, the sum of the
+// shares is two at most.
+func TestSharesWhileLeadersFailInTurn(t *testing.T) {
+	const (
+		entries = 9
+		failed  = 4
+		step    = 10 * time.Millisecond
+		epsilon = 1e-9
+	)
+	for name, pause := range map[string]time.Duration{
+		"at once": step, "fast": 100 * time.Millisecond, "within a second": 300 * time.Millisecond, "slow": 1500 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w, stop := newWaitingFleet(t, entries)
+				defer stop()
+				ranks, addressRanks := make(map[fleet.EntryID]int), make(map[netip.AddrPort]int)
+				for rank, entry := range w.entries[0].rankedEntries() {
+					ranks[entry.ID], addressRanks[entry.Address] = rank, rank
+				}
+				ranked := w.entries[0].rankedEntries()
+				last := w.entries[slices.IndexFunc(w.entries, func(p *ChooserSet) bool { return p.Self.ID == ranked[failed].ID })]
+				var most, mostZones float64
+				for alone := 1; alone <= failed; alone++ {
+					w.network.separate(func(from fleet.EntryID, to netip.AddrPort) bool {
+						return ranks[from] < alone || addressRanks[to] < alone
+					})
+					for start := time.Now(); time.Since(start) < pause; time.Sleep(step) {
+						w.chooseAll(t)
+						leaderSum, zoneSum := shareSums(w.entries, (*ChooserSet).ColdShare)
+						most, mostZones = max(most, leaderSum), max(mostZones, zoneSum)
+					}
+				}
+				if most > 2+epsilon || mostZones > 2+epsilon {
+					t.Errorf("the shares of leaders add up to %.2f and those of zones to %.2f, want 2 at most", most, mostZones)
+				}
+				time.Sleep(handoverTime + 2*reportRenewal)
+				if share := last.ColdShare(RoleLeader, time.Now()); share < float64(entries-failed)/entries-epsilon {
+					t.Errorf("the last leader has a share of %.2f, want that of %d of %d entries", share, entries-failed, entries)
+				}
+			})
+		})
+	}
+}
--- a/core/sharedload/reporter.go
+++ b/core/sharedload/reporter.go
@@ -54,6 +54,7 @@
 
 // send sends the current usage to the entries that are due for a report; changed usage gets a new version.
 func (t *UsageReporter) send(ctx context.Context, group *errgroup.Group, now time.Time) {
+	t.Choosers.recordOwnRole(now)
 	report := t.Choosers.usageReport()
 	if !maps.Equal(report.Usages, t.last.Usages) || !maps.Equal(report.Leaving, t.last.Leaving) ||
 		!slices.Equal(report.CutOff, t.last.CutOff) || !slices.Equal(report.Unreached, t.last.Unreached) ||
--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -31,11 +31,11 @@
 	if pool.ColdRate <= 0 {
 		return 0, false
 	}
-	rate := pool.ColdRate * p.Settings.ColdFactor
+	rate, share := pool.ColdRate*p.Settings.ColdFactor, p.choosers.ColdShare(role, now)
 	if now.After(endpoint.ColdUntil) {
-		rate *= warmRateFactor
+		rate, share = rate*warmRateFactor, p.choosers.Share(role, now)
 	}
-	return rate * p.rateShare(role, leaderRateShare, now), true
+	return rate * rateShare(role, leaderRateShare) * share, true
 }
 
 // maxLimitRate returns the number of requests per second that the choices of a role at this entry may send to an endpoint
@@ -46,20 +46,19 @@
 	if limited && role == sharedload.RoleLeader {
 		limit = max(limit, limitTrialRate)
 	}
-	return limit * p.rateShare(role, 1, time.Now()), limited
+	return limit * rateShare(role, 1) * p.choosers.Share(role, time.Now()), limited
 }
 
-// rateShare returns the share of an endpoint's rate for the choices of a role at this entry. All leaders together get
-// leaderShare.
-func (p *Process) rateShare(role sharedload.Role, leaderShare float64, now time.Time) float64 {
-	share := p.choosers.Share(role, now)
+// rateShare returns the share of an endpoint's rate for the choices of a role at all entries; leaderShare is that of all
+// leaders.
+func rateShare(role sharedload.Role, leaderShare float64) float64 {
 	switch role {
 	case sharedload.RoleLeader:
-		return leaderShare * share
+		return leaderShare
 	case sharedload.RoleZone:
-		return zoneRateShare * share
+		return zoneRateShare
 	default:
-		return aloneRateShare * share
+		return aloneRateShare
 	}
 }
 
