Review case 8: one request that crashes endpoints blocks a whole route

Cause: three crashes by one request quarantine the prompt part that it shares with all requests of its route, unless one of these was answered in the 30 s before.

Change: the case and its stand-in. Nothing outside review/ changes.

--- a/review/standins2/deployment.go
+++ b/review/standins2/deployment.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -22,6 +23,8 @@
 const (
 	// stableWindow is the bound stableWindowMs.
 	stableWindow = 3 * time.Second
+	// configTime is the bound configMs.
+	configTime = 2 * time.Second
 	// workerBack is how long a crashed worker is away.
 	workerBack = 3 * time.Second
 	// drainTime is the bound drainMs, and linger how long a worker that leaves goes on for after it.
@@ -106,11 +109,11 @@
 		return nil, err
 	}
 	record.add("case", "trouble: %t", trouble)
-	return d, d.store.put("op", "config", desiredState())
+	return d, d.store.put("op", "config", desiredState(1))
 }
 
-// desiredState returns a desired state with one route of each kind.
-func desiredState() map[string]any {
+// desiredState returns a version of the desired state: one route of each kind and, from version 2 on, the added route.
+func desiredState(version int) map[string]any {
 	route := func(name, prefix, kind, service string, timeout time.Duration, goalMs, attempts int) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "prefix": prefix, "kind": kind, "timeoutMs": timeout.Milliseconds(), "goalMs": goalMs,
@@ -119,13 +122,19 @@
 	}
 	stream := route("r-stream", streamRoute, "stream", engines, streamTimeout, 300, 2)
 	stream["sticky"], stream["resumable"], stream["gapGoalMs"] = true, true, 250
+	routes := []any{
+		stream,
+		route("r-unsafe", unsafeRoute, "unsafe", services, callTimeout, 150, 1),
+		route("r-safe", safeRoute, "safe", services, callTimeout, 150, 2),
+	}
+	if version > 1 {
+		added := maps.Clone(stream)
+		added["name"], added["prefix"] = "r-added", addedRoute
+		routes = append(routes, added)
+	}
 	return map[string]any{
-		"version": 1,
-		"routes": []any{
-			stream,
-			route("r-unsafe", unsafeRoute, "unsafe", services, callTimeout, 150, 1),
-			route("r-safe", safeRoute, "safe", services, callTimeout, 150, 2),
-		},
+		"version": version,
+		"routes":  routes,
 		"services": []any{
 			map[string]any{"name": engines, "healthPath": "/health", "maxConns": 234, "protocol": "h1", "tls": false,
 				"coldS": 3.0, "coldPerS": 26.0, "engine": map[string]any{
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -22,6 +22,7 @@
 // cases holds the cases by name.
 var cases = map[string]func(*deployment) (broken bool, err error){
 	"returning-crasher": runReturningCrasher,
+	"blocked-route":     runBlockedRoute,
 	"late-crasher":      runLateCrasher,
 	"small-service":     runSmallService,
 }
