Count crashes in pools of which half is down

Cause: an entry considers itself cut off from a pool if half of its endpoints accept no connection, and then doesn't tell whether an endpoint died. Of two endpoints, one that has crashed is half, so that after the first crash all others were diagnosed as unknown and forgotten, and the request that caused them was never refused. A dead endpoint was also used as the control that tells a cut path from a dead endpoint, and the crash of an endpoint whose zone has no reachable entry was diagnosed as zone_unreachable.

Change: endpoints whose death was recorded don't count in the share of a pool and are no control.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -88,6 +88,9 @@
 	// CanTell reports whether a failure to connect to an endpoint says something about the endpoint, and not about this
 	// entry's path to all of them; nil means that it does.
 	CanTell func(ctx context.Context, endpoint fleet.Endpoint) bool
+	// ReachesZone reports whether this entry can connect to another endpoint in the zone of the given one, although the
+	// entries of that zone are silent or there are none; nil means that it can't.
+	ReachesZone func(ctx context.Context, endpoint fleet.Endpoint) bool
 	// Suspects tracks the requests that may crash endpoints.
 	Suspects *retry.Suspects
 	// Parts tracks the prompt parts that crash endpoints; nil disables that.
--- a/core/outlier/reach.go
+++ b/core/outlier/reach.go
@@ -12,7 +12,7 @@
 )
 
 // cutOffShare is the share of the live endpoints of a pool from which on this entry considers itself cut off from the
-// pool, since that many rarely end at once.
+// pool, since that many rarely end at once. Endpoints that are known to have ended don't count.
 const cutOffShare = 0.5
 
 // Reach tells whether this entry itself is cut off from the endpoints of a pool, in which case its failures say nothing
@@ -22,6 +22,8 @@
 	State *clusterstate.State
 	// Detector records which endpoints are unreachable.
 	Detector *Detector
+	// Died reports whether an incarnation of an endpoint is known to have ended; nil means that none is.
+	Died func(fleet.Endpoint) bool
 	// Log receives a message each time that this entry is cut off from a pool or no longer is.
 	Log zerolog.Logger
 
@@ -99,6 +101,11 @@
 	return p.unreachable > 0 && p.unreachable == p.live
 }
 
+// died reports whether an incarnation of an endpoint is known to have ended.
+func (r *Reach) died(endpoint fleet.Endpoint) bool {
+	return r.Died != nil && r.Died(endpoint)
+}
+
 // update decides again which pools this entry is cut off from.
 func (r *Reach) update(now time.Time) {
 	pools := make(map[fleet.PoolName]poolReach)
@@ -106,9 +113,14 @@
 		if endpoint.State != fleet.StateLive {
 			continue
 		}
+		unreachable := r.Detector.Unreachable(endpoint, now)
+		if unreachable && r.died(endpoint) {
+			// The endpoint is at fault, so that it says nothing about this entry's path.
+			continue
+		}
 		p := pools[endpoint.Pool]
 		p.live++
-		if r.Detector.Unreachable(endpoint, now) {
+		if unreachable {
 			p.unreachable++
 		}
 		pools[endpoint.Pool] = p
--- a/core/outlier/reach_test.go
+++ b/core/outlier/reach_test.go
@@ -56,3 +56,41 @@
 		})
 	}
 }
+
+// TestEndedEndpointsAreNoLostPath guards against an entry that considers itself cut off from a small pool because one of its
+// endpoints has crashed, and then tells nobody of the next crash.
+func TestEndedEndpointsAreNoLostPath(t *testing.T) {
+	tests := map[string]struct {
+		endpoints, unreachable, died int
+		want                         bool
+	}{
+		"one of two ended":              {endpoints: 2, unreachable: 1, died: 1},
+		"one of two unreachable":        {endpoints: 2, unreachable: 1, want: true},
+		"one ended, one unreachable":    {endpoints: 2, unreachable: 2, died: 1, want: true},
+		"all ended":                     {endpoints: 3, unreachable: 3, died: 3},
+		"an ended one that is back":     {endpoints: 2, died: 1},
+		"two of four, one of them died": {endpoints: 4, unreachable: 2, died: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			state, died := &clusterstate.State{}, make(map[fleet.EndpointID]bool)
+			reach := &Reach{
+				State: state, Detector: &Detector{}, Log: zerolog.Nop(),
+				Died: func(e fleet.Endpoint) bool { return died[e.ID] },
+			}
+			for i := range tc.endpoints {
+				endpoint := fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprint(i)), Zone: "a", State: fleet.StateLive}
+				state.Endpoints.Set(endpoint.ID, endpoint)
+				died[endpoint.ID] = i < tc.died
+				if i < tc.unreachable {
+					reach.Detector.RecordUnreachable(endpoint, now)
+				}
+			}
+			reach.update(now)
+			if got := reach.CutOff(""); got != tc.want {
+				t.Errorf("got cut off %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/core/outlier/witness.go
+++ b/core/outlier/witness.go
@@ -59,13 +59,14 @@
 }
 
 // CanTell reports whether a failure to connect to an endpoint says something about the endpoint: this entry is not cut off
-// from its pool, and reaches another endpoint if there is one.
+// from its pool, and reaches another endpoint if there is one that is not known to have ended.
 func (w *Witness) CanTell(ctx context.Context, endpoint fleet.Endpoint) bool {
 	if w.Reach.CutOff(endpoint.Pool) {
 		return false
 	}
 	result := w.controls.DoChan("", func() (any, error) {
-		return w.reachesOther(context.WithoutCancel(ctx), endpoint), nil
+		others := w.others(endpoint, func(fleet.Endpoint) bool { return true })
+		return len(others) == 0 || w.reachesAny(context.WithoutCancel(ctx), others), nil
 	})
 	select {
 	case r := <-result:
@@ -76,24 +77,31 @@
 	}
 }
 
-// reachesOther connects to up to maxControls random live endpoints other than the given one, and reports whether one
-// accepts or there is none.
-func (w *Witness) reachesOther(ctx context.Context, than fleet.Endpoint) bool {
+// ReachesZone reports whether this entry reaches another endpoint in the zone of the given one.
+func (w *Witness) ReachesZone(ctx context.Context, endpoint fleet.Endpoint) bool {
+	return w.reachesAny(ctx, w.others(endpoint, func(other fleet.Endpoint) bool { return other.Zone == endpoint.Zone }))
+}
+
+// others returns the live endpoints other than the given one that meet a condition and are not known to have ended, in
+// random order.
+func (w *Witness) others(than fleet.Endpoint, condition func(fleet.Endpoint) bool) []fleet.Endpoint {
 	var others []fleet.Endpoint
 	for id, endpoint := range w.State.Endpoints.Snapshot().Rows {
-		if id != than.ID && endpoint.State == fleet.StateLive {
+		if id != than.ID && endpoint.State == fleet.StateLive && condition(endpoint) && !w.Reach.died(endpoint) {
 			others = append(others, endpoint)
 		}
 	}
-	if len(others) == 0 {
-		return true
-	}
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others
+}
+
+// reachesAny connects to the first maxControls endpoints and reports whether one accepts.
+func (w *Witness) reachesAny(ctx context.Context, endpoints []fleet.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
 	var reached atomic.Bool
 	var group errgroup.Group
-	for _, endpoint := range others[:min(len(others), maxControls)] {
+	for _, endpoint := range endpoints[:min(len(endpoints), maxControls)] {
 		group.Go(func() error {
 			if w.Connect(ctx, endpoint) == nil {
 				reached.Store(true)
--- a/core/retry/suspects.go
+++ b/core/retry/suspects.go
@@ -162,6 +162,8 @@
 	watches map[Fingerprint]map[*watch]struct{}
 	// trials holds the requests whose trial through this entry is in progress.
 	trials map[Fingerprint]struct{}
+	// deaths holds when this entry learned of each death, for deathRetention.
+	deaths map[Death]time.Time
 }
 
 // Status returns whether and how a request may run.
@@ -237,6 +239,7 @@
 		record = Merge(known, record)
 	}
 	s.records[record.Fingerprint] = record
+	s.addDeaths(record.Deaths, now)
 	if !record.Cleared && len(record.Deaths) > len(known.Deaths) {
 		s.notifyWatchers(record.Fingerprint)
 	}
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -5,6 +5,7 @@
 
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/outlier"
+	"wisteriadyke/core/retry"
 	"wisteriadyke/core/sharedload"
 )
 
@@ -20,12 +21,17 @@
 // buildOutlierDetection creates the components that record which endpoints fail or are unreachable.
 func (p *Process) buildOutlierDetection() {
 	p.outliers = &outlier.Detector{}
-	p.reach = &outlier.Reach{State: p.state, Detector: p.outliers, Log: p.Log}
+	p.reach = &outlier.Reach{State: p.state, Detector: p.outliers, Died: p.hasDied, Log: p.Log}
 	p.paths = &outlier.PathTable{
 		Self: p.self(), State: p.state, Contended: p.isContended, CutOff: p.reach.CutOff, Log: p.Log,
 	}
 }
 
+// hasDied reports whether an incarnation of an endpoint is known to have ended while a request ran there.
+func (p *Process) hasDied(endpoint fleet.Endpoint) bool {
+	return p.suspects.Died(retry.Death{Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation})
+}
+
 // prober returns the component that probes endpoints.
 func (p *Process) prober() *outlier.Prober {
 	return &outlier.Prober{
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -312,13 +312,14 @@
 			CutOff: p.reach.CutOff, Unreachable: p.outliers.Unreachable, Alternates: p.choosers.Alternates,
 			RecordFailure: p.choosers.RecordAlternateFailure, Client: p.forwards,
 		},
-		AskOthers: p.choosers.AskOthers,
-		CanTell:   p.witness.CanTell,
-		Suspects:  p.suspects,
-		Parts:     p.parts,
-		Timeline:  p.timeline,
-		Metrics:   p.metrics,
-		Log:       p.Log,
+		AskOthers:   p.choosers.AskOthers,
+		CanTell:     p.witness.CanTell,
+		ReachesZone: p.witness.ReachesZone,
+		Suspects:    p.suspects,
+		Parts:       p.parts,
+		Timeline:    p.timeline,
+		Metrics:     p.metrics,
+		Log:         p.Log,
 	}
 }
 
