Let the registry confirm deaths that no entry can tell

Cause: an attempt that broke while no entry could tell whether its endpoint died or couldn't be reached was diagnosed as unknown or zone_unreachable and forgotten, although the registry shows seconds later that the endpoint ended. The other way round, an entry that had no other endpoint to compare with took a cut path for a death.

Change: UnconfirmedDeaths holds these attempts for 10 s at most. A death counts if the registry lists a later incarnation, or removes the endpoint while others of its zone are reachable or start anew; not if the endpoint stays listed, registers again or left. An entry without another endpoint to connect to can't tell.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -91,6 +91,8 @@
 	// ReachesZone reports whether this entry can connect to another endpoint in the zone of the given one, although the
 	// entries of that zone are silent or there are none; nil means that it can't.
 	ReachesZone func(ctx context.Context, endpoint fleet.Endpoint) bool
+	// Unconfirmed holds the broken attempts of which no entry can tell whether their endpoint died; nil ignores them.
+	Unconfirmed *UnconfirmedDeaths
 	// Suspects tracks the requests that may crash endpoints.
 	Suspects *retry.Suspects
 	// Parts tracks the prompt parts that crash endpoints; nil disables that.
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -266,6 +266,9 @@
 	switch {
 	case result.release.Outcome == reservation.OutcomeDone:
 		r.Suspects.MarkCleared(ctx, r.fingerprint)
+		if r.Unconfirmed != nil {
+			r.Unconfirmed.recordSurvival(r.fingerprint)
+		}
 		r.recordSurvival(time.Now())
 		return true, nil
 	case result.sinkErr != nil:
@@ -295,7 +298,11 @@
 	r.recordDiagnosis(a, result, d)
 	switch d {
 	case diagnosisDied:
-		r.recordDeath(ctx, a, result)
+		r.recordDeath(ctx, a.observedDeath(result))
+	case diagnosisUnknown, diagnosisZoneUnreachable:
+		if r.Unconfirmed != nil {
+			r.Unconfirmed.add(a.endpoint, a.observedDeath(result), r.Dispatcher.recordDeath)
+		}
 	case diagnosisPathBroken:
 		r.connectFailures = max(r.connectFailures, minConnectFailures)
 	}
--- a/core/dispatch/trial.go
+++ b/core/dispatch/trial.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/quarantine"
 	"wisteriadyke/core/retry"
 	"wisteriadyke/core/timeline"
@@ -97,35 +98,71 @@
 	return dead, unresponsive
 }
 
-// recordDeath records the death of the endpoint that ran the attempt, and that the request is suspected or quarantined.
-// Where parts of prompts are tracked, they are suspected as well, and neither is if the answer had gone on for
-// quarantine.SettleTime.
-func (r *requestRun) recordDeath(ctx context.Context, a *attemptRun, result attemptResult) {
-	r.increment(metricEndpointDeaths)
-	r.record(timeline.Event{Kind: timeline.KindEndpointDied, Attempt: a.id, Endpoint: a.endpoint.ID})
-	if r.Parts != nil && a.settled {
-		return
-	}
+// observedDeath describes an attempt that was running at an endpoint when it died.
+type observedDeath struct {
+	request     fleet.RequestID
+	account     fleet.AccountID
+	class       fleet.ClassName
+	fingerprint retry.Fingerprint
+	attempt     fleet.AttemptID
+	death       retry.Death
+	// parts holds the parts of the prompt that other requests may share.
+	parts []fleet.PromptPart
+	// sentAt is when the attempt was sent, and brokeAt when its connection broke.
+	sentAt, brokeAt time.Time
+	// settled reports whether the attempt had been answered for quarantine.SettleTime.
+	settled bool
+	// survived reports whether the request was answered after the attempt.
+	survived bool
+}
+
+// observedDeath returns the description of the attempt, whose endpoint has died.
+func (a *attemptRun) observedDeath(result attemptResult) observedDeath {
 	incarnation := result.release.Incarnation
 	if incarnation == 0 {
 		incarnation = a.endpoint.Incarnation
 	}
-	death := retry.Death{Endpoint: a.endpoint.ID, Incarnation: incarnation}
-	if r.Parts != nil {
-		r.Parts.RecordDeath(quarantine.Report{
-			Attempt: a.id,
-			Death:   death,
-			SentAt:  a.sentAt,
-			DiedAt:  result.endedAt,
-			Parts:   r.request.SharedParts,
+	return observedDeath{
+		request:     a.request.ID,
+		account:     a.request.Account,
+		class:       a.request.Class,
+		fingerprint: a.fingerprint,
+		attempt:     a.id,
+		death:       retry.Death{Endpoint: a.endpoint.ID, Incarnation: incarnation},
+		parts:       a.request.SharedParts,
+		sentAt:      a.sentAt,
+		brokeAt:     result.endedAt,
+		settled:     a.settled,
+	}
+}
+
+// recordDeath records the death of the endpoint that ran an attempt, and that the request is suspected or quarantined.
+// Where parts of prompts are tracked, they are suspected as well, and neither is if the answer had gone on for
+// quarantine.SettleTime.
+func (d *Dispatcher) recordDeath(ctx context.Context, o observedDeath) {
+	record := func(kind timeline.Kind) {
+		d.Timeline.Record(timeline.Event{
+			Kind: kind, Request: o.request, Account: o.account, Class: o.class, Attempt: o.attempt, Endpoint: o.death.Endpoint,
+		})
+	}
+	d.increment(metricEndpointDeaths)
+	record(timeline.KindEndpointDied)
+	if d.Parts != nil {
+		if o.settled {
+			return
+		}
+		d.Parts.RecordDeath(quarantine.Report{
+			Attempt: o.attempt, Death: o.death, SentAt: o.sentAt, DiedAt: o.brokeAt, Parts: o.parts,
 		}, time.Now())
 	}
+	if o.survived {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
-	record := r.Suspects.RecordDeath(ctx, r.fingerprint, death)
-	kind := timeline.KindSuspected
-	if record.Quarantined() {
-		kind = timeline.KindQuarantined
+	if d.Suspects.RecordDeath(ctx, o.fingerprint, o.death).Quarantined() {
+		record(timeline.KindQuarantined)
+		return
 	}
-	r.record(timeline.Event{Kind: kind, Attempt: a.id, Endpoint: a.endpoint.ID})
+	record(timeline.KindSuspected)
 }
--- /dev/null
+++ b/core/dispatch/unconfirmed.go
@@ -0,0 +1,206 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"wisteriadyke/core/clusterstate"
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/retry"
+)
+
+const (
+	// confirmPeriod is the interval at which the registry is compared with the unconfirmed deaths.
+	confirmPeriod = 200 * time.Millisecond
+	// confirmTimeout is the time after a broken attempt by which the registry must have shown that the endpoint ended. It
+	// removes silent endpoints after less than 4 s, and later after an outage.
+	confirmTimeout = 10 * time.Second
+	// relistTime is the time within which an endpoint that lives registers again once its zone is reachable.
+	relistTime = 2 * time.Second
+	// maxUnconfirmed bounds the deaths that wait for confirmation.
+	maxUnconfirmed = 256
+)
+
+// UnconfirmedDeaths holds broken attempts at endpoints that accept no connection, while no entry can tell whether the
+// endpoint ended or the paths to it are cut. The registry confirms the death of an endpoint by a later incarnation, or by
+// removing it while others of its zone are reachable or start anew. Its fields must be set before Run is called; it is
+// safe for concurrent use.
+//
+// Load pattern: a request crashes the endpoints of a small pool one after the other, at an entry that has no other one to
+// ask. Each crash counts, though later than one that other entries confirm.
+type UnconfirmedDeaths struct {
+	// State holds the listed endpoints. Endpoints that disappear during an outage of the registry must remain in it.
+	State *clusterstate.State
+	// ReachesZone reports whether this entry can connect to another endpoint in the zone of the given one.
+	ReachesZone func(ctx context.Context, endpoint fleet.Endpoint) bool
+	// Log receives the outcome of each unconfirmed death.
+	Log zerolog.Logger
+
+	mu      sync.Mutex
+	pending []*unconfirmedDeath
+}
+
+// unconfirmedDeath is one broken attempt at an endpoint that may have ended.
+type unconfirmedDeath struct {
+	endpoint fleet.Endpoint
+	observed observedDeath
+	// listed holds the endpoints that were listed when the attempt broke.
+	listed map[fleet.EndpointID]fleet.Endpoint
+	// unlisted reports whether the registry has removed the endpoint.
+	unlisted bool
+	// zoneAliveAt is when the zone of the endpoint first turned out to be reachable or to start endpoints; zero before.
+	zoneAliveAt time.Time
+	// survived reports whether the request was answered after the attempt.
+	survived atomic.Bool
+	// confirm records the death.
+	confirm func(ctx context.Context, observed observedDeath)
+}
+
+// verdict is what the registry shows about an unconfirmed death.
+type verdict string
+
+const (
+	// verdictPending means that the registry doesn't show yet whether the endpoint ended.
+	verdictPending verdict = "pending"
+	// verdictEnded means that the endpoint ended.
+	verdictEnded verdict = "ended"
+	// verdictAlive means that the endpoint lives or left in an orderly way.
+	verdictAlive verdict = "alive"
+	// verdictExpired means that the registry showed nothing within confirmTimeout.
+	verdictExpired verdict = "expired"
+)
+
+// add holds a death until it is confirmed or turns out not to be one. The oldest one is dropped if there are too many.
+func (u *UnconfirmedDeaths) add(endpoint fleet.Endpoint, observed observedDeath, confirm func(context.Context, observedDeath)) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.pending) >= maxUnconfirmed {
+		u.log(u.pending[0], verdictExpired)
+		u.pending = u.pending[1:]
+	}
+	u.pending = append(u.pending, &unconfirmedDeath{
+		endpoint: endpoint, observed: observed, listed: u.State.Endpoints.Snapshot().Rows, confirm: confirm,
+	})
+}
+
+// recordSurvival records that a request was answered, so that its earlier attempts did not crash their endpoints.
+func (u *UnconfirmedDeaths) recordSurvival(fingerprint retry.Fingerprint) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, d := range u.pending {
+		if d.observed.fingerprint == fingerprint {
+			d.survived.Store(true)
+		}
+	}
+}
+
+// Run compares the unconfirmed deaths with the registry until ctx ends; it returns no error.
+func (u *UnconfirmedDeaths) Run(ctx context.Context) error {
+	ticker := time.NewTicker(confirmPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			u.resolve(ctx)
+		}
+	}
+}
+
+// resolve records the deaths that the registry confirms and drops those of endpoints that live.
+func (u *UnconfirmedDeaths) resolve(ctx context.Context) {
+	u.mu.Lock()
+	pending := slices.Clone(u.pending)
+	u.mu.Unlock()
+	reaches := make(map[fleet.Zone]bool)
+	resolved := make(map[*unconfirmedDeath]bool)
+	for _, d := range pending {
+		v := u.judge(ctx, d, reaches)
+		if v == verdictPending {
+			continue
+		}
+		resolved[d] = true
+		u.log(d, v)
+		if v == verdictEnded {
+			d.observed.survived = d.survived.Load()
+			d.confirm(ctx, d.observed)
+		}
+	}
+	if len(resolved) == 0 {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.pending = slices.DeleteFunc(u.pending, func(d *unconfirmedDeath) bool { return resolved[d] })
+}
+
+// judge returns what the registry shows about a death. reaches holds the zones that were connected to for this purpose.
+//
+// An endpoint is removed from the registry as well if its zone is partitioned, and registers again afterwards, as do others
+// of the zone. Unless the zone is reachable when the endpoint is removed, it has relistTime for that.
+func (u *UnconfirmedDeaths) judge(ctx context.Context, d *unconfirmedDeath, reaches map[fleet.Zone]bool) verdict {
+	now := time.Now()
+	listed, found := u.State.Endpoints.Get(d.endpoint.ID)
+	switch {
+	case found && listed.Incarnation > d.endpoint.Incarnation:
+		return verdictEnded
+	case found && (listed.State == fleet.StateLeaving || d.unlisted):
+		return verdictAlive
+	case now.Sub(d.observed.brokeAt) > confirmTimeout:
+		return verdictExpired
+	}
+	if d.zoneAliveAt.IsZero() && u.startedAnew(d) {
+		d.zoneAliveAt = now
+	}
+	if found {
+		return verdictPending
+	}
+	first := !d.unlisted
+	d.unlisted = true
+	if !d.zoneAliveAt.IsZero() && now.Sub(d.zoneAliveAt) >= relistTime {
+		return verdictEnded
+	}
+	reached, known := reaches[d.endpoint.Zone]
+	if !known {
+		reached = u.ReachesZone(ctx, d.endpoint)
+		reaches[d.endpoint.Zone] = reached
+	}
+	switch {
+	case reached && first:
+		return verdictEnded
+	case reached && d.zoneAliveAt.IsZero():
+		d.zoneAliveAt = now
+	}
+	return verdictPending
+}
+
+// startedAnew reports whether an endpoint has started in the zone of the broken attempt since then.
+func (u *UnconfirmedDeaths) startedAnew(d *unconfirmedDeath) bool {
+	for id, endpoint := range u.State.Endpoints.Snapshot().Rows {
+		if endpoint.Zone != d.endpoint.Zone {
+			continue
+		}
+		if before, found := d.listed[id]; !found || before.Incarnation != endpoint.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// log logs the outcome of an unconfirmed death.
+func (u *UnconfirmedDeaths) log(d *unconfirmedDeath, v verdict) {
+	u.Log.Info().
+		Str("attempt", string(d.observed.attempt)).
+		Str("endpoint", string(d.endpoint.ID)).
+		Uint64("incarnation", uint64(d.endpoint.Incarnation)).
+		Str("verdict", string(v)).
+		Bool("survived", d.survived.Load()).
+		Dur("age_ms", time.Since(d.observed.brokeAt)).
+		Msg("dispatch: unconfirmed endpoint death resolved")
+}
--- a/core/outlier/witness.go
+++ b/core/outlier/witness.go
@@ -59,14 +59,13 @@
 }
 
 // CanTell reports whether a failure to connect to an endpoint says something about the endpoint: this entry is not cut off
-// from its pool, and reaches another endpoint if there is one that is not known to have ended.
+// from its pool, and reaches another endpoint.
 func (w *Witness) CanTell(ctx context.Context, endpoint fleet.Endpoint) bool {
 	if w.Reach.CutOff(endpoint.Pool) {
 		return false
 	}
 	result := w.controls.DoChan("", func() (any, error) {
-		others := w.others(endpoint, func(fleet.Endpoint) bool { return true })
-		return len(others) == 0 || w.reachesAny(context.WithoutCancel(ctx), others), nil
+		return w.reachesAny(context.WithoutCancel(ctx), w.others(endpoint, func(fleet.Endpoint) bool { return true })), nil
 	})
 	select {
 	case r := <-result:
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -98,6 +98,7 @@
 	reach          *outlier.Reach
 	paths          *outlier.PathTable
 	witness        *outlier.Witness
+	unconfirmed    *dispatch.UnconfirmedDeaths
 	limits         *ratelimit.Limits
 	endpoints      *discovery.EndpointList
 	endpointClient *endpointclient.Client
@@ -165,6 +166,7 @@
 	}
 	p.buildEndpointClient()
 	p.witness = &outlier.Witness{State: p.state, Reach: p.reach, Connect: p.endpointClient.Connect}
+	p.unconfirmed = &dispatch.UnconfirmedDeaths{State: p.state, ReachesZone: p.witness.ReachesZone, Log: p.Log}
 	p.forwards = &peer.ForwardTransport{Client: p.peers, Codec: wire.Codec{}}
 	p.buildChoosers()
 	p.leases = &sharedload.MemoryLeases{Entry: p.Settings.Entry, Memory: p.endpointClient, Log: p.Log}
@@ -229,7 +231,7 @@
 	}
 	return []lifecycle.Component{
 		p.prober().Run, operatorServer.Run, p.feed.Run, operatorWatcher.Run, registryWatcher.Run, entryDirectory.Run, usageReporter.Run,
-		peerServer.Run, p.leases.Run, quarantineTable.Run,
+		peerServer.Run, p.leases.Run, quarantineTable.Run, p.unconfirmed.Run,
 	}
 }
 
@@ -315,6 +317,7 @@
 		AskOthers:   p.choosers.AskOthers,
 		CanTell:     p.witness.CanTell,
 		ReachesZone: p.witness.ReachesZone,
+		Unconfirmed: p.unconfirmed,
 		Suspects:    p.suspects,
 		Parts:       p.parts,
 		Timeline:    p.timeline,
