Count endpoints that died together once against a request

Cause: three deaths of endpoints at which a request was suspected it, also if they happened at the same moment. A small request that many callers send stands at many endpoints at once, so that the loss of a rack had it refused for 30 s. A record that came back from another entry was also taken for newer than the own one, since its times are late by the way, and could undo a clearance.

Where there are no trials, deaths count that follow one another, as for prompt parts (retry.ChainLength, used by both). A record whose deaths are all known changes nothing, and its age is that of the break.

--- a/core/quarantine/report.go
+++ b/core/quarantine/report.go
@@ -2,8 +2,6 @@
 package quarantine
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"wisteriadyke/core/fleet"
@@ -35,21 +33,13 @@
 	return reportKey{attempt: r.Attempt, death: r.Death}
 }
 
-// chainLength returns the number of deaths of which each ended an attempt that was sent after the death before it. It is
-// 1 for any number of endpoints that die together, whatever ran there.
+// chainLength returns the number of deaths that followed one another; see retry.ChainLength.
 func chainLength(reports []Report) int {
-	sorted := slices.SortedFunc(slices.Values(reports), func(a, b Report) int {
-		return cmp.Or(a.DiedAt.Compare(b.DiedAt), b.SentAt.Compare(a.SentAt))
-	})
-	length := 0
-	var last time.Time
-	for _, r := range sorted {
-		if r.SentAt.After(last) {
-			length++
-			last = r.DiedAt
-		}
+	spans := make([]retry.Span, 0, len(reports))
+	for _, r := range reports {
+		spans = append(spans, retry.Span{SentAt: r.SentAt, BrokeAt: r.DiedAt})
 	}
-	return length
+	return retry.ChainLength(spans)
 }
 
 // countDeaths returns the number of endpoint incarnations that ended.
--- a/core/retry/deaths.go
+++ b/core/retry/deaths.go
@@ -1,7 +1,9 @@
 package retry
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -29,3 +31,55 @@
 		s.deaths[death] = now
 	}
 }
+
+// Span is the time for which a request was at an endpoint that died.
+type Span struct {
+	// SentAt is when the request was sent, and BrokeAt when the connection broke.
+	SentAt, BrokeAt time.Time
+}
+
+// ChainLength returns the number of deaths of which each ended an attempt that was sent after the death before it. It is 1
+// for any number of endpoints that die together, whatever ran there.
+func ChainLength(spans []Span) int {
+	sorted := slices.SortedFunc(slices.Values(spans), func(a, b Span) int {
+		return cmp.Or(a.BrokeAt.Compare(b.BrokeAt), b.SentAt.Compare(a.SentAt))
+	})
+	length := 0
+	var last time.Time
+	for _, s := range sorted {
+		if s.SentAt.After(last) {
+			length++
+			last = s.BrokeAt
+		}
+	}
+	return length
+}
+
+// independentDeaths returns the number of deaths that followed one another. A death of which no span is known counts as
+// one.
+func (r SuspectRecord) independentDeaths() int {
+	var spans []Span
+	for _, death := range r.Deaths {
+		if span, found := r.Spans[death]; found {
+			spans = append(spans, span)
+		}
+	}
+	return ChainLength(spans) + len(r.Deaths) - len(spans)
+}
+
+// mergeSpans returns the union of a and b. Of two attempts at the same endpoint, the one that was sent first counts: times
+// that come from other entries are late by the time that the message took.
+func mergeSpans(a, b map[Death]Span) map[Death]Span {
+	merged, changed := a, false
+	for death, span := range b {
+		if known, found := merged[death]; found && !span.SentAt.Before(known.SentAt) {
+			continue
+		}
+		if !changed {
+			merged, changed = make(map[Death]Span, len(a)+len(b)), true
+			maps.Copy(merged, a)
+		}
+		merged[death] = span
+	}
+	return merged
+}
--- a/core/retry/suspects.go
+++ b/core/retry/suspects.go
@@ -57,6 +57,8 @@
 	Fingerprint Fingerprint
 	// Deaths holds the distinct incarnations that ended while the request ran there, sorted.
 	Deaths []Death
+	// Spans holds when the request was at the endpoints that died, where that is known.
+	Spans map[Death]Span
 	// TrialEntry is the only entry that may run the request while it is on trial: the one that recorded the latest
 	// death.
 	TrialEntry fleet.EntryID
@@ -64,18 +66,17 @@
 	Cleared bool
 	// ChangedAt is when the record last changed.
 	ChangedAt time.Time
-	// DeathLimit is the number of deaths after which the request is quarantined without a trial; 0 means that there are
-	// trials.
+	// DeathLimit is the number of deaths, one after another, after which the request is quarantined without a trial; 0 means
+	// that there are trials.
 	DeathLimit int
 }
 
 // Quarantined reports whether the request must no longer run. It doesn't check whether the record has expired.
 func (r SuspectRecord) Quarantined() bool {
-	limit := TrialDeathLimit
 	if r.DeathLimit > 0 {
-		limit = r.DeathLimit
+		return !r.Cleared && r.independentDeaths() >= r.DeathLimit
 	}
-	return !r.Cleared && len(r.Deaths) >= limit
+	return !r.Cleared && len(r.Deaths) >= TrialDeathLimit
 }
 
 // expired reports whether the record no longer has any effect.
@@ -108,9 +109,15 @@
 		return a
 	}
 	a.Deaths = mergeDeaths(a.Deaths, b.Deaths)
+	a.Spans = mergeSpans(a.Spans, b.Spans)
 	return a
 }
 
+// covers reports whether all deaths of another record are known.
+func (r SuspectRecord) covers(other SuspectRecord) bool {
+	return !other.Cleared && !slices.ContainsFunc(other.Deaths, func(d Death) bool { return !slices.Contains(r.Deaths, d) })
+}
+
 // mergeDeaths returns the sorted union of a and b.
 func mergeDeaths(a, b []Death) []Death {
 	joined := slices.Concat(a, b)
@@ -196,13 +203,25 @@
 // RecordDeath records that an endpoint died while the request ran there, passes the merged record to Broadcaster and
 // returns it.
 func (s *Suspects) RecordDeath(ctx context.Context, fingerprint Fingerprint, death Death) SuspectRecord {
-	record := s.Merge(SuspectRecord{
-		Fingerprint: fingerprint,
-		Deaths:      []Death{death},
-		TrialEntry:  s.Entry,
-		ChangedAt:   time.Now(),
-		DeathLimit:  s.DeathLimit,
-	})
+	return s.recordDeath(ctx, SuspectRecord{Fingerprint: fingerprint, Deaths: []Death{death}, ChangedAt: time.Now()})
+}
+
+// RecordAttempt is RecordDeath with the time for which the request was at the endpoint.
+func (s *Suspects) RecordAttempt(ctx context.Context, fingerprint Fingerprint, death Death, span Span) SuspectRecord {
+	record := SuspectRecord{
+		Fingerprint: fingerprint, Deaths: []Death{death}, Spans: map[Death]Span{death: span}, ChangedAt: time.Now(),
+	}
+	if s.DeathLimit > 0 {
+		// An answer since then clears the request.
+		record.ChangedAt = span.BrokeAt
+	}
+	return s.recordDeath(ctx, record)
+}
+
+// recordDeath merges a record of this entry with one death, passes the result to Broadcaster and returns it.
+func (s *Suspects) recordDeath(ctx context.Context, record SuspectRecord) SuspectRecord {
+	record.TrialEntry, record.DeathLimit = s.Entry, s.DeathLimit
+	record = s.Merge(record)
 	s.broadcast(ctx, record)
 	return record
 }
@@ -235,6 +254,10 @@
 		s.records = make(map[Fingerprint]SuspectRecord)
 	}
 	known, found := s.records[record.Fingerprint]
+	if found && known.DeathLimit > 0 && known.covers(record) {
+		// Times that come from other entries are late, so that the copy of a known record may seem newer.
+		return known
+	}
 	if found {
 		record = Merge(known, record)
 	}
--- /dev/null
+++ b/io/peer/suspects_test.go
@@ -0,0 +1,65 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"wisteriadyke/core/fleet"
+	"wisteriadyke/core/retry"
+)
+
+// exchangeRecords sends the suspect records of each entry to all others.
+func exchangeRecords(entries []*retry.Suspects) {
+	for _, from := range entries {
+		for _, to := range entries {
+			if to != from {
+				mergeRecords(to, toRecordMessages(from, time.Now()), from.Entry, time.Now())
+			}
+		}
+	}
+}
+
+// TestSuspectRecordsOfSeveralEntries guards against requests that are refused since each entry saw another endpoint die at
+// the same time, and checks that deaths one after another count whichever entries saw them.
+func TestSuspectRecordsOfSeveralEntries(t *testing.T) {
+	tests := map[string]struct {
+		// pause is the time between two deaths, and span how long the request was at each endpoint.
+		pause, span time.Duration
+		want        retry.Status
+	}{
+		"one after another": {pause: 600 * time.Millisecond, span: 10 * time.Millisecond, want: retry.StatusQuarantined},
+		"together":          {span: 300 * time.Millisecond, want: retry.StatusClear},
+		"found in turn":     {pause: 600 * time.Millisecond, span: 2 * time.Second, want: retry.StatusClear},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var entries []*retry.Suspects
+				for i := range 3 {
+					entries = append(entries, &retry.Suspects{
+						Entry: fleet.EntryID(fmt.Sprint(i)), DeathLimit: retry.NoTrialDeathLimit,
+					})
+				}
+				for i, s := range entries {
+					time.Sleep(tc.pause)
+					now := time.Now()
+					s.RecordAttempt(context.Background(), "f", retry.Death{Endpoint: fleet.EndpointID(fmt.Sprint("e", i)), Incarnation: 1},
+						retry.Span{SentAt: now.Add(-tc.span), BrokeAt: now})
+					exchangeRecords(entries)
+				}
+				for range 100 {
+					time.Sleep(50 * time.Millisecond)
+					exchangeRecords(entries)
+				}
+				for _, s := range entries {
+					if got := s.Status("f"); got != tc.want {
+						t.Errorf("entry %s: status %q, want %q", s.Entry, got, tc.want)
+					}
+				}
+			})
+		})
+	}
+}
--- a/io/peer/usages.go
+++ b/io/peer/usages.go
@@ -343,12 +343,16 @@
 	}
 	var deaths []*RequestDeath
 	for _, d := range record.Deaths {
-		deaths = append(deaths, &RequestDeath{
+		m := &RequestDeath{
 			Fingerprint: string(record.Fingerprint),
 			Endpoint:    string(d.Endpoint),
 			Incarnation: uint64(d.Incarnation),
 			AgeUs:       now.Sub(record.ChangedAt).Microseconds(),
-		})
+		}
+		if span, found := record.Spans[d]; found {
+			m.SentAgeUs, m.BrokeAgeUs = now.Sub(span.SentAt).Microseconds(), now.Sub(span.BrokeAt).Microseconds()
+		}
+		deaths = append(deaths, m)
 	}
 	return deaths
 }
@@ -356,11 +360,18 @@
 // fromRequestDeath converts a message received at now to a record with one death. Its DeathLimit is that of entries
 // without trials; the argument from becomes its TrialEntry.
 func fromRequestDeath(from fleet.EntryID, m *RequestDeath, now time.Time) retry.SuspectRecord {
-	return retry.SuspectRecord{
+	death := retry.Death{Endpoint: fleet.EndpointID(m.Endpoint), Incarnation: fleet.Incarnation(m.Incarnation)}
+	record := retry.SuspectRecord{
 		Fingerprint: retry.Fingerprint(m.Fingerprint),
-		Deaths:      []retry.Death{{Endpoint: fleet.EndpointID(m.Endpoint), Incarnation: fleet.Incarnation(m.Incarnation)}},
+		Deaths:      []retry.Death{death},
 		TrialEntry:  from,
 		ChangedAt:   now.Add(-microseconds(m.AgeUs)),
 		DeathLimit:  retry.NoTrialDeathLimit,
 	}
+	if m.SentAgeUs != 0 || m.BrokeAgeUs != 0 {
+		span := retry.Span{SentAt: now.Add(-microseconds(m.SentAgeUs)), BrokeAt: now.Add(-microseconds(m.BrokeAgeUs))}
+		record.Spans = map[retry.Death]retry.Span{death: span}
+		record.ChangedAt = span.BrokeAt
+	}
+	return record
 }
