Tell other entries that a suspected request was answered

Cause: an answer clears a request that endpoints died of, but only at the entry that got it. The deaths went on between the other entries, so that an entry that had not served the request itself in the meantime refused it after three crashes.

Deaths from before an answer don't count, whichever entry reports them and when. Watchers also learn of the first death after a clearance.

Measured: TestRequestAnsweredElsewhereIsCleared failed before (status quarantined from the third death on), passes now. go test ./io/peer and the tests of suspects, deaths and crashes in core/retry, core/dispatch, entry and gateway pass.

--- a/core/retry/deaths.go
+++ b/core/retry/deaths.go
@@ -67,6 +67,18 @@
 	return ChainLength(spans) + len(r.Deaths) - len(spans)
 }
 
+// withoutCleared returns the record without the deaths before ClearedAt.
+func (r SuspectRecord) withoutCleared() SuspectRecord {
+	cleared := func(d Death) bool {
+		span, found := r.Spans[d]
+		return found && !span.BrokeAt.After(r.ClearedAt)
+	}
+	if slices.ContainsFunc(r.Deaths, cleared) {
+		r.Deaths = slices.DeleteFunc(slices.Clone(r.Deaths), cleared)
+	}
+	return r
+}
+
 // mergeSpans returns the union of a and b. Of two attempts at the same endpoint, the one that was sent first counts: times
 // that come from other entries are late by the time that the message took.
 func mergeSpans(a, b map[Death]Span) map[Death]Span {
--- a/core/retry/suspects.go
+++ b/core/retry/suspects.go
@@ -55,7 +55,8 @@
 type SuspectRecord struct {
 	// Fingerprint identifies the request.
 	Fingerprint Fingerprint
-	// Deaths holds the distinct incarnations that ended while the request ran there, sorted.
+	// Deaths holds the distinct incarnations that ended while the request ran there, sorted. Those of a cleared record have
+	// no effect.
 	Deaths []Death
 	// Spans holds when the request was at the endpoints that died, where that is known.
 	Spans map[Death]Span
@@ -64,6 +65,8 @@
 	TrialEntry fleet.EntryID
 	// Cleared reports whether the request was answered completely after the last death in Deaths.
 	Cleared bool
+	// ClearedAt is when the request was last answered, or zero. Deaths before that don't count.
+	ClearedAt time.Time
 	// ChangedAt is when the record last changed.
 	ChangedAt time.Time
 	// DeathLimit is the number of deaths, one after another, after which the request is quarantined without a trial; 0 means
@@ -105,12 +108,17 @@
 	if a.ChangedAt.Before(b.ChangedAt) || a.ChangedAt.Equal(b.ChangedAt) && a.TrialEntry > b.TrialEntry {
 		a, b = b, a
 	}
-	if a.Cleared || b.Cleared {
+	if b.ClearedAt.After(a.ClearedAt) {
+		a.ClearedAt = b.ClearedAt
+	}
+	if !b.Cleared || a.Cleared {
+		a.Deaths = mergeDeaths(a.Deaths, b.Deaths)
+	}
+	if a.Cleared {
 		return a
 	}
-	a.Deaths = mergeDeaths(a.Deaths, b.Deaths)
 	a.Spans = mergeSpans(a.Spans, b.Spans)
-	return a
+	return a.withoutCleared()
 }
 
 // covers reports whether all deaths of another record are known.
@@ -236,7 +244,8 @@
 		return false
 	}
 	record.Cleared = true
-	record.ChangedAt = time.Now()
+	record.ClearedAt = time.Now()
+	record.ChangedAt = record.ClearedAt
 	s.records[fingerprint] = record
 	s.mu.Unlock()
 	s.broadcast(ctx, record)
@@ -254,7 +263,10 @@
 		s.records = make(map[Fingerprint]SuspectRecord)
 	}
 	known, found := s.records[record.Fingerprint]
-	if found && known.DeathLimit > 0 && known.covers(record) {
+	switch {
+	case !found && record.Cleared, found && known.Cleared && record.Cleared:
+		return record
+	case found && known.DeathLimit > 0 && known.covers(record):
 		// Times that come from other entries are late, so that the copy of a known record may seem newer.
 		return known
 	}
@@ -263,7 +275,7 @@
 	}
 	s.records[record.Fingerprint] = record
 	s.addDeaths(record.Deaths, now)
-	if !record.Cleared && len(record.Deaths) > len(known.Deaths) {
+	if !record.Cleared && !known.covers(record) {
 		s.notifyWatchers(record.Fingerprint)
 	}
 	return record
--- a/io/peer/suspects_test.go
+++ b/io/peer/suspects_test.go
@@ -17,6 +17,7 @@
 		for _, to := range entries {
 			if to != from {
 				mergeRecords(to, toRecordMessages(from, time.Now()), from.Entry, time.Now())
+				mergeCleared(to, toClearedMessages(from, time.Now()), time.Now())
 			}
 		}
 	}
@@ -63,3 +64,31 @@
 		})
 	}
 }
+
+// TestRequestAnsweredElsewhereIsCleared guards against sound requests that are refused by entries that have not answered them
+// themselves between the deaths of three endpoints.
+func TestRequestAnsweredElsewhereIsCleared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		answering := &retry.Suspects{Entry: "answering", DeathLimit: retry.NoTrialDeathLimit}
+		other := &retry.Suspects{Entry: "other", DeathLimit: retry.NoTrialDeathLimit}
+		entries := []*retry.Suspects{answering, other}
+		for i := range 2 * retry.NoTrialDeathLimit {
+			time.Sleep(time.Second)
+			now := time.Now()
+			entries[i%2].RecordAttempt(context.Background(), "f", retry.Death{Endpoint: fleet.EndpointID(fmt.Sprint(i)), Incarnation: 1},
+				retry.Span{SentAt: now.Add(-10 * time.Millisecond), BrokeAt: now})
+			for range 10 {
+				time.Sleep(50 * time.Millisecond)
+				exchangeRecords(entries)
+			}
+			if i%2 == 1 {
+				answering.MarkCleared(context.Background(), "f")
+			}
+			for _, s := range entries {
+				if got := s.Status("f"); got != retry.StatusClear {
+					t.Errorf("entry %s after death %d: status %q, want %q", s.Entry, i+1, got, retry.StatusClear)
+				}
+			}
+		}
+	})
+}
--- a/io/peer/usages.go
+++ b/io/peer/usages.go
@@ -78,6 +78,7 @@
 func (t *UsageTransport) ReportUsage(ctx context.Context, to netip.AddrPort, report sharedload.UsageReport) (sharedload.UsageReply, error) {
 	message := toUsageSet(report)
 	message.Deaths = toRecordMessages(t.SuspectRecords, time.Now())
+	message.Cleared = toClearedMessages(t.SuspectRecords, time.Now())
 	if t.Parts != nil {
 		message.Parts = toPartChanges(t.Parts.Request(to), time.Now())
 	}
@@ -96,6 +97,7 @@
 		}
 	}
 	mergeRecords(t.SuspectRecords, reply.Deaths, "", time.Now())
+	mergeCleared(t.SuspectRecords, reply.Cleared, time.Now())
 	if t.Parts != nil && reply.Parts != nil {
 		now := time.Now()
 		t.Parts.Complete(to, fromPartChanges(reply.Parts, now), now)
@@ -148,7 +150,12 @@
 func (h *usageHandler) Take(_ context.Context, m *UsageSet) (*UsageReply, error) {
 	answer := h.choosers.HandleUsage(fromUsageSet(m))
 	mergeRecords(h.suspectRecords, m.Deaths, fleet.EntryID(m.Entry), time.Now())
-	reply := &UsageReply{Chooses: answer.Chooses, Deaths: toRecordMessages(h.suspectRecords, time.Now())}
+	mergeCleared(h.suspectRecords, m.Cleared, time.Now())
+	reply := &UsageReply{
+		Chooses: answer.Chooses,
+		Deaths:  toRecordMessages(h.suspectRecords, time.Now()),
+		Cleared: toClearedMessages(h.suspectRecords, time.Now()),
+	}
 	if h.parts != nil && m.Parts != nil {
 		now := time.Now()
 		reply.Parts = toPartChanges(h.parts.Reply(fromPartChanges(m.Parts, now), now), now)
@@ -316,62 +323,3 @@
 	}
 	return values
 }
-
-// toRecordMessages converts all suspect records to messages, one for each death in a record, with times relative to
-// now.
-func toRecordMessages(records SuspectRecords, now time.Time) []*RequestDeath {
-	var messages []*RequestDeath
-	for _, record := range records.Records() {
-		messages = append(messages, toRequestDeaths(record, now)...)
-	}
-	return messages
-}
-
-// mergeRecords merges the deaths received from an entry, each as a suspect record with this one death. The argument
-// from becomes the TrialEntry of each record; it is "" for the records in a reply.
-func mergeRecords(records SuspectRecords, messages []*RequestDeath, from fleet.EntryID, now time.Time) {
-	for _, m := range messages {
-		records.Merge(fromRequestDeath(from, m, now))
-	}
-}
-
-// toRequestDeaths converts a record to one message per death, each with the age of the record at now. It returns none
-// for a cleared record.
-func toRequestDeaths(record retry.SuspectRecord, now time.Time) []*RequestDeath {
-	if record.Cleared {
-		return nil
-	}
-	var deaths []*RequestDeath
-	for _, d := range record.Deaths {
-		m := &RequestDeath{
-			Fingerprint: string(record.Fingerprint),
-			Endpoint:    string(d.Endpoint),
-			Incarnation: uint64(d.Incarnation),
-			AgeUs:       now.Sub(record.ChangedAt).Microseconds(),
-		}
-		if span, found := record.Spans[d]; found {
-			m.SentAgeUs, m.BrokeAgeUs = now.Sub(span.SentAt).Microseconds(), now.Sub(span.BrokeAt).Microseconds()
-		}
-		deaths = append(deaths, m)
-	}
-	return deaths
-}
-
-// fromRequestDeath converts a message received at now to a record with one death. Its DeathLimit is that of entries
-// without trials; the argument from becomes its TrialEntry.
-func fromRequestDeath(from fleet.EntryID, m *RequestDeath, now time.Time) retry.SuspectRecord {
-	death := retry.Death{Endpoint: fleet.EndpointID(m.Endpoint), Incarnation: fleet.Incarnation(m.Incarnation)}
-	record := retry.SuspectRecord{
-		Fingerprint: retry.Fingerprint(m.Fingerprint),
-		Deaths:      []retry.Death{death},
-		TrialEntry:  from,
-		ChangedAt:   now.Add(-microseconds(m.AgeUs)),
-		DeathLimit:  retry.NoTrialDeathLimit,
-	}
-	if m.SentAgeUs != 0 || m.BrokeAgeUs != 0 {
-		span := retry.Span{SentAt: now.Add(-microseconds(m.SentAgeUs)), BrokeAt: now.Add(-microseconds(m.BrokeAgeUs))}
-		record.Spans = map[retry.Death]retry.Span{death: span}
-		record.ChangedAt = span.BrokeAt
-	}
-	return record
-}
