--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -301,7 +301,7 @@
 		r.recordDeath(ctx, a.observedDeath(result))
 	case diagnosisUnknown, diagnosisZoneUnreachable:
 		if r.Unconfirmed != nil {
-			r.Unconfirmed.add(a.endpoint, a.observedDeath(result), r.Dispatcher.recordDeath)
+			r.Unconfirmed.add(a.endpoint, a.observedDeath(result), r.recordDeath)
 		}
 	case diagnosisPathBroken:
 		r.connectFailures = max(r.connectFailures, minConnectFailures)
