Bound the memory for messages of other entries together

Cause: another operator reports peers that send bytes without end, which the caller keeps until it is out of memory. A message of another entry may have 4 MiB, an answer to a forwarded request 8, for each connection: a faulty entry that is asked for many choices at once takes more than the memory of an instance.

--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -4,6 +4,7 @@
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/semaphore"
 
 	"wisteriadyke/core/freshness"
 	"wisteriadyke/core/mirror"
@@ -12,6 +13,9 @@
 	"wisteriadyke/platform/store"
 )
 
+// peerMemoryShare is the share of the setting Memory for incomplete messages of other entries.
+const peerMemoryShare = 0.1
+
 // Names of gauges.
 const (
 	// metricCallerBuffers is the number of bytes of answers that wait for slow callers.
@@ -40,6 +44,7 @@
 	}
 	p.peerExchange.OnFirstReply = p.evidence.Reconsider
 	p.peers = peer.NewClient()
+	p.peers.Memory = semaphore.NewWeighted(p.memoryShare(peerMemoryShare))
 	p.sources = &mirror.Sources{Self: p.self(), State: p.state, Log: p.Log}
 	p.feed = &store.Feed{
 		Client:  &store.Client{Address: p.Settings.Store, HTTP: store.NewHTTPClient()},
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
@@ -34,6 +35,8 @@
 type Client struct {
 	// Dial connects to another entry; nil means TCP.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	// Memory bounds the memory for incomplete messages of all other entries together; nil means no bound.
+	Memory *semaphore.Weighted
 
 	blockingCalls *pool
 	shortCalls    *pool
@@ -84,7 +87,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "peer %s", address)
 	}
-	return drpcconn.New(conn), nil
+	return drpcconn.New(newBoundedConn(conn, c.Memory)), nil
 }
 
 // dialTCP dials an address over TCP.
--- a/io/peer/forwards.go
+++ b/io/peer/forwards.go
@@ -57,10 +57,13 @@
 	if err != nil {
 		return notForwarded(errors.Wrap(err, "encode payload"))
 	}
-	conn, err := t.connect(ctx, to)
+	transport, err := t.connect(ctx, to)
 	if err != nil {
 		return notForwarded(err)
 	}
+	conn := drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxAnswerBytes},
+	}})
 	defer func() { _ = conn.Close() }()
 	streamCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -78,11 +81,11 @@
 			return mayHaveRun(err)
 		}
 	}
-	return t.receive(stream, sink)
+	return t.receive(stream, transport, sink)
 }
 
 // connect connects to another entry.
-func (t *ForwardTransport) connect(ctx context.Context, to fleet.Entry) (*drpcconn.Conn, error) {
+func (t *ForwardTransport) connect(ctx context.Context, to fleet.Entry) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, forwardDialTimeout)
 	defer cancel()
 	var conn net.Conn
@@ -96,9 +99,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "peer %s", to.Address)
 	}
-	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: drpcmanager.Options{
-		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxAnswerBytes},
-	}}), nil
+	return newBoundedConn(conn, t.Client.Memory), nil
 }
 
 // awaitAcceptance sends the head of a request and waits until it is accepted; cancel aborts the stream if that takes too
@@ -122,12 +123,13 @@
 }
 
 // receive writes the answer of another entry to sink until it ends.
-func (t *ForwardTransport) receive(stream DRPCForward_RunClient, sink dispatch.Sink) error {
+func (t *ForwardTransport) receive(stream DRPCForward_RunClient, transport net.Conn, sink dispatch.Sink) error {
 	for {
 		event, err := stream.Recv()
 		if err != nil {
 			return mayHaveRun(err)
 		}
+		startMessage(transport)
 		switch {
 		case event.Failure != nil:
 			return t.fromFailure(event.Failure)
