Bound the memory for responses of the store together

Cause: as for other entries. A response of the store may have 12 MiB, and nothing bounded several at once.

--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -13,8 +13,12 @@
 	"wisteriadyke/platform/store"
 )
 
-// peerMemoryShare is the share of the setting Memory for incomplete messages of other entries.
-const peerMemoryShare = 0.1
+const (
+	// peerMemoryShare is the share of the setting Memory for incomplete messages of other entries.
+	peerMemoryShare = 0.1
+	// storeMemoryShare is the share of the setting Memory for the bodies of responses of the store.
+	storeMemoryShare = 0.1
+)
 
 // Names of gauges.
 const (
@@ -47,7 +51,10 @@
 	p.peers.Memory = semaphore.NewWeighted(p.memoryShare(peerMemoryShare))
 	p.sources = &mirror.Sources{Self: p.self(), State: p.state, Log: p.Log}
 	p.feed = &store.Feed{
-		Client:  &store.Client{Address: p.Settings.Store, HTTP: store.NewHTTPClient()},
+		Client: &store.Client{
+			Address: p.Settings.Store, HTTP: store.NewHTTPClient(),
+			BodyMemory: semaphore.NewWeighted(p.memoryShare(storeMemoryShare)),
+		},
 		Sources: p.sources,
 		Relays:  &peer.RowsTransport{Client: p.peers, Clock: boottime.Now},
 		Clock:   boottime.Now,
--- a/io/jsonhttp/client.go
+++ b/io/jsonhttp/client.go
@@ -113,12 +113,18 @@
 // It returns an *Error if it gets no complete response of at most maxBodyBytes; an error status is not an error. The
 // request has no GetBody, so that net/http can't replay a request whose body may have been written.
 func Do(ctx context.Context, client *http.Client, method, target string, body []byte) (Response, error) {
-	return DoWithLimit(ctx, client, method, target, body, maxBodyBytes)
+	return DoWithReader(ctx, client, method, target, body, func(reader io.Reader) ([]byte, error) {
+		content, err := io.ReadAll(io.LimitReader(reader, maxBodyBytes+1))
+		if err == nil && int64(len(content)) > maxBodyBytes {
+			err = errors.Errorf("body exceeds %d bytes", maxBodyBytes)
+		}
+		return content, err
+	})
 }
 
-// DoWithLimit is like Do, but the response body may have at most maxBytes.
-func DoWithLimit(
-	ctx context.Context, client *http.Client, method, target string, body []byte, maxBytes int64,
+// DoWithReader is like Do, but reads the response body with the function read.
+func DoWithReader(
+	ctx context.Context, client *http.Client, method, target string, body []byte, read func(io.Reader) ([]byte, error),
 ) (Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
@@ -136,10 +142,7 @@
 		return Response{}, &Error{Certainty: certaintyOf(connected.Load()), Cause: err}
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
-	if err == nil && int64(len(content)) > maxBytes {
-		err = errors.Errorf("body exceeds %d bytes", maxBytes)
-	}
+	content, err := read(response.Body)
 	if err != nil {
 		return Response{}, &Error{Certainty: Unanswered, Cause: errors.Wrap(err, "read the answer")}
 	}
