--- a/io/peer/flood_test.go
+++ b/io/peer/flood_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"strings"
@@ -31,9 +32,12 @@
 	group.Go(func() error {
 		for {
 			conn, err := listener.Accept()
-			if err != nil {
+			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
+			if err != nil {
+				return err
+			}
 			group.Go(func() error {
 				defer func() { _ = conn.Close() }()
 				for {
