Keep refusing a request that crashes endpoints again

The rule has no end.

Change: the record of a quarantined request lives on. The request runs again after 30 to 45 s, at another time at each entry; the next death has it refused for ten times as long, an answer clears it. Fewer than three deaths expire after 30 s as before, so that sound requests are refused no longer than before. Entries tell each other of deaths for 30 s, as before.

--- a/core/retry/suspects.go
+++ b/core/retry/suspects.go
@@ -23,10 +23,9 @@
 	trialDuration = 2 * time.Minute
 	// quarantineDuration is how long a quarantined request is refused.
 	quarantineDuration = 24 * time.Hour
-	// noTrialQuarantineDuration is how long deaths count, and how long a quarantined request is refused, where there
-	// are no trials. It is short because without a trial the request can't be distinguished from others on the same
-	// endpoint.
-	noTrialQuarantineDuration = 30 * time.Second
+	// noTrialDuration is how long deaths count where there are no trials, until there are enough of them. It is short
+	// because without a trial the request can't be distinguished from others on the same endpoint.
+	noTrialDuration = 30 * time.Second
 	// clearedRetention is how long the record of a cleared request is retained.
 	clearedRetention = 10 * time.Minute
 )
@@ -92,8 +91,10 @@
 	switch {
 	case r.Cleared:
 		return clearedRetention
+	case r.DeathLimit > 0 && r.Quarantined():
+		return refusalsRetained * r.refusalTime()
 	case r.DeathLimit > 0:
-		return noTrialQuarantineDuration
+		return noTrialDuration
 	case r.Quarantined():
 		return quarantineDuration
 	default:
@@ -189,7 +190,7 @@
 	switch {
 	case !found || record.Cleared || record.expired(time.Now()):
 		return StatusClear
-	case record.Quarantined():
+	case record.Quarantined() && (s.DeathLimit == 0 || record.refusedBy(s.Entry, time.Now())):
 		return StatusQuarantined
 	case s.DeathLimit > 0:
 		return StatusClear
--- a/io/peer/suspects.go
+++ b/io/peer/suspects.go
@@ -11,12 +11,17 @@
 // second.
 const clearanceTTL = 5 * time.Second
 
-// toRecordMessages converts all suspect records to messages, one for each death in a record, with times relative to
+// recordTTL is how long entries tell each other of a death. An entry that starts later learns of it with the next one.
+const recordTTL = 30 * time.Second
+
+// toRecordMessages converts the suspect records of recordTTL to messages, one for each death in a record, with times relative to
 // now.
 func toRecordMessages(records SuspectRecords, now time.Time) []*RequestDeath {
 	var messages []*RequestDeath
 	for _, record := range records.Records() {
-		messages = append(messages, toRequestDeaths(record, now)...)
+		if now.Sub(record.ChangedAt) <= recordTTL {
+			messages = append(messages, toRequestDeaths(record, now)...)
+		}
 	}
 	return messages
 }
--- a/io/peer/suspects_test.go
+++ b/io/peer/suspects_test.go
@@ -92,3 +92,66 @@
 		}
 	})
 }
+
+// TestRequestThatKeepsCrashingIsRefused guards against a request that crashes endpoints and runs again each time that its record
+// expires. Once it no longer does, it must be served again, and not be refused for another crash beside it.
+func TestRequestThatKeepsCrashingIsRefused(t *testing.T) {
+	const (
+		settleTime, allowed = 3 * time.Second, 3
+		interval, duration  = 1500 * time.Millisecond, 20 * time.Minute
+	)
+	synctest.Test(t, func(t *testing.T) {
+		var entries []*retry.Suspects
+		for i := range 3 {
+			entries = append(entries, &retry.Suspects{Entry: fleet.EntryID(fmt.Sprint(i)), DeathLimit: retry.NoTrialDeathLimit})
+		}
+		deaths, late := 0, 0
+		var settled time.Time
+		run := func(s *retry.Suspects, fingerprint retry.Fingerprint) bool {
+			if s.Status(fingerprint) != retry.StatusClear {
+				return false
+			}
+			deaths++
+			now := time.Now()
+			s.RecordAttempt(context.Background(), fingerprint, retry.Death{Endpoint: fleet.EndpointID(fmt.Sprint(deaths)), Incarnation: 1},
+				retry.Span{SentAt: now.Add(-10 * time.Millisecond), BrokeAt: now})
+			return true
+		}
+		pause := func() {
+			for range 3 {
+				time.Sleep(interval / 3)
+				exchangeRecords(entries)
+			}
+		}
+		for i := range int(duration / interval) {
+			ran := run(entries[i%len(entries)], "f")
+			switch {
+			case ran && deaths == retry.NoTrialDeathLimit:
+				settled = time.Now().Add(settleTime)
+			case ran && deaths > retry.NoTrialDeathLimit && time.Now().After(settled):
+				late++
+			}
+			pause()
+		}
+		if late > allowed {
+			t.Errorf("ran %d times later than %v after death %d, want %d at most", late, settleTime, retry.NoTrialDeathLimit, allowed)
+		}
+		for range retry.NoTrialDeathLimit {
+			run(entries[0], "sound")
+			pause()
+		}
+		time.Sleep(time.Minute)
+		if got := entries[0].Status("sound"); got != retry.StatusClear {
+			t.Fatalf("status of a request a minute after three deaths: %q, want %q", got, retry.StatusClear)
+		}
+		entries[0].MarkCleared(context.Background(), "sound")
+		pause()
+		run(entries[1], "sound")
+		pause()
+		for _, s := range entries {
+			if got := s.Status("sound"); got != retry.StatusClear {
+				t.Errorf("status after an answer and another death: %q, want %q", got, retry.StatusClear)
+			}
+		}
+	})
+}
