Blame no prompt part for the crashes of one request

Cause: three crashes in a row blame the parts that the prompts have in common.

A part isn't blamed as long as a single request was at all endpoints that died.

TestPromptPartThatCrashesEndpoints, TestQuarantineOutlastsAllEntries and go test ./core/quarantine ./core/dispatch ./io/peer ./platform/store pass.

--- a/core/dispatch/trial.go
+++ b/core/dispatch/trial.go
@@ -152,7 +152,7 @@
 			return
 		}
 		d.Parts.RecordDeath(quarantine.Report{
-			Attempt: o.attempt, Death: o.death, SentAt: o.sentAt, DiedAt: o.brokeAt, Parts: o.parts,
+			Attempt: o.attempt, Request: o.fingerprint, Death: o.death, SentAt: o.sentAt, DiedAt: o.brokeAt, Parts: o.parts,
 		}, time.Now())
 	}
 	if o.survived {
--- a/core/quarantine/blame.go
+++ b/core/quarantine/blame.go
@@ -64,7 +64,8 @@
 	}
 }
 
-// bestSuspect returns the reports with the part that explains most deaths, or nil if no part reaches deathLimit.
+// bestSuspect returns the reports with the part that explains most deaths, or nil if no part reaches deathLimit. It leaves out
+// parts whose deaths a single request explains.
 func bestSuspect(reports []Report) []Report {
 	byPart := make(map[fleet.PromptPart][]Report)
 	for _, r := range reports {
@@ -80,6 +81,9 @@
 			continue
 		}
 		deaths := countDeaths(candidate)
+		if ofOneRequest(candidate, deaths) {
+			continue
+		}
 		if deaths > bestDeaths || deaths == bestDeaths && len(candidate) < len(best) {
 			best, bestDeaths = candidate, deaths
 		}
@@ -87,6 +91,23 @@
 	return best
 }
 
+// ofOneRequest reports whether a single request was at all of the given number of endpoints that died. It is refused by itself,
+// and its parts may be those of many others.
+func ofOneRequest(reports []Report, deaths int) bool {
+	byRequest := make(map[retry.Fingerprint][]Report)
+	for _, r := range reports {
+		if r.Request != "" {
+			byRequest[r.Request] = append(byRequest[r.Request], r)
+		}
+	}
+	for _, own := range byRequest {
+		if countDeaths(own) == deaths {
+			return true
+		}
+	}
+	return false
+}
+
 // commonParts returns the parts that all reports contain, sorted.
 func commonParts(reports []Report) []fleet.PromptPart {
 	common := slices.Sorted(slices.Values(reports[0].Parts))
--- a/core/quarantine/report.go
+++ b/core/quarantine/report.go
@@ -12,6 +12,8 @@
 type Report struct {
 	// Attempt is the attempt.
 	Attempt fleet.AttemptID
+	// Request identifies the request over resends; it is empty in reports of entries that don't send it.
+	Request retry.Fingerprint
 	// Death is the endpoint and its incarnation that ended.
 	Death retry.Death
 	// SentAt is when the attempt was sent.
--- a/io/peer/parts.go
+++ b/io/peer/parts.go
@@ -22,6 +22,7 @@
 			SentAgeUs:   now.Sub(r.SentAt).Microseconds(),
 			DiedAgeUs:   now.Sub(r.DiedAt).Microseconds(),
 			Parts:       quarantine.Names(r.Parts),
+			Request:     string(r.Request),
 		})
 	}
 	for _, s := range m.Changes.Survivals {
@@ -39,6 +40,7 @@
 	for _, c := range changes.Crashes {
 		report := quarantine.Report{
 			Attempt: fleet.AttemptID(c.Attempt),
+			Request: retry.Fingerprint(c.Request),
 			Death:   retry.Death{Endpoint: fleet.EndpointID(c.Endpoint), Incarnation: fleet.Incarnation(c.Incarnation)},
 			SentAt:  now.Add(-microseconds(c.SentAgeUs)),
 			DiedAt:  now.Add(-microseconds(c.DiedAgeUs)),
