Report no death while a zone comes back

Cause: an entry that could not connect to an endpoint, and then could to another one of its zone, took the endpoint for dead.

Change: only a zone without entries is judged by its other endpoints, and the endpoint itself is tried again last. The registry confirms a death only if the endpoint stays unlisted for two seconds after its removal and after the first sign that its zone is reachable, in which endpoints that live register again.

--- a/core/dispatch/diagnose.go
+++ b/core/dispatch/diagnose.go
@@ -51,7 +51,7 @@
 	switch {
 	case reached > 0:
 		return diagnosisPathBroken
-	case !r.zoneReachable(endpoint.Zone) && (r.ReachesZone == nil || !r.ReachesZone(ctx, endpoint)):
+	case !r.zoneReachable(endpoint.Zone) && (r.EndedAlone == nil || !r.EndedAlone(ctx, endpoint)):
 		return diagnosisZoneUnreachable
 	case failed == 0 && r.CanTell != nil && !r.CanTell(ctx, endpoint):
 		return diagnosisUnknown
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -88,9 +88,9 @@
 	// CanTell reports whether a failure to connect to an endpoint says something about the endpoint, and not about this
 	// entry's path to all of them; nil means that it does.
 	CanTell func(ctx context.Context, endpoint fleet.Endpoint) bool
-	// ReachesZone reports whether this entry can connect to another endpoint in the zone of the given one, although the
-	// entries of that zone are silent or there are none; nil means that it can't.
-	ReachesZone func(ctx context.Context, endpoint fleet.Endpoint) bool
+	// EndedAlone reports whether an endpoint in a zone without entries accepts no connection while others of the zone do;
+	// nil means that it can't tell.
+	EndedAlone func(ctx context.Context, endpoint fleet.Endpoint) bool
 	// Unconfirmed holds the broken attempts of which no entry can tell whether their endpoint died; nil ignores them.
 	Unconfirmed *UnconfirmedDeaths
 	// Suspects tracks the requests that may crash endpoints.
--- a/core/dispatch/unconfirmed.go
+++ b/core/dispatch/unconfirmed.go
@@ -18,7 +18,7 @@
 	// confirmPeriod is the interval at which the registry is compared with the unconfirmed deaths.
 	confirmPeriod = 200 * time.Millisecond
 	// confirmTimeout is the time after a broken attempt by which the registry must have shown that the endpoint ended. It
-	// removes silent endpoints after less than 4 s, and later after an outage.
+	// removes silent endpoints after less than 4 s.
 	confirmTimeout = 10 * time.Second
 	// relistTime is the time within which an endpoint that lives registers again once its zone is reachable.
 	relistTime = 2 * time.Second
@@ -51,10 +51,9 @@
 	observed observedDeath
 	// listed holds the endpoints that were listed when the attempt broke.
 	listed map[fleet.EndpointID]fleet.Endpoint
-	// unlisted reports whether the registry has removed the endpoint.
-	unlisted bool
-	// zoneAliveAt is when the zone of the endpoint first turned out to be reachable or to start endpoints; zero before.
-	zoneAliveAt time.Time
+	// unlistedAt is when the registry was first seen to have removed the endpoint, and zoneAliveAt when the zone of the
+	// endpoint first turned out to start endpoints, or to be reachable after that; both are zero before.
+	unlistedAt, zoneAliveAt time.Time
 	// survived reports whether the request was answered after the attempt.
 	survived atomic.Bool
 	// confirm records the death.
@@ -142,15 +141,15 @@
 
 // judge returns what the registry shows about a death. reaches holds the zones that were connected to for this purpose.
 //
-// An endpoint is removed from the registry as well if its zone is partitioned, and registers again afterwards, as do others
-// of the zone. Unless the zone is reachable when the endpoint is removed, it has relistTime for that.
+// An endpoint is removed from the registry as well if its zone is partitioned, and registers again afterwards. It has
+// relistTime for that, from its removal and from the first sign that the zone isn't partitioned.
 func (u *UnconfirmedDeaths) judge(ctx context.Context, d *unconfirmedDeath, reaches map[fleet.Zone]bool) verdict {
 	now := time.Now()
 	listed, found := u.State.Endpoints.Get(d.endpoint.ID)
 	switch {
 	case found && listed.Incarnation > d.endpoint.Incarnation:
 		return verdictEnded
-	case found && (listed.State == fleet.StateLeaving || d.unlisted):
+	case found && (listed.State == fleet.StateLeaving || !d.unlistedAt.IsZero()):
 		return verdictAlive
 	case now.Sub(d.observed.brokeAt) > confirmTimeout:
 		return verdictExpired
@@ -161,25 +160,29 @@
 	if found {
 		return verdictPending
 	}
-	first := !d.unlisted
-	d.unlisted = true
-	if !d.zoneAliveAt.IsZero() && now.Sub(d.zoneAliveAt) >= relistTime {
-		return verdictEnded
+	if d.unlistedAt.IsZero() {
+		d.unlistedAt = now
 	}
-	reached, known := reaches[d.endpoint.Zone]
-	if !known {
-		reached = u.ReachesZone(ctx, d.endpoint)
-		reaches[d.endpoint.Zone] = reached
+	if d.zoneAliveAt.IsZero() && u.reachesZone(ctx, d.endpoint, reaches) {
+		d.zoneAliveAt = now
 	}
-	switch {
-	case reached && first:
+	if !d.zoneAliveAt.IsZero() && now.Sub(d.zoneAliveAt) >= relistTime && now.Sub(d.unlistedAt) >= relistTime {
 		return verdictEnded
-	case reached && d.zoneAliveAt.IsZero():
-		d.zoneAliveAt = now
 	}
 	return verdictPending
 }
 
+// reachesZone reports whether this entry can connect to another endpoint in the zone of the given one. known holds the zones
+// that were tried already.
+func (u *UnconfirmedDeaths) reachesZone(ctx context.Context, endpoint fleet.Endpoint, known map[fleet.Zone]bool) bool {
+	reached, tried := known[endpoint.Zone]
+	if !tried {
+		reached = u.ReachesZone(ctx, endpoint)
+		known[endpoint.Zone] = reached
+	}
+	return reached
+}
+
 // startedAnew reports whether an endpoint has started in the zone of the broken attempt since then.
 func (u *UnconfirmedDeaths) startedAnew(d *unconfirmedDeath) bool {
 	for id, endpoint := range u.State.Endpoints.Snapshot().Rows {
--- a/core/outlier/witness.go
+++ b/core/outlier/witness.go
@@ -81,6 +81,17 @@
 	return w.reachesAny(ctx, w.others(endpoint, func(other fleet.Endpoint) bool { return other.Zone == endpoint.Zone }))
 }
 
+// EndedAlone reports whether an endpoint in a zone without entries accepts no connection while another one of the zone does.
+// It connects to the endpoint last, in case the path to the zone has just come back.
+func (w *Witness) EndedAlone(ctx context.Context, endpoint fleet.Endpoint) bool {
+	for _, entry := range w.State.Entries.Snapshot().Rows {
+		if entry.Zone == endpoint.Zone {
+			return false
+		}
+	}
+	return w.ReachesZone(ctx, endpoint) && !w.reachesAny(ctx, []fleet.Endpoint{endpoint}) && ctx.Err() == nil
+}
+
 // others returns the live endpoints other than the given one that meet a condition and are not known to have ended, in
 // random order.
 func (w *Witness) others(than fleet.Endpoint, condition func(fleet.Endpoint) bool) []fleet.Endpoint {
--- a/core/outlier/witness_test.go
+++ b/core/outlier/witness_test.go
@@ -54,3 +54,40 @@
 		})
 	}
 }
+
+// TestEndedAlone guards against deaths that are reported while the path to a zone is cut or has just come back.
+func TestEndedAlone(t *testing.T) {
+	tests := map[string]struct {
+		// entry gives the zone an entry; down and cut fail connections to the endpoint and to the others of its zone.
+		entry, down, cut bool
+		want             bool
+	}{
+		"down":                      {down: true, want: true},
+		"runs":                      {},
+		"path to the zone is cut":   {down: true, cut: true},
+		"down, zone has an entry":   {down: true, entry: true},
+		"path came back, or didn't": {cut: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			state := &clusterstate.State{}
+			endpoint := fleet.Endpoint{ID: "i", Pool: "p", Zone: "b", State: fleet.StateLive}
+			state.Endpoints.Set("i", endpoint)
+			state.Endpoints.Set("other", fleet.Endpoint{ID: "other", Pool: "q", Zone: "b", State: fleet.StateLive})
+			state.Endpoints.Set("near", fleet.Endpoint{ID: "near", Pool: "q", Zone: "a", State: fleet.StateLive})
+			state.Entries.Set("e", fleet.Entry{ID: "e", Zone: map[bool]fleet.Zone{true: "b", false: "a"}[tc.entry]})
+			w := &Witness{
+				State: state, Reach: &Reach{State: state, Detector: &Detector{}, Log: zerolog.Nop()},
+				Connect: func(_ context.Context, e fleet.Endpoint) error {
+					if tc.down && e.ID == "i" || tc.cut && e.ID == "other" {
+						return errors.New("connection refused")
+					}
+					return nil
+				},
+			}
+			if got := w.EndedAlone(t.Context(), endpoint); got != tc.want {
+				t.Errorf("got %t, want %t", got, tc.want)
+			}
+		})
+	}
+}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -316,7 +316,7 @@
 		},
 		AskOthers:   p.choosers.AskOthers,
 		CanTell:     p.witness.CanTell,
-		ReachesZone: p.witness.ReachesZone,
+		EndedAlone:  p.witness.EndedAlone,
 		Unconfirmed: p.unconfirmed,
 		Suspects:    p.suspects,
 		Parts:       p.parts,
