Try an endpoint again that was reached while its process ended

Cause: the connections of a process that ends are closed one after the other. Just after an attempt broke, the endpoint may accept another connection, so that the attempt was diagnosed as alive and the crash forgotten. If it is the first one of a small pool, the entries then take themselves for cut off, and miss the following ones too. The same holds for an attempt that is ended since another copy of the request crashed an endpoint, while its own endpoint crashes.

Measured: TestEndpointThatEndsSlowly counts no death without the change, one with it.

--- a/core/dispatch/diagnose.go
+++ b/core/dispatch/diagnose.go
@@ -31,13 +31,18 @@
 	diagnosisUnknown diagnosis = "unknown"
 )
 
+// reached reports whether an entry reached the endpoint.
+func (d diagnosis) reached() bool {
+	return d == diagnosisAlive || d == diagnosisPathBroken
+}
+
 // diagnose checks whether the endpoint still runs with the given incarnation; 0 matches any. An endpoint that does not
 // answer counts as dead, unless another entry reaches it or what this entry sees says nothing about it: its whole
 // availability zone is unreachable, or this entry reaches no other endpoint either.
-func (r *requestRun) diagnose(ctx context.Context, endpoint fleet.Endpoint, incarnation fleet.Incarnation) diagnosis {
+func (d *Dispatcher) diagnose(ctx context.Context, endpoint fleet.Endpoint, incarnation fleet.Incarnation) diagnosis {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), diagnoseTimeout)
 	defer cancel()
-	current, err := r.Engines.Incarnation(ctx, endpoint)
+	current, err := d.Engines.Incarnation(ctx, endpoint)
 	switch {
 	case err == nil && (incarnation == 0 || current == incarnation):
 		return diagnosisAlive
@@ -45,15 +50,15 @@
 		return diagnosisDied
 	}
 	reached, failed := 0, 0
-	if r.AskOthers != nil {
-		reached, failed = r.AskOthers(ctx, endpoint)
+	if d.AskOthers != nil {
+		reached, failed = d.AskOthers(ctx, endpoint)
 	}
 	switch {
 	case reached > 0:
 		return diagnosisPathBroken
-	case !r.zoneReachable(endpoint.Zone) && (r.EndedAlone == nil || !r.EndedAlone(ctx, endpoint)):
+	case !d.zoneReachable(endpoint.Zone) && (d.EndedAlone == nil || !d.EndedAlone(ctx, endpoint)):
 		return diagnosisZoneUnreachable
-	case failed == 0 && r.CanTell != nil && !r.CanTell(ctx, endpoint):
+	case failed == 0 && d.CanTell != nil && !d.CanTell(ctx, endpoint):
 		return diagnosisUnknown
 	default:
 		return diagnosisDied
@@ -63,14 +68,14 @@
 // zoneReachable reports whether a zone is reachable. If Dispatcher.Reachable is set, its result is returned. Otherwise
 // this entry's own zone counts as reachable, and another zone does if one of its entries was seen within
 // contactTimeout.
-func (r *requestRun) zoneReachable(zone fleet.Zone) bool {
-	if r.Reachable != nil {
-		return r.Reachable(zone)
+func (d *Dispatcher) zoneReachable(zone fleet.Zone) bool {
+	if d.Reachable != nil {
+		return d.Reachable(zone)
 	}
-	if zone == r.Zone {
+	if zone == d.Zone {
 		return true
 	}
-	for _, entry := range r.State.Entries.Snapshot().Rows {
+	for _, entry := range d.State.Entries.Snapshot().Rows {
 		if entry.Zone == zone && time.Since(entry.LastSeenAt) < contactTimeout {
 			return true
 		}
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -296,16 +296,15 @@
 	}
 	d := r.diagnose(ctx, a.endpoint, result.release.Incarnation)
 	r.recordDiagnosis(a, result, d)
-	switch d {
-	case diagnosisDied:
-		r.recordDeath(ctx, a.observedDeath(result))
-	case diagnosisUnknown, diagnosisZoneUnreachable:
-		if r.Unconfirmed != nil {
-			r.Unconfirmed.add(a.endpoint, a.observedDeath(result), r.recordDeath)
-		}
-	case diagnosisPathBroken:
+	if d == diagnosisPathBroken {
 		r.connectFailures = max(r.connectFailures, minConnectFailures)
 	}
+	switch {
+	case d == diagnosisDied:
+		r.recordDeath(ctx, a.observedDeath(result))
+	case r.Unconfirmed != nil && (!d.reached() || result.mayHaveCrashed()):
+		r.Unconfirmed.add(r.Dispatcher, a.endpoint, a.observedDeath(result), d)
+	}
 	if !r.canRetry() {
 		return &Failure{State: StateOutcomeUnknown, Reason: ReasonNoAnswer}
 	}
--- a/core/dispatch/unconfirmed.go
+++ b/core/dispatch/unconfirmed.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"wisteriadyke/core/clusterstate"
 	"wisteriadyke/core/fleet"
@@ -22,14 +23,18 @@
 	confirmTimeout = 10 * time.Second
 	// relistTime is the time within which an endpoint that lives registers again once its zone is reachable.
 	relistTime = 2 * time.Second
+	// exitTime is how long an endpoint whose process ends may still accept connections.
+	exitTime = 100 * time.Millisecond
+	// maxDiagnoses bounds the endpoints that are tried again at the same time.
+	maxDiagnoses = 8
 	// maxUnconfirmed bounds the deaths that wait for confirmation.
 	maxUnconfirmed = 256
 )
 
-// UnconfirmedDeaths holds broken attempts at endpoints that accept no connection, while no entry can tell whether the
-// endpoint ended or the paths to it are cut. The registry confirms the death of an endpoint by a later incarnation, or by
-// removing it while others of its zone are reachable or start anew. Its fields must be set before Run is called; it is
-// safe for concurrent use.
+// UnconfirmedDeaths holds broken attempts whose endpoints may have ended. One that still accepted a connection, maybe while
+// its process was ending, is tried once more. If no entry can tell whether an endpoint ended or the paths to it are cut, the
+// registry confirms its death by a later incarnation, or by removing it while others of its zone are reachable or start
+// anew. Its fields must be set before Run is called; it is safe for concurrent use.
 //
 // Load pattern: a request crashes the endpoints of a small pool one after the other, at an entry that has no other one to
 // ask. Each crash counts, though later than one that other entries confirm.
@@ -47,6 +52,7 @@
 
 // unconfirmedDeath is one broken attempt at an endpoint that may have ended.
 type unconfirmedDeath struct {
+	*Dispatcher
 	endpoint fleet.Endpoint
 	observed observedDeath
 	// listed holds the endpoints that were listed when the attempt broke.
@@ -54,10 +60,12 @@
 	// unlistedAt is when the registry was first seen to have removed the endpoint, and zoneAliveAt when the zone of the
 	// endpoint first turned out to start endpoints, or to be reachable after that; both are zero before.
 	unlistedAt, zoneAliveAt time.Time
+	// diagnosis is the latest one of the endpoint. If the endpoint was reached then, it is tried once more; again reports
+	// whether it was.
+	diagnosis diagnosis
+	again     bool
 	// survived reports whether the request was answered after the attempt.
 	survived atomic.Bool
-	// confirm records the death.
-	confirm func(ctx context.Context, observed observedDeath)
 }
 
 // verdict is what the registry shows about an unconfirmed death.
@@ -75,7 +83,7 @@
 )
 
 // add holds a death until it is confirmed or turns out not to be one. The oldest one is dropped if there are too many.
-func (u *UnconfirmedDeaths) add(endpoint fleet.Endpoint, observed observedDeath, confirm func(context.Context, observedDeath)) {
+func (u *UnconfirmedDeaths) add(by *Dispatcher, endpoint fleet.Endpoint, observed observedDeath, d diagnosis) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if len(u.pending) >= maxUnconfirmed {
@@ -83,7 +91,7 @@
 		u.pending = u.pending[1:]
 	}
 	u.pending = append(u.pending, &unconfirmedDeath{
-		endpoint: endpoint, observed: observed, listed: u.State.Endpoints.Snapshot().Rows, confirm: confirm,
+		Dispatcher: by, endpoint: endpoint, observed: observed, diagnosis: d, listed: u.State.Endpoints.Snapshot().Rows,
 	})
 }
 
@@ -117,6 +125,7 @@
 	u.mu.Lock()
 	pending := slices.Clone(u.pending)
 	u.mu.Unlock()
+	u.diagnoseAgain(ctx, pending)
 	reaches := make(map[fleet.Zone]bool)
 	resolved := make(map[*unconfirmedDeath]bool)
 	for _, d := range pending {
@@ -128,7 +137,7 @@
 		u.log(d, v)
 		if v == verdictEnded {
 			d.observed.survived = d.survived.Load()
-			d.confirm(ctx, d.observed)
+			d.recordDeath(ctx, d.observed)
 		}
 	}
 	if len(resolved) == 0 {
@@ -139,6 +148,28 @@
 	u.pending = slices.DeleteFunc(u.pending, func(d *unconfirmedDeath) bool { return resolved[d] })
 }
 
+// diagnoseAgain tries the endpoints that were reached after an attempt broke. Attempts at the same endpoint share the result.
+func (u *UnconfirmedDeaths) diagnoseAgain(ctx context.Context, pending []*unconfirmedDeath) {
+	var group errgroup.Group
+	group.SetLimit(maxDiagnoses)
+	byDeath := make(map[retry.Death][]*unconfirmedDeath)
+	for _, d := range pending {
+		if d.diagnosis.reached() && time.Since(d.observed.brokeAt) >= exitTime {
+			byDeath[d.observed.death] = append(byDeath[d.observed.death], d)
+		}
+	}
+	for _, same := range byDeath {
+		group.Go(func() error {
+			again := same[0].diagnose(ctx, same[0].endpoint, same[0].observed.death.Incarnation)
+			for _, d := range same {
+				d.diagnosis, d.again = again, true
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
 // judge returns what the registry shows about a death. reaches holds the zones that were connected to for this purpose.
 //
 // An endpoint is removed from the registry as well if its zone is partitioned, and registers again afterwards. It has
@@ -147,7 +178,11 @@
 	now := time.Now()
 	listed, found := u.State.Endpoints.Get(d.endpoint.ID)
 	switch {
-	case found && listed.Incarnation > d.endpoint.Incarnation:
+	case d.diagnosis.reached() && !d.again:
+		return verdictPending
+	case d.diagnosis.reached():
+		return verdictAlive
+	case d.diagnosis == diagnosisDied, found && listed.Incarnation > d.endpoint.Incarnation:
 		return verdictEnded
 	case found && (listed.State == fleet.StateLeaving || !d.unlistedAt.IsZero()):
 		return verdictAlive
--- a/core/dispatch/unconfirmed_test.go
+++ b/core/dispatch/unconfirmed_test.go
@@ -63,9 +63,9 @@
 					State: state, ReachesZone: func(context.Context, fleet.Endpoint) bool { return reachable }, Log: zerolog.Nop(),
 				}
 				started := time.Now()
-				u.add(endpoint, observedDeath{
+				u.add(d, endpoint, observedDeath{
 					fingerprint: "f", death: retry.Death{Endpoint: "i-1", Incarnation: 1}, brokeAt: started,
-				}, d.recordDeath)
+				}, diagnosisUnknown)
 				if tc.survived {
 					u.recordSurvival("f")
 				}
@@ -99,3 +99,36 @@
 		})
 	}
 }
+
+// TestEndpointThatEndsSlowly guards against a crash that is not counted because the endpoint accepted a connection for a moment
+// after the attempt broke.
+func TestEndpointThatEndsSlowly(t *testing.T) {
+	for name, tc := range map[string]struct {
+		ends bool
+		want int
+	}{"ends": {ends: true, want: 1}, "lives": {}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engines := &fakeEngines{script: []behavior{{tokens: 1}}, incarnation: map[fleet.EndpointID]fleet.Incarnation{"a1": 1}}
+				d := newTestDispatcher(engines, &fakeReservations{})
+				d.Suspects = &retry.Suspects{Entry: "a", DeathLimit: retry.NoTrialDeathLimit}
+				d.Unconfirmed = &UnconfirmedDeaths{State: d.State, Log: zerolog.Nop()}
+				request := newTestRequest()
+				request.RetryPolicy = RetryNever
+				_ = d.Generate(t.Context(), request, &collector{})
+				if tc.ends {
+					engines.unanswered = 1
+				}
+				time.Sleep(exitTime)
+				d.Unconfirmed.resolve(t.Context())
+				deaths := 0
+				for _, record := range d.Suspects.Records() {
+					deaths += len(record.Deaths)
+				}
+				if deaths != tc.want || len(d.Unconfirmed.pending) != 0 {
+					t.Errorf("%d deaths counted, %d unconfirmed, want %d and 0", deaths, len(d.Unconfirmed.pending), tc.want)
+				}
+			})
+		})
+	}
+}
