--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -119,17 +117,6 @@
 	malformed bool
 }
 
-// mayHaveCrashed reports whether the connection to the endpoint broke, or the attempt was ended since another copy of the
-// request crashed an endpoint. The endpoint may accept connections for a moment longer.
-func (r *attemptResult) mayHaveCrashed() bool {
-	for _, err := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errSuspected} {
-		if errors.Is(r.cause, err) {
-			return true
-		}
-	}
-	return false
-}
-
 // setError sets the outcome of the attempt from the error that ended it.
 func (r *attemptResult) setError(err error) {
 	r.release.Outcome = outcomeOf(err)
--- a/core/dispatch/diagnose.go
+++ b/core/dispatch/diagnose.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"syscall"
 	"time"
 
 	"wisteriadyke/core/fleet"
@@ -31,6 +34,17 @@
 	diagnosisUnknown diagnosis = "unknown"
 )
 
+// mayHaveCrashed reports whether the connection to the endpoint broke, or the attempt was ended since another copy of the
+// request crashed an endpoint. The endpoint may accept connections for a moment longer.
+func (r *attemptResult) mayHaveCrashed() bool {
+	for _, err := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errSuspected} {
+		if errors.Is(r.cause, err) {
+			return true
+		}
+	}
+	return false
+}
+
 // reached reports whether an entry reached the endpoint.
 func (d diagnosis) reached() bool {
 	return d == diagnosisAlive || d == diagnosisPathBroken
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -91,7 +91,7 @@
 	// EndedAlone reports whether an endpoint in a zone without entries accepts no connection while others of the zone do;
 	// nil means that it can't tell.
 	EndedAlone func(ctx context.Context, endpoint fleet.Endpoint) bool
-	// Unconfirmed holds the broken attempts of which no entry can tell whether their endpoint died; nil ignores them.
+	// Unconfirmed holds the broken attempts whose endpoints may have died, until that is known; nil ignores them.
 	Unconfirmed *UnconfirmedDeaths
 	// Suspects tracks the requests that may crash endpoints.
 	Suspects *retry.Suspects
--- a/core/dispatch/unconfirmed.go
+++ b/core/dispatch/unconfirmed.go
@@ -68,17 +68,17 @@
 	survived atomic.Bool
 }
 
-// verdict is what the registry shows about an unconfirmed death.
+// verdict is what became of the endpoint of a broken attempt.
 type verdict string
 
 const (
-	// verdictPending means that the registry doesn't show yet whether the endpoint ended.
+	// verdictPending means that it is not known yet.
 	verdictPending verdict = "pending"
 	// verdictEnded means that the endpoint ended.
 	verdictEnded verdict = "ended"
 	// verdictAlive means that the endpoint lives or left in an orderly way.
 	verdictAlive verdict = "alive"
-	// verdictExpired means that the registry showed nothing within confirmTimeout.
+	// verdictExpired means that it was not known within confirmTimeout, or that too many others wait.
 	verdictExpired verdict = "expired"
 )
 
@@ -170,7 +170,7 @@
 	_ = group.Wait()
 }
 
-// judge returns what the registry shows about a death. reaches holds the zones that were connected to for this purpose.
+// judge returns what became of the endpoint. reaches holds the zones that were connected to for this purpose.
 //
 // An endpoint is removed from the registry as well if its zone is partitioned, and registers again afterwards. It has
 // relistTime for that, from its removal and from the first sign that the zone isn't partitioned.
