End no running copy of a request before it is quarantined

Cause: callers of calls that ran at living endpoints got a 502 when another call with the same account, path and body was at an endpoint that crashed. Each death recorded for a request, also one heard of later, ended the attempts of its copies. That belongs to trials; where there are none, a request is let through until three deaths followed one another, so entries cut running copies and served new ones at the same time.

Change: without trials, Suspects.Merge ends running copies once the request is quarantined.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -287,8 +287,8 @@
 
 // renew reports progress to the owner until ctx ends: periodically, and at once when the attempt starts, when its first
 // token arrives and when that is overdue. It cancels the attempt when its reservation has lapsed, when its answer stalls,
-// or when an endpoint has died while it ran another copy of the request, unless its answer has begun and can't be
-// continued elsewhere.
+// or when the request is put on trial or quarantined, since endpoints died that ran other copies of it, unless its answer has
+// begun and can't be continued elsewhere.
 func (a *attemptRun) renew(ctx context.Context, suspected <-chan struct{}, cancel context.CancelCauseFunc) {
 	ticker := time.NewTicker(a.renewInterval())
 	defer ticker.Stop()
--- a/core/retry/suspects.go
+++ b/core/retry/suspects.go
@@ -254,7 +254,7 @@
 }
 
 // Merge merges a record of this or another entry into the known one and returns the result. It drops expired records,
-// and notifies the watchers of the request if there are new deaths.
+// and notifies the watchers of the request if there are new deaths and it must no longer run like any other.
 func (s *Suspects) Merge(record SuspectRecord) SuspectRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -276,7 +276,7 @@
 	}
 	s.records[record.Fingerprint] = record
 	s.addDeaths(record.Deaths, now)
-	if !record.Cleared && !known.covers(record) {
+	if !record.Cleared && !known.covers(record) && (record.DeathLimit == 0 || record.Quarantined()) {
 		s.notifyWatchers(record.Fingerprint)
 	}
 	return record
--- a/core/retry/trial.go
+++ b/core/retry/trial.go
@@ -1,12 +1,13 @@
 package retry
 
-// watch is a subscription to the next death recorded for one request, at which died is closed.
+// watch is a subscription to the next death after which one request may no longer run as before, at which died is closed.
 type watch struct {
 	died chan struct{}
 }
 
-// Watch returns a channel that is closed once another death is recorded for the request, by this or another entry, and
-// a function that stops the watch.
+// Watch returns a channel that is closed once this or another entry has recorded another death for the request and it is on
+// trial or quarantined, and a function that stops the watch. Where there are no trials, one or two deaths don't end the
+// copies that run elsewhere, since new ones are let through as well.
 func (s *Suspects) Watch(fingerprint Fingerprint) (died <-chan struct{}, stop func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/sound_requests_test.go
+++ b/gateway/sound_requests_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,3 +57,48 @@
 		}
 	}
 }
+
+// TestCopiesOfRequestRunOn guards against sound calls that are cut at endpoints that live, since an endpoint crashed that ran
+// another call with the same fingerprint.
+func TestCopiesOfRequestRunOn(t *testing.T) {
+	const endpoints = 4
+	w := newCluster(t)
+	for i := range endpoints {
+		w.startEndpoint(&cierzo.Endpoint{
+			ID: fmt.Sprintf("s-%d", i), Service: "services", Zone: []string{"a", "b"}[i%2], Work: time.Second,
+		})
+	}
+	for _, zone := range []fleet.Zone{"a", "b"} {
+		w.awaitEntry(w.launchEntry(w.store.Address(), zone))
+	}
+	w.waitFor("the entries know each other", func() bool {
+		return w.entries[0].process.entryCount() == 2 && w.entries[1].process.entryCount() == 2
+	})
+	time.Sleep(startOfChoosing)
+	var group errgroup.Group
+	var served atomic.Int32
+	for i := range 3 * endpoints {
+		group.Go(func() error {
+			if w.send(w.entries[i%len(w.entries)], call{method: http.MethodPost, uri: "/u/x", body: "filing"}).status == http.StatusOK {
+				served.Add(1)
+			}
+			return nil
+		})
+	}
+	received := func(endpoints []*cierzo.Endpoint) (count int) {
+		for _, k := range endpoints {
+			count += len(k.Requests())
+		}
+		return count
+	}
+	w.waitFor("all calls run", func() bool { return received(w.endpoints) == 3*endpoints })
+	crashed := received(w.endpoints[:1])
+	if crashed == 0 {
+		t.Fatalf("the endpoint that crashes runs no call")
+	}
+	w.endpoints[0].Crash()
+	_ = group.Wait()
+	if want := 3*endpoints - crashed; int(served.Load()) != want {
+		t.Errorf("%d calls served, want %d: all but the %d at the endpoint that crashed", served.Load(), want, crashed)
+	}
+}
