Refuse a stream that crashes endpoints late

Counting such deaths like others would refuse sound streams (TestRequestBesideCrashesIsNotSuspected).

A request is quarantined after three deaths in turn without a settled answer, as before, or after six of any kind: the three that the rule has before it counts, and the three retries that it allows. Prompt parts are not suspected by them, as before.

--- a/core/dispatch/trial.go
+++ b/core/dispatch/trial.go
@@ -137,8 +137,8 @@
 }
 
 // recordDeath records the death of the endpoint that ran an attempt, and that the request is suspected or quarantined.
-// Where parts of prompts are tracked, they are suspected as well, and neither is if the answer had gone on for
-// quarantine.SettleTime.
+// Where parts of prompts are tracked, they are suspected as well, but not if the answer had gone on for
+// quarantine.SettleTime; the request itself is then suspected less.
 func (d *Dispatcher) recordDeath(ctx context.Context, o observedDeath) {
 	record := func(kind timeline.Kind) {
 		d.Timeline.Record(timeline.Event{
@@ -147,10 +147,8 @@
 	}
 	d.increment(metricEndpointDeaths)
 	record(timeline.KindEndpointDied)
-	if d.Parts != nil {
-		if o.settled {
-			return
-		}
+	settled := d.Parts != nil && o.settled
+	if d.Parts != nil && !settled {
 		d.Parts.RecordDeath(quarantine.Report{
 			Attempt: o.attempt, Request: o.fingerprint, Death: o.death, SentAt: o.sentAt, DiedAt: o.brokeAt, Parts: o.parts,
 		}, time.Now())
@@ -160,7 +158,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
-	span := retry.Span{SentAt: o.sentAt, BrokeAt: o.brokeAt}
+	span := retry.Span{SentAt: o.sentAt, BrokeAt: o.brokeAt, Settled: settled}
 	if d.Suspects.RecordAttempt(ctx, o.fingerprint, o.death, span).Quarantined() {
 		record(timeline.KindQuarantined)
 		return
--- a/core/retry/deaths.go
+++ b/core/retry/deaths.go
@@ -36,6 +36,9 @@
 type Span struct {
 	// SentAt is when the request was sent, and BrokeAt when the connection broke.
 	SentAt, BrokeAt time.Time
+	// Settled reports whether the endpoint had been answering the request for a while, so that it may well have died for
+	// another reason.
+	Settled bool
 }
 
 // ChainLength returns the number of deaths of which each ended an attempt that was sent after the death before it. It is 1
@@ -55,16 +58,25 @@
 	return length
 }
 
-// independentDeaths returns the number of deaths that followed one another. A death of which no span is known counts as
-// one.
-func (r SuspectRecord) independentDeaths() int {
-	var spans []Span
+// excessDeaths returns the number of deaths that followed one another beyond those after which the request is quarantined
+// without a trial; it is negative before that. A death of which no span is known counts as one.
+//
+// Deaths with a settled answer count only towards a higher number, so that a sound stream which several endpoints crashed
+// under is resumed.
+func (r SuspectRecord) excessDeaths() int {
+	var early, all []Span
 	for _, death := range r.Deaths {
-		if span, found := r.Spans[death]; found {
-			spans = append(spans, span)
+		span, found := r.Spans[death]
+		if !found {
+			continue
+		}
+		all = append(all, span)
+		if !span.Settled {
+			early = append(early, span)
 		}
 	}
-	return ChainLength(spans) + len(r.Deaths) - len(spans)
+	unknown := len(r.Deaths) - len(all)
+	return unknown - r.DeathLimit + max(ChainLength(early), ChainLength(all)-settledDeathMargin)
 }
 
 // withoutCleared returns the record without the deaths before ClearedAt.
@@ -80,12 +92,19 @@
 }
 
 // mergeSpans returns the union of a and b. Of two attempts at the same endpoint, the one that was sent first counts: times
-// that come from other entries are late by the time that the message took.
+// that come from other entries are late by the time that the message took. The answers of both must be settled.
 func mergeSpans(a, b map[Death]Span) map[Death]Span {
 	merged, changed := a, false
 	for death, span := range b {
-		if known, found := merged[death]; found && !span.SentAt.Before(known.SentAt) {
-			continue
+		if known, found := merged[death]; found {
+			settled := known.Settled && span.Settled
+			if !span.SentAt.Before(known.SentAt) {
+				span = known
+			}
+			span.Settled = settled
+			if span == known {
+				continue
+			}
 		}
 		if !changed {
 			merged, changed = make(map[Death]Span, len(a)+len(b)), true
--- a/core/retry/refusal.go
+++ b/core/retry/refusal.go
@@ -22,7 +22,7 @@
 // refusalTime returns how long a quarantined request is refused at least after the latest death.
 func (r SuspectRecord) refusalTime() time.Duration {
 	t := firstRefusalTime
-	for range r.independentDeaths() - r.DeathLimit {
+	for range r.excessDeaths() {
 		t = min(t*refusalFactor, maxRefusalTime)
 	}
 	return t
--- a/core/retry/suspects.go
+++ b/core/retry/suspects.go
@@ -18,6 +18,9 @@
 	// NoTrialDeathLimit is the number of endpoint deaths after which a request is quarantined where there are no
 	// trials: the platform limits the retries of a request that crashes endpoints only after its third crash.
 	NoTrialDeathLimit = 3
+	// settledDeathMargin is the number of further deaths needed where answers had settled. It is the number of retries that
+	// the platform allows after the third crash.
+	settledDeathMargin = 3
 	// trialDuration is how long a request is on trial after the last death recorded for it. During this time only the
 	// entry that recorded the death may run it.
 	trialDuration = 2 * time.Minute
@@ -76,7 +79,7 @@
 // Quarantined reports whether the request must no longer run. It doesn't check whether the record has expired.
 func (r SuspectRecord) Quarantined() bool {
 	if r.DeathLimit > 0 {
-		return !r.Cleared && r.independentDeaths() >= r.DeathLimit
+		return !r.Cleared && r.excessDeaths() >= 0
 	}
 	return !r.Cleared && len(r.Deaths) >= TrialDeathLimit
 }
@@ -122,9 +125,11 @@
 	return a.withoutCleared()
 }
 
-// covers reports whether all deaths of another record are known.
+// covers reports whether all deaths of another record are known, also those without a settled answer as such.
 func (r SuspectRecord) covers(other SuspectRecord) bool {
-	return !other.Cleared && !slices.ContainsFunc(other.Deaths, func(d Death) bool { return !slices.Contains(r.Deaths, d) })
+	return !other.Cleared && !slices.ContainsFunc(other.Deaths, func(d Death) bool {
+		return !slices.Contains(r.Deaths, d) || r.Spans[d].Settled && !other.Spans[d].Settled
+	})
 }
 
 // mergeDeaths returns the sorted union of a and b.
--- a/gateway/small_pool_test.go
+++ b/gateway/small_pool_test.go
@@ -30,6 +30,9 @@
 // under a new ID.
 type crashingPool struct {
 	w *cluster
+	// answer is how long the endpoints answer a request with the body "poison" before they crash; if it isn't 0, they are
+	// model engines.
+	answer time.Duration
 
 	mu       sync.Mutex
 	stopped  bool
@@ -50,10 +53,20 @@
 	k := &cierzo.Endpoint{
 		ID: fmt.Sprintf("s-%d", p.number), Service: "services", Zone: zone, Slots: 4, Work: 10 * time.Millisecond,
 	}
+	if p.answer > 0 {
+		k.Service, k.Events, k.Pause = "engines", 60, 50*time.Millisecond
+	}
 	k.Intercept = func(_ http.ResponseWriter, _ *http.Request, seen cierzo.ReceivedRequest) bool {
 		if seen.Body != "poison" {
 			return false
 		}
+		p.mu.Lock()
+		p.arrivals = append(p.arrivals, time.Now())
+		p.mu.Unlock()
+		if p.answer > 0 {
+			time.AfterFunc(p.answer, func() { p.crash(k) })
+			return false
+		}
 		p.crash(k)
 		panic(http.ErrAbortHandler)
 	}
@@ -66,7 +79,6 @@
 func (p *crashingPool) crash(k *cierzo.Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.arrivals = append(p.arrivals, time.Now())
 	if p.running[k.ID] == nil {
 		return
 	}
@@ -160,7 +172,7 @@
 				}
 				return true
 			})
-			w.sendPoison(entries, cmp.Or(tc.interval, 600*time.Millisecond), 12*time.Second)
+			w.sendPoison(entries, poisonCall, cmp.Or(tc.interval, 600*time.Millisecond), 12*time.Second)
 			late, crashes := pool.lateArrivals()
 			if crashes < crashesBefore {
 				t.Fatalf("%d crashes, want %d at least", crashes, crashesBefore)
@@ -182,8 +194,11 @@
 // soundInterval is the time between two sound calls.
 const soundInterval = 70 * time.Millisecond
 
+// poisonCall crashes the endpoints of a crashingPool.
+var poisonCall = call{method: http.MethodPost, uri: "/u/x", body: "poison"}
+
 // sendPoison sends the request that crashes endpoints, and sound calls beside it, to entries in turn for a time.
-func (w *cluster) sendPoison(entries []*runningEntry, interval, total time.Duration) {
+func (w *cluster) sendPoison(entries []*runningEntry, poison call, interval, total time.Duration) {
 	var group errgroup.Group
 	defer func() { _ = group.Wait() }()
 	send := func(pause time.Duration, calls ...call) {
@@ -198,6 +213,6 @@
 			return nil
 		})
 	}
-	send(interval, call{method: http.MethodPost, uri: "/u/x", body: "poison"})
+	send(interval, poison)
 	send(soundInterval, cutCalls["safe"], cutCalls["once"])
 }
--- a/io/peer/suspects.go
+++ b/io/peer/suspects.go
@@ -11,36 +11,54 @@
 // second.
 const clearanceTTL = 5 * time.Second
 
-// recordTTL is how long entries tell each other of a death. An entry that starts later learns of it with the next one.
-const recordTTL = 30 * time.Second
+const (
+	// recordTTL is how long entries tell each other of a death. An entry that starts later learns of it with the next one.
+	recordTTL = 30 * time.Second
+	// settledTTL is the same for deaths with a settled answer, of which one crash causes many.
+	settledTTL = 5 * time.Second
+)
 
 // toRecordMessages converts the suspect records of recordTTL to messages, one for each death in a record, with times relative to
-// now.
-func toRecordMessages(records SuspectRecords, now time.Time) []*RequestDeath {
-	var messages []*RequestDeath
+// now. Those with a settled answer are apart, and only of settledTTL.
+func toRecordMessages(records SuspectRecords, now time.Time) (deaths, settled []*RequestDeath) {
 	for _, record := range records.Records() {
-		if now.Sub(record.ChangedAt) <= recordTTL {
-			messages = append(messages, toRequestDeaths(record, now)...)
+		if now.Sub(record.ChangedAt) > recordTTL {
+			continue
+		}
+		for i, m := range toRequestDeaths(record, now) {
+			span := record.Spans[record.Deaths[i]]
+			switch {
+			case !span.Settled:
+				deaths = append(deaths, m)
+			case now.Sub(span.BrokeAt) <= settledTTL:
+				settled = append(settled, m)
+			}
 		}
 	}
-	return messages
+	return deaths, settled
 }
 
-// mergeRecords merges the deaths received from an entry, each as a suspect record with this one death. The argument
-// from becomes the TrialEntry of each record; it is "" for the records in a reply.
-func mergeRecords(records SuspectRecords, messages []*RequestDeath, from fleet.EntryID, now time.Time) {
+// mergeRecords merges the deaths received from an entry, each as a suspect record with this one death. The argument settled
+// reports whether the answers had settled. The argument from becomes the TrialEntry of each record; it is "" for the records
+// in a reply.
+func mergeRecords(records SuspectRecords, messages []*RequestDeath, settled bool, from fleet.EntryID, now time.Time) {
 	for _, m := range messages {
-		records.Merge(fromRequestDeath(from, m, now))
+		record := fromRequestDeath(from, m, now)
+		for death, span := range record.Spans {
+			span.Settled = settled
+			record.Spans[death] = span
+		}
+		records.Merge(record)
 	}
 }
 
-// toRequestDeaths converts a record to one message per death, each with the age of the record at now. It returns none
-// for a cleared record.
+// toRequestDeaths converts a record to one message per death, in their order, each with the age of the record at now. It
+// returns none for a cleared record.
 func toRequestDeaths(record retry.SuspectRecord, now time.Time) []*RequestDeath {
 	if record.Cleared {
 		return nil
 	}
-	var deaths []*RequestDeath
+	deaths := make([]*RequestDeath, 0, len(record.Deaths))
 	for _, d := range record.Deaths {
 		m := &RequestDeath{
 			Fingerprint: string(record.Fingerprint),
--- a/io/peer/suspects_test.go
+++ b/io/peer/suspects_test.go
@@ -16,7 +16,9 @@
 	for _, from := range entries {
 		for _, to := range entries {
 			if to != from {
-				mergeRecords(to, toRecordMessages(from, time.Now()), from.Entry, time.Now())
+				deaths, settled := toRecordMessages(from, time.Now())
+				mergeRecords(to, deaths, false, from.Entry, time.Now())
+				mergeRecords(to, settled, true, from.Entry, time.Now())
 				mergeCleared(to, toClearedMessages(from, time.Now()), time.Now())
 			}
 		}
@@ -24,16 +26,22 @@
 }
 
 // TestSuspectRecordsOfSeveralEntries guards against requests that are refused since each entry saw another endpoint die at
-// the same time, and checks that deaths one after another count whichever entries saw them.
+// the same time, or since three died that had been answering, and checks that deaths one after another count whichever
+// entries saw them.
 func TestSuspectRecordsOfSeveralEntries(t *testing.T) {
 	tests := map[string]struct {
 		// pause is the time between two deaths, and span how long the request was at each endpoint.
 		pause, span time.Duration
-		want        retry.Status
+		// rounds is the number of deaths that each entry sees, and settled the number of them with a settled answer.
+		rounds, settled int
+		want            retry.Status
 	}{
 		"one after another": {pause: 600 * time.Millisecond, span: 10 * time.Millisecond, want: retry.StatusQuarantined},
 		"together":          {span: 300 * time.Millisecond, want: retry.StatusClear},
 		"found in turn":     {pause: 600 * time.Millisecond, span: 2 * time.Second, want: retry.StatusClear},
+		"settled":           {pause: 600 * time.Millisecond, span: 500 * time.Millisecond, settled: 1, want: retry.StatusClear},
+		"settled again":     {pause: 600 * time.Millisecond, span: 500 * time.Millisecond, rounds: 2, settled: 2, want: retry.StatusQuarantined},
+		"settled, then not": {pause: 600 * time.Millisecond, span: 500 * time.Millisecond, rounds: 2, settled: 1, want: retry.StatusQuarantined},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -44,11 +52,12 @@
 						Entry: fleet.EntryID(fmt.Sprint(i)), DeathLimit: retry.NoTrialDeathLimit,
 					})
 				}
-				for i, s := range entries {
+				for i := range max(tc.rounds, 1) * len(entries) {
 					time.Sleep(tc.pause)
 					now := time.Now()
+					s := entries[i%len(entries)]
 					s.RecordAttempt(context.Background(), "f", retry.Death{Endpoint: fleet.EndpointID(fmt.Sprint("e", i)), Incarnation: 1},
-						retry.Span{SentAt: now.Add(-tc.span), BrokeAt: now})
+						retry.Span{SentAt: now.Add(-tc.span), BrokeAt: now, Settled: i/len(entries) < tc.settled})
 					exchangeRecords(entries)
 				}
 				for range 100 {
--- a/io/peer/usages.go
+++ b/io/peer/usages.go
@@ -77,7 +77,7 @@
 // suspect records in the reply.
 func (t *UsageTransport) ReportUsage(ctx context.Context, to netip.AddrPort, report sharedload.UsageReport) (sharedload.UsageReply, error) {
 	message := toUsageSet(report)
-	message.Deaths = toRecordMessages(t.SuspectRecords, time.Now())
+	message.Deaths, message.SettledDeaths = toRecordMessages(t.SuspectRecords, time.Now())
 	message.Cleared = toClearedMessages(t.SuspectRecords, time.Now())
 	if t.Parts != nil {
 		message.Parts = toPartChanges(t.Parts.Request(to), time.Now())
@@ -96,7 +96,8 @@
 			t.Freshness.Apply(calledAt, reply.ConfigurationVersion, microseconds(*reply.EvidenceAgeUs))
 		}
 	}
-	mergeRecords(t.SuspectRecords, reply.Deaths, "", time.Now())
+	mergeRecords(t.SuspectRecords, reply.Deaths, false, "", time.Now())
+	mergeRecords(t.SuspectRecords, reply.SettledDeaths, true, "", time.Now())
 	mergeCleared(t.SuspectRecords, reply.Cleared, time.Now())
 	if t.Parts != nil && reply.Parts != nil {
 		now := time.Now()
@@ -149,13 +150,14 @@
 // freshness of this entry.
 func (h *usageHandler) Take(_ context.Context, m *UsageSet) (*UsageReply, error) {
 	answer := h.choosers.HandleUsage(fromUsageSet(m))
-	mergeRecords(h.suspectRecords, m.Deaths, fleet.EntryID(m.Entry), time.Now())
+	mergeRecords(h.suspectRecords, m.Deaths, false, fleet.EntryID(m.Entry), time.Now())
+	mergeRecords(h.suspectRecords, m.SettledDeaths, true, fleet.EntryID(m.Entry), time.Now())
 	mergeCleared(h.suspectRecords, m.Cleared, time.Now())
 	reply := &UsageReply{
 		Chooses: answer.Chooses,
-		Deaths:  toRecordMessages(h.suspectRecords, time.Now()),
 		Cleared: toClearedMessages(h.suspectRecords, time.Now()),
 	}
+	reply.Deaths, reply.SettledDeaths = toRecordMessages(h.suspectRecords, time.Now())
 	if h.parts != nil && m.Parts != nil {
 		now := time.Now()
 		reply.Parts = toPartChanges(h.parts.Reply(fromPartChanges(m.Parts, now), now), now)
