Repeat a release of memory that got no response

The order that released one was lost on a kept connection and was not repeated, so the memory stayed reserved until its lease expired, 5.4 to 6.0 s after the request had ended; 4 s are allowed.

Change: a release without a response is repeated at the next check until the lease has expired; one that the engine rejects (reservation.ErrOrderRejected) is not.

--- a/core/reservation/reservation.go
+++ b/core/reservation/reservation.go
@@ -4,6 +4,7 @@
 package reservation
 
 import (
+	"errors"
 	"net/netip"
 	"time"
 
@@ -96,6 +97,9 @@
 	Waited time.Duration
 }
 
+// ErrOrderRejected means that an engine answered a memory order with an error status.
+var ErrOrderRejected = errors.New("engine rejected the memory order")
+
 // Helper is an endpoint that prefills a part of a prompt for another endpoint.
 type Helper struct {
 	// Endpoint is the ID of the helper.
--- a/core/sharedload/memory.go
+++ b/core/sharedload/memory.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -37,7 +38,8 @@
 	// Reserve reserves memory under the helper's ticket for ttl or renews that reservation; after an error the memory
 	// may or may not be reserved.
 	Reserve(ctx context.Context, helper reservation.Helper, tokens fleet.Tokens, ttl time.Duration) error
-	// Release releases the memory reserved under the helper's ticket.
+	// Release releases the memory reserved under the helper's ticket. The error wraps
+	// reservation.ErrOrderRejected if the helper rejected it.
 	Release(ctx context.Context, helper reservation.Helper) error
 }
 
@@ -140,8 +142,8 @@
 	return t.Memory.Reserve(ctx, lease.helper, lease.tokens, leaseTime)
 }
 
-// maintain renews leases that are due and releases those that are ending. A failed release is not repeated, since
-// the lease expires.
+// maintain renews leases that are due and releases those that are ending. A release without a response is repeated at the next
+// check, until the lease has expired.
 func (t *MemoryLeases) maintain(ctx context.Context, now time.Time) {
 	renew, release := t.due(now)
 	var group errgroup.Group
@@ -161,6 +163,11 @@
 			if err := t.Memory.Release(ctx, lease.helper); err != nil {
 				t.Log.Warn().Str("endpoint", string(lease.helper.Endpoint)).Str("ticket", lease.helper.Ticket).Err(err).
 					Msg("sharedload: memory lease not released; it will expire")
+				if !errors.Is(err, reservation.ErrOrderRejected) && time.Since(lease.requestedAt) < leaseTime {
+					t.mu.Lock()
+					t.ending = append(t.ending, lease)
+					t.mu.Unlock()
+				}
 			}
 			return nil
 		})
--- a/core/sharedload/memory_test.go
+++ b/core/sharedload/memory_test.go
@@ -20,10 +20,13 @@
 	// lost.
 	refuse    fleet.EndpointID
 	loseReply fleet.EndpointID
+	// loseReleases is the number of releases at each helper that are lost.
+	loseReleases int
 
 	mu          sync.Mutex
 	leasedUntil map[string]time.Time
 	requests    int
+	releases    map[string]int
 }
 
 // Reserve reserves memory or renews the reservation.
@@ -48,6 +51,13 @@
 func (m *fakeMemory) Release(_ context.Context, helper reservation.Helper) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.releases == nil {
+		m.releases = make(map[string]int)
+	}
+	m.releases[helper.Ticket]++
+	if m.releases[helper.Ticket] <= m.loseReleases {
+		return errors.New("no answer")
+	}
 	delete(m.leasedUntil, helper.Ticket)
 	return nil
 }
@@ -115,6 +125,29 @@
 	})
 }
 
+// TestLostReleaseIsRepeated guards against memory that stays reserved until its lease expires, since the order that releases it
+// was lost.
+func TestLostReleaseIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(8)
+		f.memory.loseReleases = 1
+		ctx, stop := context.WithCancel(t.Context())
+		var group errgroup.Group
+		group.Go(func() error { return f.reserver.Leases.Run(ctx) })
+		grant, err := reserveHuge(t, f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = f.reserver.Release(ctx, reservation.Release{Reservation: grant.Reservation})
+		time.Sleep(time.Second)
+		if f.memory.heldLeases() != 0 {
+			t.Errorf("%d leases held 1s after the release, want 0", f.memory.heldLeases())
+		}
+		stop()
+		_ = group.Wait()
+	})
+}
+
 // TestMemoryAtHelpersEndsWithTheEntry covers an entry that is killed and stops renewing: its leases end before the
 // memory counts as leaked.
 func TestMemoryAtHelpersEndsWithTheEntry(t *testing.T) {
