Confirm a death at its removal while its zone starts others

When all endpoints of a zone are down, no entry can tell whether the last one ended or the path is cut, and the registry confirmed its death, the third, 2 s after its removal: 6 s after the crash, by the log. Requests that came in the 3 s beyond the allowed time counted as late.

Change: if another endpoint of the zone registered within relistTime before the removal, the death is confirmed at once. An endpoint that lives could have renewed its row then as well, and would not be removed within 2.4 s (two intervals of 1.2 s) of that. The wait stays for all others.

--- a/core/dispatch/unconfirmed.go
+++ b/core/dispatch/unconfirmed.go
@@ -21,7 +21,8 @@
 	// confirmTimeout is the time after a broken attempt by which the registry must have shown that the endpoint ended. It
 	// removes silent endpoints after less than 4 s.
 	confirmTimeout = 10 * time.Second
-	// relistTime is the time within which an endpoint that lives registers again once its zone is reachable.
+	// relistTime is the time within which an endpoint that lives registers again once its zone is reachable. It is also shorter
+	// than the time after which the registry removes an endpoint that has just renewed its row.
 	relistTime = 2 * time.Second
 	// exitTime is how long an endpoint whose process ends may still accept connections.
 	exitTime = 100 * time.Millisecond
@@ -55,8 +56,10 @@
 	*Dispatcher
 	endpoint fleet.Endpoint
 	observed observedDeath
-	// listed holds the endpoints that were listed when the attempt broke.
-	listed map[fleet.EndpointID]fleet.Endpoint
+	// listed holds the endpoints that were listed when the attempt broke, or when another one was last seen to have started in
+	// the zone of the endpoint, which was at startedAt; it is zero before.
+	listed    map[fleet.EndpointID]fleet.Endpoint
+	startedAt time.Time
 	// unlistedAt is when the registry was first seen to have removed the endpoint, and zoneAliveAt when the zone of the
 	// endpoint first turned out to start endpoints, or to be reachable after that; both are zero before.
 	unlistedAt, zoneAliveAt time.Time
@@ -173,7 +176,8 @@
 // judge returns what became of the endpoint. reaches holds the zones that were connected to for this purpose.
 //
 // An endpoint is removed from the registry as well if its zone is partitioned, and registers again afterwards. It has
-// relistTime for that, from its removal and from the first sign that the zone isn't partitioned.
+// relistTime for that, from its removal and from the first sign that the zone isn't partitioned. If another endpoint of the zone
+// has registered within relistTime before the removal, this one could have renewed its row then, so that it has ended.
 func (u *UnconfirmedDeaths) judge(ctx context.Context, d *unconfirmedDeath, reaches map[fleet.Zone]bool) verdict {
 	now := time.Now()
 	listed, found := u.State.Endpoints.Get(d.endpoint.ID)
@@ -189,14 +193,20 @@
 	case now.Sub(d.observed.brokeAt) > confirmTimeout:
 		return verdictExpired
 	}
-	if d.zoneAliveAt.IsZero() && u.startedAnew(d) {
-		d.zoneAliveAt = now
+	if u.startedAnew(d) {
+		d.startedAt, d.listed = now, u.State.Endpoints.Snapshot().Rows
+		if d.zoneAliveAt.IsZero() {
+			d.zoneAliveAt = now
+		}
 	}
 	if found {
 		return verdictPending
 	}
 	if d.unlistedAt.IsZero() {
 		d.unlistedAt = now
+		if now.Sub(d.startedAt) < relistTime {
+			return verdictEnded
+		}
 	}
 	if d.zoneAliveAt.IsZero() && u.reachesZone(ctx, d.endpoint, reaches) {
 		d.zoneAliveAt = now
@@ -218,7 +228,7 @@
 	return reached
 }
 
-// startedAnew reports whether an endpoint has started in the zone of the broken attempt since then.
+// startedAnew reports whether an endpoint has started in the zone of the broken attempt since d.listed.
 func (u *UnconfirmedDeaths) startedAnew(d *unconfirmedDeath) bool {
 	for id, endpoint := range u.State.Endpoints.Snapshot().Rows {
 		if endpoint.Zone != d.endpoint.Zone {
