Take no endpoint that comes back for one that started

Endpoints that register again after a cut of their zone counted as started, since the list to compare with was renewed.

Change: endpoints that started are added to what is known; those that were listed when the attempt broke stay known.

Measured: the case "removed as others of the zone are back" of TestUnconfirmedDeaths fails before (death after 3.6 s, want none).

--- a/core/dispatch/unconfirmed.go
+++ b/core/dispatch/unconfirmed.go
@@ -56,9 +56,10 @@
 	*Dispatcher
 	endpoint fleet.Endpoint
 	observed observedDeath
-	// listed holds the endpoints that were listed when the attempt broke, or when another one was last seen to have started in
-	// the zone of the endpoint, which was at startedAt; it is zero before.
+	// listed holds the endpoints that were listed when the attempt broke, and started those of its zone that were listed for the
+	// first time since, the latest of them at startedAt.
 	listed    map[fleet.EndpointID]fleet.Endpoint
+	started   map[retry.Death]bool
 	startedAt time.Time
 	// unlistedAt is when the registry was first seen to have removed the endpoint, and zoneAliveAt when the zone of the
 	// endpoint first turned out to start endpoints, or to be reachable after that; both are zero before.
@@ -194,7 +195,7 @@
 		return verdictExpired
 	}
 	if u.startedAnew(d) {
-		d.startedAt, d.listed = now, u.State.Endpoints.Snapshot().Rows
+		d.startedAt = now
 		if d.zoneAliveAt.IsZero() {
 			d.zoneAliveAt = now
 		}
@@ -228,17 +229,23 @@
 	return reached
 }
 
-// startedAnew reports whether an endpoint has started in the zone of the broken attempt since d.listed.
+// startedAnew reports whether another endpoint has started in the zone of the broken attempt since the previous call. One that
+// comes back after its removal has not.
 func (u *UnconfirmedDeaths) startedAnew(d *unconfirmedDeath) bool {
+	anew := false
 	for id, endpoint := range u.State.Endpoints.Snapshot().Rows {
-		if endpoint.Zone != d.endpoint.Zone {
+		start := retry.Death{Endpoint: id, Incarnation: endpoint.Incarnation}
+		before, found := d.listed[id]
+		if endpoint.Zone != d.endpoint.Zone || d.started[start] || found && before.Incarnation == endpoint.Incarnation {
 			continue
 		}
-		if before, found := d.listed[id]; !found || before.Incarnation != endpoint.Incarnation {
-			return true
+		if d.started == nil {
+			d.started = make(map[retry.Death]bool)
 		}
+		d.started[start] = true
+		anew = true
 	}
-	return false
+	return anew
 }
 
 // log logs the outcome of an unconfirmed death.
--- a/core/dispatch/unconfirmed_test.go
+++ b/core/dispatch/unconfirmed_test.go
@@ -19,6 +19,7 @@
 	const lapse = 3600 * time.Millisecond
 	endpoint := fleet.Endpoint{ID: "i-1", Zone: "b", Incarnation: 1, State: fleet.StateLive}
 	successor := fleet.Endpoint{ID: "i-2", Zone: "b", Incarnation: 2, State: fleet.StateLive}
+	neighbor := fleet.Endpoint{ID: "i-3", Zone: "b", Incarnation: 1, State: fleet.StateLive}
 	leaving, restarted := endpoint, endpoint
 	leaving.State, restarted.Incarnation = fleet.StateLeaving, 2
 	type step struct {
@@ -26,6 +27,8 @@
 		set           *fleet.Endpoint
 		remove        bool
 		zoneReachable bool
+		// removed is the ID of another endpoint that is removed.
+		removed fleet.EndpointID
 	}
 	tests := map[string]struct {
 		steps []step
@@ -44,6 +47,12 @@
 		"removed as the zone is back": {
 			steps: []step{{at: lapse, remove: true, zoneReachable: true}, {at: lapse + 1200*time.Millisecond, set: &endpoint}},
 		},
+		"removed as others of the zone are back": {
+			steps: []step{
+				{removed: neighbor.ID}, {at: time.Second, set: &successor}, {at: 3 * time.Second, set: &neighbor}, {at: lapse, remove: true},
+				{at: lapse + 1200*time.Millisecond, set: &endpoint},
+			},
+		},
 		"removed, zone reachable later": {
 			steps: []step{{at: lapse, remove: true}, {at: 5 * time.Second, zoneReachable: true}}, want: 7 * time.Second,
 		},
@@ -60,6 +69,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				state, reachable := &clusterstate.State{}, false
 				state.Endpoints.Set(endpoint.ID, endpoint)
+				state.Endpoints.Set(neighbor.ID, neighbor)
 				d := newTestDispatcher(&fakeEngines{}, &fakeReservations{})
 				d.Suspects = &retry.Suspects{Entry: "a", DeathLimit: retry.NoTrialDeathLimit}
 				u := &UnconfirmedDeaths{
@@ -85,6 +95,7 @@
 						if s.remove {
 							state.Endpoints.Delete(endpoint.ID)
 						}
+						state.Endpoints.Delete(s.removed)
 					}
 					u.resolve(t.Context())
 					if confirmedAfter == 0 && len(d.Suspects.Records()) > 0 {
