Confirm no death directly after a partition

Cause: a death was confirmed at the removal of an endpoint if another one of its zone had registered up to 2 s before. When a partition of the zone ends, another endpoint can register before the row of one that lives lapses and is renewed. Found by reading.

Change: the other one must have registered longer than renewTime (1.4 s, rows are renewed every 1.2 s) before the removal. The case "removed, zone has just started another" of TestUnconfirmedDeaths wants the wait of 2 s again, as before. Starts have a type of their own instead of retry.Death.

--- a/core/dispatch/unconfirmed.go
+++ b/core/dispatch/unconfirmed.go
@@ -24,6 +24,8 @@
 	// relistTime is the time within which an endpoint that lives registers again once its zone is reachable. It is also shorter
 	// than the time after which the registry removes an endpoint that has just renewed its row.
 	relistTime = 2 * time.Second
+	// renewTime is the time within which an endpoint that lives renews its row.
+	renewTime = 1400 * time.Millisecond
 	// exitTime is how long an endpoint whose process ends may still accept connections.
 	exitTime = 100 * time.Millisecond
 	// maxDiagnoses bounds the endpoints that are tried again at the same time.
@@ -57,10 +59,9 @@
 	endpoint fleet.Endpoint
 	observed observedDeath
 	// listed holds the endpoints that were listed when the attempt broke, and started those of its zone that were listed for the
-	// first time since, the latest of them at startedAt.
-	listed    map[fleet.EndpointID]fleet.Endpoint
-	started   map[retry.Death]bool
-	startedAt time.Time
+	// first time since, with the time of that.
+	listed  map[fleet.EndpointID]fleet.Endpoint
+	started map[endpointStart]time.Time
 	// unlistedAt is when the registry was first seen to have removed the endpoint, and zoneAliveAt when the zone of the
 	// endpoint first turned out to start endpoints, or to be reachable after that; both are zero before.
 	unlistedAt, zoneAliveAt time.Time
@@ -72,6 +73,12 @@
 	survived atomic.Bool
 }
 
+// endpointStart identifies a start of an endpoint.
+type endpointStart struct {
+	id          fleet.EndpointID
+	incarnation fleet.Incarnation
+}
+
 // verdict is what became of the endpoint of a broken attempt.
 type verdict string
 
@@ -178,7 +185,8 @@
 //
 // An endpoint is removed from the registry as well if its zone is partitioned, and registers again afterwards. It has
 // relistTime for that, from its removal and from the first sign that the zone isn't partitioned. If another endpoint of the zone
-// has registered within relistTime before the removal, this one could have renewed its row then, so that it has ended.
+// registered longer than renewTime, but less than relistTime before the removal, this one could have renewed its row since, so
+// that it has ended. Directly after a partition it may not have had the time to.
 func (u *UnconfirmedDeaths) judge(ctx context.Context, d *unconfirmedDeath, reaches map[fleet.Zone]bool) verdict {
 	now := time.Now()
 	listed, found := u.State.Endpoints.Get(d.endpoint.ID)
@@ -194,19 +202,18 @@
 	case now.Sub(d.observed.brokeAt) > confirmTimeout:
 		return verdictExpired
 	}
-	if u.startedAnew(d) {
-		d.startedAt = now
-		if d.zoneAliveAt.IsZero() {
-			d.zoneAliveAt = now
-		}
+	if u.startedAnew(d, now) && d.zoneAliveAt.IsZero() {
+		d.zoneAliveAt = now
 	}
 	if found {
 		return verdictPending
 	}
 	if d.unlistedAt.IsZero() {
 		d.unlistedAt = now
-		if now.Sub(d.startedAt) < relistTime {
-			return verdictEnded
+		for _, at := range d.started {
+			if since := now.Sub(at); since > renewTime && since < relistTime {
+				return verdictEnded
+			}
 		}
 	}
 	if d.zoneAliveAt.IsZero() && u.reachesZone(ctx, d.endpoint, reaches) {
@@ -231,18 +238,18 @@
 
 // startedAnew reports whether another endpoint has started in the zone of the broken attempt since the previous call. One that
 // comes back after its removal has not.
-func (u *UnconfirmedDeaths) startedAnew(d *unconfirmedDeath) bool {
+func (u *UnconfirmedDeaths) startedAnew(d *unconfirmedDeath, now time.Time) bool {
 	anew := false
 	for id, endpoint := range u.State.Endpoints.Snapshot().Rows {
-		start := retry.Death{Endpoint: id, Incarnation: endpoint.Incarnation}
+		start := endpointStart{id: id, incarnation: endpoint.Incarnation}
 		before, found := d.listed[id]
-		if endpoint.Zone != d.endpoint.Zone || d.started[start] || found && before.Incarnation == endpoint.Incarnation {
+		if endpoint.Zone != d.endpoint.Zone || !d.started[start].IsZero() || found && before.Incarnation == endpoint.Incarnation {
 			continue
 		}
 		if d.started == nil {
-			d.started = make(map[retry.Death]bool)
+			d.started = make(map[endpointStart]time.Time)
 		}
-		d.started[start] = true
+		d.started[start] = now
 		anew = true
 	}
 	return anew
--- a/core/dispatch/unconfirmed_test.go
+++ b/core/dispatch/unconfirmed_test.go
@@ -39,7 +39,15 @@
 		"restarted under its ID":  {steps: []step{{at: 2 * time.Second, set: &restarted}}, want: 2 * time.Second},
 		"removed, zone reachable": {steps: []step{{zoneReachable: true}, {at: lapse, remove: true}}, want: lapse + relistTime},
 		"removed, zone starts others": {
-			steps: []step{{at: 3 * time.Second, set: &successor}, {at: lapse, remove: true}}, want: lapse,
+			steps: []step{{at: 2 * time.Second, set: &successor}, {at: lapse, remove: true}}, want: lapse,
+		},
+		"removed, zone has just started another": {
+			steps: []step{{at: 3 * time.Second, set: &successor}, {at: lapse, remove: true}}, want: lapse + relistTime,
+		},
+		"removed just as the zone is back and starts another": {
+			steps: []step{
+				{at: 3300 * time.Millisecond, set: &successor}, {at: lapse, remove: true}, {at: lapse + 800*time.Millisecond, set: &endpoint},
+			},
 		},
 		"removed, zone started another before": {
 			steps: []step{{at: time.Second, set: &successor}, {at: lapse, remove: true}}, want: lapse + relistTime,
