Add the settings max_fds and, for entries, memory_mib

Cause: nothing that an entry accepts is bounded by its file descriptors, and package entry doesn't know its memory, so that no limit for clients can be derived from either, nor lowered by a test.

Nothing uses them yet; the limits follow, each with its test.

--- a/io/settings/entry.go
+++ b/io/settings/entry.go
@@ -29,6 +29,10 @@
 	OperatorKeyDigest string `json:"operator_key_digest" check:"digest"`
 	// BalancerDelay is the time until the balancer stops sending new requests to an entry that is not ready.
 	BalancerDelay time.Duration `json:"balancer_delay" check:"default=2s,min=0s,max=5m"`
+	// Memory is the memory of the process in MiB.
+	Memory int `json:"memory_mib" check:"default=1024,min=128,max=1048576"`
+	// MaxFDs is the maximum number of file descriptors of the process.
+	MaxFDs int `json:"max_fds" check:"default=4096,min=256,max=1048576"`
 	// LogLevel is the lowest level of messages to log.
 	LogLevel string `json:"log_level" check:"default=info,oneof=debug|info|warn|error"`
 	// Profiling enables the runtime's profiles at the operator address.
--- a/io/settings/gateway.go
+++ b/io/settings/gateway.go
@@ -48,6 +48,8 @@
 	Processor float64 `json:"processor" check:"default=1,min=0.01,max=1024"`
 	// Memory is the memory of the process in MiB.
 	Memory int `json:"memory_mib" check:"default=256,min=32,max=1048576"`
+	// MaxFDs is the maximum number of file descriptors of the process.
+	MaxFDs int `json:"max_fds" check:"default=4096,min=256,max=1048576"`
 	// Contracts holds the names of the optional parts of the platform's rules that are in force. Unknown names are
 	// ignored, since the platform may add parts that don't concern entries.
 	Contracts []string `json:"contracts"`
