Look at the clock once when an entry's role is determined

What callers saw: the process ended with a panic 0.5 s after its start, and with it all requests that it held.

Cause: choosersExcept asked twice whether this entry has been up for startupDelay, first for the leader and then for the zone. If the delay ended between the two, there was no leader but a chooser in the zone, and the comparison with the leader indexed an empty list.

Evidence: seen once in TestCallers/many_fields/pressure, whose process was busy with the garbage of a crowd at that moment; the log ends with "index out of range [0] with length 0" at role_choosers.go:39.

Change: the time is taken once and passed on.

--- a/core/sharedload/report_targets.go
+++ b/core/sharedload/report_targets.go
@@ -53,7 +53,7 @@
 		}
 		l := p.peer(entry.ID)
 		switch {
-		case p.chooses(entry.ID):
+		case p.chooses(entry.ID, now):
 			if entry.ID != p.Self.ID && l.due(version, now, choosersLeft == 2) {
 				add(entry)
 			}
--- a/core/sharedload/role_choosers.go
+++ b/core/sharedload/role_choosers.go
@@ -26,6 +26,7 @@
 // others, so that it would place its waiting requests at once, at engines without free slots.
 func (p *ChooserSet) choosersExcept(asked []roleChooser) []roleChooser {
 	ranked := p.rankedEntries()
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	isLeft := func(entry fleet.Entry) bool {
@@ -33,10 +34,10 @@
 	}
 	isLeftInZone := func(entry fleet.Entry) bool { return p.inZone(entry) && isLeft(entry) }
 	var choosers []roleChooser
-	if leader, found := p.firstChooser(ranked, isLeft); found {
+	if leader, found := p.firstChooser(ranked, isLeft, now); found {
 		choosers = append(choosers, roleChooser{entry: leader, role: RoleLeader})
 	}
-	if local, found := p.firstChooser(ranked, isLeftInZone); found && local.ID != choosers[0].entry.ID {
+	if local, found := p.firstChooser(ranked, isLeftInZone, now); found && local.ID != choosers[0].entry.ID {
 		choosers = append(choosers, roleChooser{entry: local, role: RoleZone})
 	}
 	return choosers
@@ -57,22 +58,24 @@
 	return entry.Zone == p.Self.Zone
 }
 
-// firstChooser returns the first eligible entry that chooses, which may be this one, and whether there is one; the
+// firstChooser returns the first eligible entry that chooses at now, which may be this one, and whether there is one; the
 // caller holds the lock.
-func (p *ChooserSet) firstChooser(ranked []fleet.Entry, eligible func(fleet.Entry) bool) (fleet.Entry, bool) {
+func (p *ChooserSet) firstChooser(
+	ranked []fleet.Entry, eligible func(fleet.Entry) bool, now time.Time,
+) (fleet.Entry, bool) {
 	for _, entry := range ranked {
-		if eligible(entry) && p.chooses(entry.ID) {
+		if eligible(entry) && p.chooses(entry.ID, now) {
 			return entry, true
 		}
 	}
 	return fleet.Entry{}, false
 }
 
-// chooses reports whether an entry chooses for others: for this entry by the time since its start, for another one by
+// chooses reports whether an entry chooses for others at now: for this entry by the time since its start, for another one by
 // its latest reply, or false if it did not answer. The caller holds the lock.
-func (p *ChooserSet) chooses(id fleet.EntryID) bool {
+func (p *ChooserSet) chooses(id fleet.EntryID, now time.Time) bool {
 	if id == p.Self.ID {
-		return time.Since(p.Started) >= startupDelay
+		return now.Sub(p.Started) >= startupDelay
 	}
 	l, found := p.peers[id]
 	return found && l.chooses
