Bound the connections of callers and what each makes the entry hold

What callers saw: an entry that ended, or one without file descriptors, while 600 clients kept connections open; the machine's memory was exceeded.

Cause: each connection was accepted. One with a head of many short fields took 0.5 MB, its kernel buffer up to 100 KB and more without the contract "pressure", and the port for probes took heads of a megabyte and bodies without a time limit.

Change: tcp.LimitListener accepts a maximum of connections (384 KiB of memory_mib each, at most 30% of max_fds less 200). Heads beyond 16 KiB of memory, estimated as 2 bytes a byte and 256 a field, share 5% of the memory.

Why it works: what the kernel and net/http hold is now the number of connections times a small constant, whatever clients send.

--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -136,6 +136,7 @@
 			RetryBurst:      100,
 			ColdFactor:      1.5,
 			Memory:          w.memory,
+			MaxFDs:          4096,
 			Contracts:       w.contracts,
 		},
 		stop:  stop,
--- /dev/null
+++ b/gateway/limits.go
@@ -0,0 +1,27 @@
+package gateway
+
+import "golang.org/x/sync/semaphore"
+
+const (
+	// headMemoryShare is the share of the setting Memory for long heads of callers' requests.
+	headMemoryShare = 0.05
+	// memoryPerCaller is the part of the setting Memory, in bytes, for which one connection of a caller is accepted. A tenth
+	// of it is used: stacks, buffers, a usual head and the receive buffer of the kernel take 40 to 80 KB.
+	memoryPerCaller = 384 << 10
+	// reservedFDs is the part of the setting MaxFDs that the platform reserves for files.
+	reservedFDs = 200
+	// callerShare is the share of the other file descriptors for connections of callers. Each running request has another
+	// one to its endpoint.
+	callerShare = 0.3
+)
+
+// limitCallers bounds the number of callers' connections and what their heads take.
+func (p *Process) limitCallers() {
+	p.ingress.MaxConns = min(p.connections(callerShare), p.Settings.Memory<<20/memoryPerCaller)
+	p.ingress.HeadMemory = semaphore.NewWeighted(p.memoryShare(headMemoryShare))
+}
+
+// connections returns a share of the file descriptors that are not reserved for files.
+func (p *Process) connections(share float64) int {
+	return int(float64(p.Settings.MaxFDs-reservedFDs) * share)
+}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -192,6 +192,7 @@
 		Log:             p.Log,
 	}
 	p.limitSlowCallers()
+	p.limitCallers()
 }
 
 // components returns the Run methods of all components except the server for callers.
