Bound what clients of the port for operators make an entry hold

What callers saw: an entry without memory or file descriptors after a crowd had come to the port for metrics.

Cause: the server took any number of connections, heads of a megabyte, and bodies that it never reads without a time limit.

Change: at most 32 connections, of which the one that has been silent for longest makes room; 8 KiB of head and of receive buffer, 5 s to read a request, 2 min to serve it, which is longer than profiles take.

--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -7,7 +7,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
-	"net"
 	"net/http"
 	"net/http/pprof"
 	"net/netip"
@@ -21,11 +20,19 @@
 	"golang.org/x/sync/errgroup"
 
 	"wisteriadyke/core/timeline"
+	"wisteriadyke/io/httpserver"
+	"wisteriadyke/io/tcp"
 )
 
 const (
-	// headerTimeout bounds the time to read the header of a request.
-	headerTimeout = 5 * time.Second
+	// readTimeout bounds the time to read a request, and writeTimeout the time to serve it, of which profiles take most.
+	readTimeout  = 5 * time.Second
+	writeTimeout = 2 * time.Minute
+	// maxConns is the maximum number of connections, maxHeaderBytes bounds the header of a request, and readBytes is the
+	// receive buffer of a connection.
+	maxConns       = 32
+	maxHeaderBytes = 8 << 10
+	readBytes      = 8 << 10
 	// idleTimeout is how long an idle connection stays open.
 	idleTimeout = 90 * time.Second
 	// shutdownTimeout bounds the time for which Run waits for requests in flight after its context has ended.
@@ -66,12 +73,15 @@
 	if err != nil {
 		return err
 	}
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", s.Address.String())
+	limits := httpserver.Limits{MaxConns: maxConns, Buffers: tcp.Buffers{Read: readBytes}}
+	listener, err := limits.Listen(ctx, s.Address)
 	if err != nil {
 		return errors.Wrap(err, "operator server")
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{
+		Handler: handler, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	httpserver.Track(server)
 	var group errgroup.Group
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
