Bound what clients of the port for other entries make an entry hold

What callers saw: an entry that ended with 3 GiB in use, or one without file descriptors, after a crowd had come to the port for other entries.

Cause: drpcserver takes any number of connections and reads messages of up to 4 MiB into buffers that double, on each of them. A connection whose first packet begins no call is never read again, so that its end goes unnoticed.

Change: the listener is a tcp.LimitListener (256 KiB of memory_mib each, at most a quarter of max_fds less 200). Incomplete messages beyond 8 KiB share a tenth of the memory, at 4 bytes a byte, as at the client; its accounting moves to tcp.MessageConn. A connection is busy while its call is served, not while a message is awaited. Receive buffers have 16 KiB. A connection without a call is closed after 25 s, and clients close theirs after 15 s instead of a minute. A connection that was to make room and is not read leaves the list when it is closed after 2 s.

--- a/crowd/gateway_test.go
+++ b/crowd/gateway_test.go
@@ -145,6 +145,14 @@
 	}
 }
 
+// TestPeerMemory lets a crowd send unfinished messages to the port for other entries, with as many connections as the
+// machine has descriptors for.
+func TestPeerMemory(t *testing.T) {
+	g := startGateway(t, nil)
+	endure(g.process, g.peer, text(unfinishedMessage(1<<20)), g.expectService)
+	g.check(machineMemory, machineFDs)
+}
+
 // TestLargeBodyAlone sends one body of the longest length that the configuration allows.
 func TestLargeBodyAlone(t *testing.T) {
 	g := startGateway(t, nil)
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -20,6 +20,10 @@
 	// callerShare is the share of the other file descriptors for connections of callers. Each running request has another
 	// one to its endpoint.
 	callerShare = 0.3
+	// peerShare is the share for connections of other entries, and memoryPerPeer the part of the setting Memory, in bytes,
+	// for which one is accepted.
+	peerShare     = 0.25
+	memoryPerPeer = 256 << 10
 )
 
 // limitCallers bounds what the connections of callers hold.
@@ -30,6 +34,11 @@
 	p.registerGauge(metricBodies, p.ingress.Bodies.Held)
 }
 
+// maxPeerConns returns the maximum number of connections of other entries.
+func (p *Process) maxPeerConns() int {
+	return min(p.connections(peerShare), p.Settings.Memory<<20/memoryPerPeer)
+}
+
 // connections returns a share of the file descriptors that are not reserved for files.
 func (p *Process) connections(share float64) int {
 	return int(float64(p.Settings.MaxFDs-reservedFDs) * share)
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -223,7 +223,7 @@
 	peerServer := &peer.Server{
 		Address: p.Settings.PeerAddress, Choosers: p.choosers, SuspectRecords: p.suspects, Parts: p.partExchange,
 		Freshness: p.peerExchange, Rows: p.tableServer(), Clock: boottime.Now, Forwards: p.receiver, Codec: p.forwards.Codec,
-		Reach: p.witness,
+		Reach: p.witness, MaxConns: p.maxPeerConns(), Memory: semaphore.NewWeighted(p.memoryShare(peerMemoryShare)),
 	}
 	operatorServer := &operator.Server{
 		Address:  p.Settings.OperatorAddress,
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -17,7 +17,7 @@
 	// dialTimeout bounds the time to establish a TCP connection to another entry.
 	dialTimeout = time.Second
 	// idleConnTimeout is how long an idle connection stays open.
-	idleConnTimeout = time.Minute
+	idleConnTimeout = 15 * time.Second
 	// maxIdleBlockingConnsPerPeer bounds the idle connections to one entry for calls that may block.
 	maxIdleBlockingConnsPerPeer = 16
 	// maxIdleShortConnsPerPeer bounds the idle connections to one entry for short calls.
--- a/io/peer/forwards.go
+++ b/io/peer/forwards.go
@@ -85,7 +85,7 @@
 }
 
 // connect connects to another entry.
-func (t *ForwardTransport) connect(ctx context.Context, to fleet.Entry) (net.Conn, error) {
+func (t *ForwardTransport) connect(ctx context.Context, to fleet.Entry) (*tcp.MessageConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, forwardDialTimeout)
 	defer cancel()
 	var conn net.Conn
@@ -123,13 +123,13 @@
 }
 
 // receive writes the answer of another entry to sink until it ends.
-func (t *ForwardTransport) receive(stream DRPCForward_RunClient, transport net.Conn, sink dispatch.Sink) error {
+func (t *ForwardTransport) receive(stream DRPCForward_RunClient, transport *tcp.MessageConn, sink dispatch.Sink) error {
 	for {
 		event, err := stream.Recv()
 		if err != nil {
 			return mayHaveRun(err)
 		}
-		startMessage(transport)
+		transport.StartMessage()
 		switch {
 		case event.Failure != nil:
 			return t.fromFailure(event.Failure)
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -20,6 +22,10 @@
 // nothing up for long.
 const ackTimeout = 5 * time.Second
 
+// serverIdleTimeout is how long a connection may carry no call. It is longer than idleConnTimeout, so that the other entry
+// closes a sound connection first. DRPC doesn't notice that a connection has ended whose first packet begins no call.
+const serverIdleTimeout = 25 * time.Second
+
 // Server serves calls from other entries. Its fields are set before Run or Serve.
 type Server struct {
 	// Address is the address to listen on.
@@ -53,16 +59,27 @@
 	Clock func() time.Duration
 	// Client forwards probes for other entries; it is required with ProbeReceiver.
 	Client *Client
+	// MaxConns is the maximum number of connections; 0 means no limit.
+	MaxConns int
+	// Memory bounds the memory for incomplete messages on all connections together, in bytes; nil means no bound.
+	Memory *semaphore.Weighted
 }
 
 // Run listens on Address and serves until ctx ends; it returns an error if it can't listen.
 func (s *Server) Run(ctx context.Context) error {
-	var config net.ListenConfig
+	config := net.ListenConfig{Control: tcp.Buffers{Read: serverReadBytes}.Control}
 	listener, err := config.Listen(ctx, "tcp", s.Address.String())
 	if err != nil {
 		return errors.Wrap(err, "peer server")
 	}
-	return s.Serve(ctx, &tcp.Listener{Listener: listener, AckTimeout: ackTimeout})
+	listener = &tcp.Listener{Listener: listener, AckTimeout: ackTimeout}
+	if s.MaxConns > 0 {
+		listener = &tcp.LimitListener{
+			Listener: listener, MaxConns: s.MaxConns, MessageMemory: s.Memory,
+			MessageCost: tcp.MessageCost{FreeBytes: serverFreeBytes, PerByte: memoryPerByte},
+		}
+	}
+	return s.Serve(ctx, listener)
 }
 
 // Serve serves the connections of listener until ctx ends.
@@ -71,7 +88,10 @@
 	if err := s.register(mux); err != nil {
 		return errors.Wrap(err, "peer server")
 	}
-	return errors.Wrap(drpcserver.New(mux).Serve(ctx, listener), "peer server")
+	server := drpcserver.NewWithOptions(limitedHandler{Handler: mux}, drpcserver.Options{
+		Manager: drpcmanager.Options{InactivityTimeout: serverIdleTimeout},
+	})
+	return errors.Wrap(server.Serve(ctx, listener), "peer server")
 }
 
 // register adds the enabled services to mux.
--- a/io/tcp/limit_listener.go
+++ b/io/tcp/limit_listener.go
@@ -76,8 +76,9 @@
 		if since := c.evictedFor(now); since >= 0 {
 			evicted++
 			if since > evictionTime {
-				// A write to a client that reads nothing may hold up the server.
+				// The server doesn't read, be it that a write to the client holds it up.
 				_ = c.Conn.Close()
+				delete(l.conns, c)
 			}
 			continue
 		}
