Bound the copies of requests that are passed on to other entries

What callers saw: nothing yet; found when the copies of a body were counted.

Cause: a request that another entry serves is encoded as a whole before it is sent, so that a crowd of long bodies takes its memory twice while a zone is cut off. Only the entry that receives it had a bound.

Change: the copies share a tenth of the memory, until they are sent; a request that finds none is not passed on and counts as not run there.

--- a/gateway/process.go
+++ b/gateway/process.go
@@ -52,7 +52,8 @@
 	removalGrace = 800 * time.Millisecond
 	// lapseTime is the time after which the registry removes an endpoint that is silent: three of its reports and a margin.
 	lapseTime = 5 * time.Second
-	// forwardMemoryShare is the share of the setting Memory for the payloads of requests that other entries pass on.
+	// forwardMemoryShare is the share of the setting Memory for the payloads of requests that other entries pass on, and for
+	// the copies of those that this entry passes on.
 	forwardMemoryShare = 0.1
 	// waitMemoryShare is the share of the setting Memory for the bodies of requests that wait for an endpoint.
 	waitMemoryShare = 0.1
@@ -167,7 +168,9 @@
 	p.buildEndpointClient()
 	p.witness = &outlier.Witness{State: p.state, Reach: p.reach, Connect: p.endpointClient.Connect}
 	p.unconfirmed = &dispatch.UnconfirmedDeaths{State: p.state, ReachesZone: p.witness.ReachesZone, Log: p.Log}
-	p.forwards = &peer.ForwardTransport{Client: p.peers, Codec: wire.Codec{}}
+	p.forwards = &peer.ForwardTransport{
+		Client: p.peers, Codec: wire.Codec{}, Memory: semaphore.NewWeighted(p.memoryShare(forwardMemoryShare)),
+	}
 	p.buildChoosers()
 	p.leases = &sharedload.MemoryLeases{Entry: p.Settings.Entry, Memory: p.endpointClient, Log: p.Log}
 	generator := p.generator()
--- a/io/peer/forwards.go
+++ b/io/peer/forwards.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcwire"
@@ -30,6 +33,9 @@
 	maxAnswerBytes = 8 << 20
 )
 
+// errNoPayloadMemory means that other requests that are being passed on take up the memory for their copies.
+var errNoPayloadMemory = errors.New("no memory left to pass the request on")
+
 // PayloadCodec encodes the opaque parts of requests and answers.
 type PayloadCodec interface {
 	// EncodeRequest encodes the payload of a request.
@@ -48,15 +54,18 @@
 	Client *Client
 	// Codec encodes the payloads.
 	Codec PayloadCodec
+	// Memory bounds the memory of the encoded payloads together, until they are sent; nil means no bound.
+	Memory *semaphore.Weighted
 }
 
 // Forward lets another entry serve a request and writes its answer to sink, as dispatch.ForwardClient describes. It uses a
 // connection of its own, so that a broken one is noticed before the payload is sent.
 func (t *ForwardTransport) Forward(ctx context.Context, to fleet.Entry, request dispatch.Request, sink dispatch.Sink) error {
-	payload, err := t.Codec.EncodeRequest(request.Payload)
+	payload, release, err := t.encode(request)
 	if err != nil {
-		return notForwarded(errors.Wrap(err, "encode payload"))
+		return notForwarded(err)
 	}
+	defer release()
 	transport, err := t.connect(ctx, to)
 	if err != nil {
 		return notForwarded(err)
@@ -74,14 +83,37 @@
 	if err := awaitAcceptance(stream, toForwardHead(request, len(payload), time.Now()), cancel); err != nil {
 		return err
 	}
-	for len(payload) > 0 {
-		part := payload[:min(len(payload), payloadPartBytes)]
-		payload = payload[len(part):]
+	if err := sendPayload(stream, payload); err != nil {
+		return mayHaveRun(err)
+	}
+	release()
+	return t.receive(stream, transport, sink)
+}
+
+// encode encodes the payload of a request; the returned function releases its memory, and may be called more than once.
+func (t *ForwardTransport) encode(request dispatch.Request) (payload []byte, release func(), err error) {
+	payload, err = t.Codec.EncodeRequest(request.Payload)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "encode payload")
+	}
+	if t.Memory == nil {
+		return payload, func() {}, nil
+	}
+	size := int64(len(payload))
+	if !t.Memory.TryAcquire(size) {
+		return nil, nil, errNoPayloadMemory
+	}
+	return payload, sync.OnceFunc(func() { t.Memory.Release(size) }), nil
+}
+
+// sendPayload sends an encoded payload in parts.
+func sendPayload(stream DRPCForward_RunClient, payload []byte) error {
+	for part := range slices.Chunk(payload, payloadPartBytes) {
 		if err := stream.Send(&ForwardRequest{Payload: part}); err != nil {
-			return mayHaveRun(err)
+			return err
 		}
 	}
-	return t.receive(stream, transport, sink)
+	return nil
 }
 
 // connect connects to another entry.
