Bound the whole time for which a body waits for memory

Cause: a body waited up to 3 s at each doubling of its buffer. After a crowd had left, its connections to package entry took 9 to 18 s to close, since a body that waits doesn't see that its client is gone.

Change: all waits of a body together take 4 s at most.

--- a/io/boundedbody/pool.go
+++ b/io/boundedbody/pool.go
@@ -17,9 +17,9 @@
 	shortShare = 0.25
 	// stallTime is how long a client may send nothing while others wait for the memory that its body holds.
 	stallTime = 2 * time.Second
-	// maxWait and maxWaitShare bound the wait for memory: a time that is longer than stallTime, so that bodies that have
-	// stalled make room, and a share of the time left, so that a client that is refused can still go elsewhere.
-	maxWait      = 3 * time.Second
+	// maxWait and maxWaitShare bound the wait of a body for memory: a time that is longer than stallTime, so that bodies that
+	// have stalled make room, and a share of the time left, so that a client that is refused can still go elsewhere.
+	maxWait      = 4 * time.Second
 	maxWaitShare = 0.5
 	// stallCheckPeriod is the time between two searches for bodies that have stalled, while one waits.
 	stallCheckPeriod = 250 * time.Millisecond
@@ -75,6 +75,8 @@
 	Upload
 	pool *Pool
 	held reservation
+	// waited is how long the upload has waited for memory.
+	waited time.Duration
 	// The fields below are guarded by the pool's mutex, as are changes of held. lastRead is when the client sent
 	// something, waiting reports whether the upload waits for memory.
 	lastRead         time.Time
@@ -146,8 +148,10 @@
 	}
 	u.setWaiting(true)
 	defer u.setWaiting(false)
+	start := time.Now()
+	defer func() { u.waited += time.Since(start) }()
 	left := time.Duration(float64(time.Until(u.Deadline)) * maxWaitShare)
-	ctx, cancel := context.WithTimeout(context.Background(), min(maxWait, left))
+	ctx, cancel := context.WithTimeout(context.Background(), min(maxWait-u.waited, left))
 	defer cancel()
 	u.pool.abortStalledUntil(ctx, from.free, bytes)
 	return from.free.Acquire(ctx, bytes) == nil
