Bound what clients of package entry make it hold

What callers saw: an entry that ended, out of memory: a body of 8 MiB took some 24 MiB while its JSON was decoded piece by piece, for each connection.

Cause: package entry had no bound for connections, heads or bodies; it didn't know its memory.

Change: the same parts as in package gateway: tcp.LimitListener for callers and other entries, memory for heads, and boundedbody.Pool with 30% of memory_mib, which counts 4 bytes for each byte of a body, for its copies. The Go runtime gets 70% as its soft limit. A body is read before it is decoded. One that finds no memory is refused with 503, body_memory, and one that is late with 408, body_timeout.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/core/gossip"
 	"wisteriadyke/core/membership"
@@ -76,6 +78,10 @@
 		Claims:         p.peers.ownership,
 		ReportReceiver: p.reporter,
 		Client:         p.client,
+		MaxConns:       p.maxConns(peerShare, memoryPerPeer),
+	}
+	if p.Settings.Memory > 0 {
+		p.peers.server.Memory = semaphore.NewWeighted(p.memoryShare(peerMemoryShare))
 	}
 }
 
--- a/entry/process.go
+++ b/entry/process.go
@@ -76,6 +76,7 @@
 // hands its endpoints over, finishes the requests in flight, and stops the other components. It returns the first error
 // of a component.
 func (p *Process) Run(ctx context.Context) error {
+	p.configureRuntime()
 	p.build()
 	err := lifecycle.Run(ctx, p.components(), p.serveCallers)
 	p.Log.Info().Msg("entry: stopped")
@@ -218,7 +219,7 @@
 // callerServer builds the server for callers, with the dispatchers of their model requests and service calls.
 func (p *Process) callerServer() *caller.Server {
 	policy := &placement.EarliestFinish{Prefixes: p.prefixes}
-	return &caller.Server{
+	server := &caller.Server{
 		Address: p.Settings.CallerAddress,
 		Entry:   p.Settings.Entry,
 		State:   p.state,
@@ -246,6 +247,8 @@
 			Metrics:  p.metrics,
 		},
 	}
+	p.limitCallers(server)
+	return server
 }
 
 // serviceDispatcher returns the dispatcher of calls to plain services.
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -48,9 +48,11 @@
 		return
 	}
 	var body callBody
-	if !readBody(ctx, &body) {
+	release, ok := s.readBody(ctx, &body)
+	if !ok {
 		return
 	}
+	defer release()
 	now := time.Now()
 	call := dispatch.Call{
 		ID:             fleet.RequestID(rand.Text()),
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -4,7 +4,6 @@
 	"crypto/rand"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -59,9 +58,11 @@
 		return
 	}
 	var body requestBody
-	if !readBody(ctx, &body) {
+	release, ok := s.readBody(ctx, &body)
+	if !ok {
 		return
 	}
+	defer release()
 	class, found := configuration.Classes[body.Class]
 	if !found || class.Kind != fleet.KindEngine {
 		writeRefusal(ctx, iris.StatusBadRequest, "unknown_class", fmt.Sprintf("class %q serves no model requests", body.Class))
@@ -100,32 +101,6 @@
 	return configuration, account, true
 }
 
-// readBody decodes the JSON body of a request into the value that into points to. It writes a refusal and returns false
-// if the body is invalid or too large. The read deadline is cleared only after a complete body, since the server
-// continues to read the body after a refusal.
-func readBody(ctx iris.Context, into any) bool {
-	control := http.NewResponseController(ctx.ResponseWriter().Naive())
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	decoder := json.NewDecoder(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxBodyBytes))
-	decoder.DisallowUnknownFields()
-	err := decoder.Decode(into)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		writeRefusal(ctx, iris.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("the body may have %d bytes", maxBodyBytes))
-		return false
-	}
-	if err != nil {
-		writeRefusal(ctx, iris.StatusBadRequest, "bad_body", err.Error())
-		return false
-	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		writeRefusal(ctx, iris.StatusBadRequest, "bad_body", "the body goes on behind its JSON value")
-		return false
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return true
-}
-
 // newRequest converts the body of a model request to a dispatch.Request with the limits, priority and deadlines of its
 // class.
 func newRequest(account config.Account, class config.Class, body requestBody, now time.Time) dispatch.Request {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -11,10 +11,14 @@
 	"github.com/kataras/iris/v12"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"wisteriadyke/core/clusterstate"
 	"wisteriadyke/core/dispatch"
 	"wisteriadyke/core/fleet"
+	"wisteriadyke/io/boundedbody"
+	"wisteriadyke/io/httpserver"
+	"wisteriadyke/io/tcp"
 )
 
 const (
@@ -30,6 +34,8 @@
 	maxHeaderBytes = 16 << 10
 	// maxBodyBytes bounds the size of a request body; a prompt of a million tokens has four million bytes.
 	maxBodyBytes = 8 << 20
+	// readBytes is the receive buffer of a connection.
+	readBytes = 16 << 10
 )
 
 // Generator serves model requests; *dispatch.Dispatcher implements it.
@@ -50,13 +56,19 @@
 	Generator Generator
 	// Caller serves calls to plain services.
 	Caller dispatch.ServiceCaller
+	// MaxConns is the maximum number of connections; 0 means no limit.
+	MaxConns int
+	// HeadMemory bounds the memory for the heads of all requests together; nil means no bound.
+	HeadMemory *semaphore.Weighted
+	// Bodies is the memory for the bodies of all requests together, until each has ended; nil means no bound.
+	Bodies *boundedbody.Pool
 }
 
 // Run listens on Address and serves until ctx ends, then completes the requests in flight. It returns an error if it
 // can't listen.
 func (s *Server) Run(ctx context.Context) error {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", s.Address.String())
+	limits := httpserver.Limits{MaxConns: s.MaxConns, HeadMemory: s.HeadMemory, Buffers: tcp.Buffers{Read: readBytes}}
+	listener, err := limits.Listen(ctx, s.Address)
 	if err != nil {
 		return errors.Wrap(err, "caller server")
 	}
@@ -75,6 +87,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	httpserver.Track(server)
 	var group errgroup.Group
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
