Take no answer as whole whose connection failed while it was read

What callers saw: a part of an answer as a complete one, with 200. A worker had answered a long upload at once, without a length, and reset the connection while the upload was written.

Cause: the kernel reports the error of a connection once. If the write of the upload gets it, the next read returns what has arrived and then the end, which is the end of an answer without a length.

Change: the connections of all HTTP clients (package httpclient) remember a failed write; a read then returns ErrBrokenConnection instead of io.EOF, after a write that is in progress has ended. The end of an answer that has neither length nor chunks counts only once its request was written without a failure, for which it waits 1 s at most. Answers with a length aren't affected: an endpoint may still answer early and read on.

--- a/io/engine/transport.go
+++ b/io/engine/transport.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"wisteriadyke/io/httpclient"
 )
 
 // Limits for the connections to engines.
@@ -21,15 +23,15 @@
 )
 
 // NewTransport returns a transport that uses no proxy. It never replays a call by Client that has a body; see onceBody.
-func NewTransport() *http.Transport {
+func NewTransport() *httpclient.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
-	return &http.Transport{
+	return httpclient.New(&http.Transport{
 		DialContext:         dialer.DialContext,
 		DisableCompression:  true,
 		IdleConnTimeout:     idleConnTimeout,
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConnsPerEngine,
-	}
+	})
 }
 
 // NewHTTPClient returns an HTTP client that uses a transport from NewTransport, follows no redirects and has no
--- /dev/null
+++ b/io/httpclient/transport.go
@@ -0,0 +1,47 @@
+// Package httpclient is the transport that all HTTP clients use. It takes no answer as whole whose connection has failed.
+package httpclient
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Transport is an http.Transport whose responses are checked; create it with New.
+type Transport struct {
+	*http.Transport
+}
+
+// New returns a transport that sends requests as another one does, which must not be used otherwise.
+func New(transport *http.Transport) *Transport {
+	dial := transport.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newConn(raw), nil
+	}
+	return &Transport{Transport: transport}
+}
+
+// RoundTrip sends one request.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	exchange := newExchange()
+	trace := &httptrace.ClientTrace{
+		GotConn:      exchange.begin,
+		WroteRequest: exchange.wroteRequest,
+	}
+	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if response.Body != http.NoBody {
+		response.Body = &body{ReadCloser: response.Body, response: response, exchange: exchange}
+	}
+	return response, nil
+}
--- a/io/jsonhttp/client.go
+++ b/io/jsonhttp/client.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"wisteriadyke/io/httpclient"
 )
 
 // Limits for connections and response bodies.
@@ -95,7 +97,7 @@
 // newClient returns a client that follows no redirects, since following a redirect sends the request again.
 func newClient(transport *http.Transport) *http.Client {
 	return &http.Client{
-		Transport: transport,
+		Transport: httpclient.New(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
