Refuse answers with a status that no answer may have

What callers saw: an answer of a worker in trouble whose status was 000 closed the caller's connection without an answer; one with 700 was passed on.

Cause: net/http reads any status of three digits. With 000 or 099 the handler panics when it writes the status.

Change: the transport of all HTTP clients takes no final answer with a status below 200 or above 599; the attempt counts as uncertain, and the connection is closed. This comes before anything is taken from the head: notices, promises that the request has not run, and streams.

--- a/io/httpclient/body.go
+++ b/io/httpclient/body.go
@@ -49,6 +49,13 @@
 	return e.conn
 }
 
+// abort closes the connection, so that no other request uses it.
+func (e *exchange) abort() {
+	if c := e.connection(); c != nil {
+		_ = c.Close()
+	}
+}
+
 // checkWritten returns an error unless the whole request was written without a failure.
 func (e *exchange) checkWritten() error {
 	timer := time.NewTimer(writeWait)
--- a/io/httpclient/transport.go
+++ b/io/httpclient/transport.go
@@ -1,4 +1,5 @@
-// Package httpclient is the transport that all HTTP clients use. It takes no answer as whole whose connection has failed.
+// Package httpclient is the transport that all HTTP clients use. It takes only well-formed answers, and none as whole whose
+// connection has failed.
 package httpclient
 
 import (
@@ -6,8 +7,19 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+
+	"github.com/pkg/errors"
+)
+
+// minStatus and maxStatus bound the status of an answer. Informational ones precede it.
+const (
+	minStatus = 200
+	maxStatus = 599
 )
 
+// ErrMalformed means that an answer has a status that no answer may have.
+var ErrMalformed = errors.New("malformed answer")
+
 // Transport is an http.Transport whose responses are checked; create it with New.
 type Transport struct {
 	*http.Transport
@@ -29,7 +41,7 @@
 	return &Transport{Transport: transport}
 }
 
-// RoundTrip sends one request.
+// RoundTrip sends one request. The error is ErrMalformed for a malformed answer, whose connection is closed.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	exchange := newExchange()
 	trace := &httptrace.ClientTrace{
@@ -40,8 +52,21 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkHead(response); err != nil {
+		exchange.abort()
+		_ = response.Body.Close()
+		return nil, err
+	}
 	if response.Body != http.NoBody {
 		response.Body = &body{ReadCloser: response.Body, response: response, exchange: exchange}
 	}
 	return response, nil
 }
+
+// checkHead returns an error if the head of a response is malformed.
+func checkHead(response *http.Response) error {
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+		return errors.Wrapf(ErrMalformed, "status %03d", response.StatusCode)
+	}
+	return nil
+}
--- a/io/jsonhttp/trust_test.go
+++ b/io/jsonhttp/trust_test.go
@@ -8,11 +8,12 @@
 	"wisteriadyke/standin/brokenconn"
 )
 
-// TestAnswersThatAreNotTrusted lets a peer answer a long request with a part of an answer before the connection fails.
-// It may not count as an answer, since the request may have run.
+// TestAnswersThatAreNotTrusted lets a peer answer a long request with a part of an answer before the connection fails, or
+// with a malformed head. Neither may count as an answer, since the request may have run.
 func TestAnswersThatAreNotTrusted(t *testing.T) {
 	tests := map[string]string{
-		"reset": "HTTP/1.1 200 OK\r\n\r\n{}",
+		"reset":  "HTTP/1.1 200 OK\r\n\r\n{}",
+		"status": "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\n{}",
 	}
 	for name, answer := range tests {
 		for order, endFirst := range map[string]bool{"write_first": false, "end_first": true} {
