Refuse answers with a field that no answer may have

What callers saw: of a worker in trouble, "Content-Length : 2" with the body "ok and more" gave 200 with all of it, "Transfer-Encoding : chunked" gave the chunks as the body, and a line "X a: b" was accepted.

Cause: net/http keeps a field whose name holds a blank under that name, so that its length or encoding is ignored, and doesn't check values.

Change: the transport of all HTTP clients takes no answer with a field name or value that httpguts refuses, in the head, in informational heads before it, and in the trailer. The attempt counts as uncertain and its connection is closed. Control bytes in names were refused by net/http before.

--- a/io/engine/trust_test.go
+++ b/io/engine/trust_test.go
@@ -14,6 +14,7 @@
 	const refusal = "Content-Length: 33\r\n\r\n" + `{"error": {"code": "overloaded"}}`
 	tests := map[string]string{
 		"status": "HTTP/1.1 999 Trouble\r\n" + refusal,
+		"name":   "HTTP/1.1 503 Full\r\nX a: b\r\n" + refusal,
 	}
 	for name, answer := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/io/httpclient/body.go
+++ b/io/httpclient/body.go
@@ -86,12 +86,17 @@
 	exchange *exchange
 }
 
-// Read reads from the body. Its end is an error if the body ends with a connection that has failed.
+// Read reads from the body. Its end is an error if the trailer is malformed, or if the body ends with a connection that has
+// failed.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
+	if err := checkFields(b.response.Trailer); err != nil {
+		b.exchange.abort()
+		return n, err
+	}
 	if endsWithConnection(b.response) {
 		if err := b.exchange.checkWritten(); err != nil {
 			return n, err
--- a/io/httpclient/transport.go
+++ b/io/httpclient/transport.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // minStatus and maxStatus bound the status of an answer. Informational ones precede it.
@@ -17,7 +19,7 @@
 	maxStatus = 599
 )
 
-// ErrMalformed means that an answer has a status that no answer may have.
+// ErrMalformed means that an answer has a status or a header field that no answer may have.
 var ErrMalformed = errors.New("malformed answer")
 
 // Transport is an http.Transport whose responses are checked; create it with New.
@@ -45,8 +47,9 @@
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	exchange := newExchange()
 	trace := &httptrace.ClientTrace{
-		GotConn:      exchange.begin,
-		WroteRequest: exchange.wroteRequest,
+		GotConn:        exchange.begin,
+		WroteRequest:   exchange.wroteRequest,
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return checkFields(http.Header(header)) },
 	}
 	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
@@ -68,5 +71,21 @@
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 		return errors.Wrapf(ErrMalformed, "status %03d", response.StatusCode)
 	}
+	return checkFields(response.Header)
+}
+
+// checkFields returns an error if a field has a name or a value that no field may have. net/http takes a field whose name
+// holds a blank, as in "Content-Length : 2", for another one.
+func checkFields(header http.Header) error {
+	for name, values := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrMalformed, "field name %q", name)
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return errors.Wrapf(ErrMalformed, "value of field %q", name)
+			}
+		}
+	}
 	return nil
 }
--- a/io/jsonhttp/trust_test.go
+++ b/io/jsonhttp/trust_test.go
@@ -14,6 +14,7 @@
 	tests := map[string]string{
 		"reset":  "HTTP/1.1 200 OK\r\n\r\n{}",
 		"status": "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\n{}",
+		"name":   "HTTP/1.1 200 OK\r\nContent-Length : 2\r\nContent-Length: 2\r\n\r\n{}",
 	}
 	for name, answer := range tests {
 		for order, endFirst := range map[string]bool{"write_first": false, "end_first": true} {
