--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -12,8 +12,8 @@
 	requestMemoryShare = 0.2
 	// headMemoryShare is the share of the setting Memory for long heads of callers' requests.
 	headMemoryShare = 0.05
-	// memoryPerCaller is the part of the setting Memory, in bytes, for which one connection of a caller is accepted. A tenth
-	// of it is used: stacks, buffers, a usual head and the receive buffer of the kernel take 40 to 80 KB.
+	// memoryPerCaller is the part of the setting Memory, in bytes, for which one connection of a caller is accepted. A small
+	// part of it is used, for stacks, buffers, a usual head, and the receive buffer of the kernel.
 	memoryPerCaller = 384 << 10
 	// reservedFDs is the part of the setting MaxFDs that the platform reserves for files.
 	reservedFDs = 200
