--- a/io/boundedbody/boundedbody.go
+++ b/io/boundedbody/boundedbody.go
@@ -92,14 +92,19 @@
 	return next
 }
 
+// memory is memory of which bodies take parts.
+type memory interface {
+	Release(bytes int64)
+}
+
 // reservation is the memory that one body holds. While its buffer grows, it holds that of the former buffer as well.
 type reservation struct {
-	memory, former     *semaphore.Weighted
+	memory, former     memory
 	bytes, formerBytes int64
 }
 
 // replace records memory that was acquired for a larger buffer.
-func (r *reservation) replace(memory *semaphore.Weighted, bytes int64) {
+func (r *reservation) replace(memory memory, bytes int64) {
 	r.former, r.formerBytes = r.memory, r.bytes
 	r.memory, r.bytes = memory, bytes
 }
--- a/io/boundedbody/pool_test.go
+++ b/io/boundedbody/pool_test.go
@@ -22,8 +22,10 @@
 // newClient returns a client whose body has the given length, or an unknown one for -1.
 func newClient(length int64, timeout time.Duration) client {
 	near, far := net.Pipe()
+	deadline := time.Now().Add(timeout)
+	_ = far.SetReadDeadline(deadline)
 	return client{Conn: near, upload: Upload{
-		Body: far, Length: length, Deadline: time.Now().Add(timeout),
+		Body: far, Length: length, Deadline: deadline,
 		Abort: func() { _ = far.SetReadDeadline(time.Unix(1, 0)) },
 	}}
 }
@@ -98,3 +100,67 @@
 		release()
 	})
 }
+
+// TestSlowUploadBesideMany lets many clients send the first part of long bodies at once, beside one that sends slowly and
+// must get memory: it is shorter or older. Guards against uploads that all hold a part of the memory and wait for the rest,
+// until all are refused.
+func TestSlowUploadBesideMany(t *testing.T) {
+	const (
+		others, otherBytes = 100, 900 << 10
+		pieces, pieceBytes = 20, 10 << 10
+		start, pause       = 10 * time.Millisecond, 150 * time.Millisecond
+	)
+	tests := map[string]struct {
+		length, otherLength     int64
+		slowStarts, othersStart time.Duration
+	}{
+		"older":          {pieces * pieceBytes, pieces * pieceBytes, 0, start},
+		"shorter":        {pieces * pieceBytes, 2 * otherBytes, start, 0},
+		"shorter_chunks": {unknownLength, 2 * otherBytes, start, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				pool := NewPool(4 << 20)
+				var group errgroup.Group
+				for range others {
+					other := newClient(test.otherLength, time.Minute)
+					group.Go(func() error {
+						time.Sleep(test.othersStart)
+						_, _ = other.Write(make([]byte, min(otherBytes, test.otherLength-1)))
+						return nil
+					})
+					group.Go(func() error {
+						time.Sleep(test.othersStart)
+						_, release, _ := pool.Read(other.upload)
+						release()
+						return other.upload.Body.(net.Conn).Close()
+					})
+				}
+				slow := newClient(test.length, 5*time.Second)
+				time.Sleep(test.slowStarts)
+				group.Go(func() error {
+					for range pieces {
+						if _, err := slow.Write(make([]byte, pieceBytes)); err != nil {
+							return err
+						}
+						time.Sleep(pause)
+					}
+					return slow.Close()
+				})
+				body, release, err := pool.Read(slow.upload)
+				if err != nil || len(body) != pieces*pieceBytes {
+					t.Errorf("got %d bytes, error %v, want all", len(body), err)
+				}
+				_ = slow.upload.Body.(net.Conn).Close()
+				if err := group.Wait(); err != nil {
+					t.Errorf("the slow client was cut off: %v", err)
+				}
+				release()
+				if held := pool.Held(); held != 0 {
+					t.Errorf("%d bytes are held after all, want none", held)
+				}
+			})
+		})
+	}
+}
