Log when and through whom an entry learns of a departure

Cause: after a request has reached an endpoint that had left, the logs did not tell when the store had the change, when and through whom each entry learned of it, nor how old an entry's list was when it sent the attempt, so that the hypotheses of the postmortem could not be told apart.

Change: rows carry the version and the clock of the store's first answer that held them, their age and the entry through which they came, over relays too. The lines 'discovery: endpoint listed' and 'removed' show them, a retained endpoint has a line of its own, and 'dispatch: attempt ended' shows the age of the list at the time of sending. The histogram discovery.departure_delay holds the delays. The age of the registry follows from the answers about other tables, which state the version of the store: no further calls. The number of lines stays the same, except for one for each endpoint that is retained.

--- a/core/discovery/endpoint_list.go
+++ b/core/discovery/endpoint_list.go
@@ -5,12 +5,22 @@
 	"sync"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"wisteriadyke/core/clusterstate"
 	"wisteriadyke/core/fleet"
 )
 
+// retention is that of an endpoint that has disappeared from the registry.
+type retention struct {
+	// expiresAt is its end. The zero time means that MarkReachable sets it when the outage ends.
+	expiresAt time.Time
+	// source is that of the disappearance, which became known at since.
+	source Source
+	since  time.Time
+}
+
 // doubtedEndpoint is an endpoint that a restored registry lists although it was not in the table before.
 type doubtedEndpoint struct {
 	endpoint fleet.Endpoint
@@ -18,6 +28,27 @@
 	listedFrom time.Time
 }
 
+// metricDepartureDelay times how late this entry learns that an endpoint leaves or was removed: from the store's answer that
+// held it, to this entry or another one, until it is in the list.
+const metricDepartureDelay = "discovery.departure_delay"
+
+// Source is where what is known of an endpoint came from, for the log and the metrics.
+type Source struct {
+	// Version is the version of the store at the change, or 0 if it is not known.
+	Version int64
+	// StoreTime is the time of the store's first answer with the change, on the store's clock.
+	StoreTime time.Duration
+	// Age is the time since that answer arrived at the entry that asked the store.
+	Age time.Duration
+	// Via is the entry through which this one learned of the change, or "" for the store.
+	Via fleet.EntryID
+}
+
+// log adds the source to a line of the log.
+func (s Source) log(line *zerolog.Event) *zerolog.Event {
+	return line.Int64("store_version", s.Version).Dur("store_time_ms", s.StoreTime).Dur("age_ms", s.Age).Str("via", string(s.Via))
+}
+
 // EndpointList applies the endpoints of the registry to the cluster state. Endpoints that disappear from the registry
 // during its outage, or shortly after, are retained until they have had time to register again. An endpoint that is
 // known to leave remains so until the registry lists a later incarnation, whatever it lists before. The fields must be
@@ -33,6 +64,8 @@
 	// RemovalGrace is how long an endpoint is retained that disappears within ReconnectGrace after an outage: it may not
 	// have registered again yet, or may be leaving.
 	RemovalGrace time.Duration
+	// Metrics receives how late departures become known; nil disables that.
+	Metrics metrics.Registry
 	// Log receives messages about endpoints that are listed, change state or are removed.
 	Log zerolog.Logger
 
@@ -40,10 +73,8 @@
 	unreachable bool
 	// outageEndedAt is the end of the last outage; it is zero before the first one ends.
 	outageEndedAt time.Time
-	// retained holds when the endpoints that have disappeared expire. The zero time means that MarkReachable sets the
-	// expiry when the outage ends.
-	retained   map[fleet.EndpointID]time.Time
-	departures departures
+	retained      map[fleet.EndpointID]retention
+	departures    departures
 	// doubted holds the endpoints that a restored registry lists although they were not in the table before, with the time
 	// from which they count as listed.
 	doubted map[fleet.EndpointID]doubtedEndpoint
@@ -51,17 +82,17 @@
 
 // Replace replaces the rows of the table by a complete list of the registry. It removes endpoints that are not in the
 // list if the registry is stable, and retains them otherwise.
-func (l *EndpointList) Replace(listed map[fleet.EndpointID]fleet.Endpoint, now time.Time) {
+func (l *EndpointList) Replace(listed map[fleet.EndpointID]fleet.Endpoint, source Source, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.replace(listed, now, now.Add(l.RemovalGrace))
+	l.replace(listed, source, now, now.Add(l.RemovalGrace))
 }
 
 // Restore replaces the rows of the table by a complete list of a registry that came back from a copy some seconds old.
 // Endpoints that the copy lacks are retained for ReconnectGrace, so that they can register again. Endpoints that are in the
 // copy but not in the table were removed after the copy, even if this entry never knew them. They are left out for
 // LapseTime: by then, the registry has removed them again unless they live.
-func (l *EndpointList) Restore(listed map[fleet.EndpointID]fleet.Endpoint, now time.Time) {
+func (l *EndpointList) Restore(listed map[fleet.EndpointID]fleet.Endpoint, source Source, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.unreachable = false
@@ -78,12 +109,14 @@
 		}
 		believed[id] = endpoint
 	}
-	l.replace(believed, now, now.Add(l.ReconnectGrace))
+	l.replace(believed, source, now, now.Add(l.ReconnectGrace))
 }
 
 // replace replaces the rows of the table by listed. It retains endpoints that are not in the list until retainUntil if
 // the registry is not stable; the caller holds the lock.
-func (l *EndpointList) replace(listed map[fleet.EndpointID]fleet.Endpoint, now, retainUntil time.Time) {
+func (l *EndpointList) replace(
+	listed map[fleet.EndpointID]fleet.Endpoint, source Source, now, retainUntil time.Time,
+) {
 	endpoints := make(map[fleet.EndpointID]fleet.Endpoint, len(listed))
 	for id, endpoint := range listed {
 		endpoints[id] = l.departures.apply(endpoint, now)
@@ -94,24 +127,24 @@
 			continue
 		}
 		if l.registryStable(now) {
-			l.recordRemoval(endpoint, now)
+			l.recordRemoval(endpoint, source, now)
 			continue
 		}
-		l.retain(id, retainUntil)
+		l.retain(id, source, retainUntil, now)
 		endpoints[id] = endpoint
 	}
 	for id, endpoint := range endpoints {
-		l.logListed(id, endpoint)
+		l.logListed(id, endpoint, source)
 	}
 	l.State.Endpoints.Replace(endpoints)
 }
 
 // Put adds or replaces one endpoint that the registry has listed.
-func (l *EndpointList) Put(endpoint fleet.Endpoint, now time.Time) {
+func (l *EndpointList) Put(endpoint fleet.Endpoint, source Source, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	endpoint = l.departures.apply(endpoint, now)
-	l.logListed(endpoint.ID, endpoint)
+	l.logListed(endpoint.ID, endpoint, source)
 	delete(l.doubted, endpoint.ID)
 	delete(l.retained, endpoint.ID)
 	l.State.Endpoints.Set(endpoint.ID, endpoint)
@@ -119,7 +152,7 @@
 
 // Remove removes an endpoint that the registry has removed. If the registry is not stable, it retains the endpoint
 // until it expires.
-func (l *EndpointList) Remove(id fleet.EndpointID, now time.Time) {
+func (l *EndpointList) Remove(id fleet.EndpointID, source Source, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.doubted, id)
@@ -128,10 +161,10 @@
 		return
 	}
 	if !l.registryStable(now) {
-		l.retain(id, now.Add(l.RemovalGrace))
+		l.retain(id, source, now.Add(l.RemovalGrace), now)
 		return
 	}
-	l.recordRemoval(endpoint, now)
+	l.recordRemoval(endpoint, source, now)
 	l.State.Endpoints.Delete(id)
 }
 
@@ -178,16 +211,18 @@
 		l.unreachable = false
 		l.outageEndedAt = now
 	}
-	for id, expiresAt := range l.retained {
-		if expiresAt.IsZero() {
-			l.retained[id] = l.outageEndedAt.Add(l.ReconnectGrace)
+	for id, r := range l.retained {
+		if r.expiresAt.IsZero() {
+			r.expiresAt = l.outageEndedAt.Add(l.ReconnectGrace)
+			l.retained[id] = r
 			continue
 		}
-		if now.Before(expiresAt) {
+		if now.Before(r.expiresAt) {
 			continue
 		}
 		if endpoint, found := l.State.Endpoints.Get(id); found {
-			l.recordRemoval(endpoint, now)
+			r.source.Age += now.Sub(r.since)
+			l.recordRemoval(endpoint, r.source, now)
 			l.State.Endpoints.Delete(id)
 		}
 		delete(l.retained, id)
@@ -204,7 +239,7 @@
 		}
 		delete(l.doubted, id)
 		endpoint := l.departures.apply(d.endpoint, now)
-		l.logListed(id, endpoint)
+		l.logListed(id, endpoint, Source{})
 		l.State.Endpoints.Set(id, endpoint)
 	}
 }
@@ -224,9 +259,9 @@
 	for _, d := range l.doubted {
 		earliest = min(earliest, d.listedFrom.Sub(now))
 	}
-	for _, expiresAt := range l.retained {
-		if !expiresAt.IsZero() {
-			earliest = min(earliest, expiresAt.Sub(now))
+	for _, r := range l.retained {
+		if !r.expiresAt.IsZero() {
+			earliest = min(earliest, r.expiresAt.Sub(now))
 		}
 	}
 	return max(0, earliest), true
@@ -240,26 +275,31 @@
 
 // retain sets the expiry of an endpoint that has disappeared, unless it is set already; during an outage MarkReachable
 // sets it when the outage ends. The caller holds the lock.
-func (l *EndpointList) retain(id fleet.EndpointID, until time.Time) {
+func (l *EndpointList) retain(id fleet.EndpointID, source Source, until, now time.Time) {
 	if _, found := l.retained[id]; found {
 		return
 	}
 	if l.retained == nil {
-		l.retained = make(map[fleet.EndpointID]time.Time)
+		l.retained = make(map[fleet.EndpointID]retention)
 	}
 	if l.unreachable {
 		until = time.Time{}
 	}
-	l.retained[id] = until
+	l.retained[id] = retention{expiresAt: until, source: source, since: now}
+	source.log(l.Log.Info()).Str("endpoint", string(id)).Bool("unreachable", l.unreachable).
+		Msg("discovery: removed endpoint retained, since the registry may have lost it in an outage")
 }
 
 // logListed logs an endpoint that is new or has another incarnation or state; the caller holds the lock.
-func (l *EndpointList) logListed(id fleet.EndpointID, endpoint fleet.Endpoint) {
+func (l *EndpointList) logListed(id fleet.EndpointID, endpoint fleet.Endpoint, source Source) {
 	known, found := l.State.Endpoints.Get(id)
 	if found && known.Incarnation == endpoint.Incarnation && known.State == endpoint.State {
 		return
 	}
-	l.Log.Info().
+	if found && endpoint.State == fleet.StateLeaving && known.State != fleet.StateLeaving {
+		l.recordDelay(source)
+	}
+	source.log(l.Log.Info()).
 		Str("endpoint", string(id)).
 		Str("pool", string(endpoint.Pool)).
 		Str("zone", string(endpoint.Zone)).
@@ -269,7 +309,17 @@
 }
 
 // recordRemoval remembers and logs that an endpoint was removed from the table; the caller holds the lock.
-func (l *EndpointList) recordRemoval(endpoint fleet.Endpoint, now time.Time) {
+func (l *EndpointList) recordRemoval(endpoint fleet.Endpoint, source Source, now time.Time) {
 	l.departures.remove(endpoint, now)
-	l.Log.Info().Str("endpoint", string(endpoint.ID)).Msg("discovery: endpoint removed")
+	if endpoint.State != fleet.StateLeaving {
+		l.recordDelay(source)
+	}
+	source.log(l.Log.Info()).Str("endpoint", string(endpoint.ID)).Msg("discovery: endpoint removed")
+}
+
+// recordDelay adds how late a departure became known to the metrics.
+func (l *EndpointList) recordDelay(source Source) {
+	if l.Metrics != nil {
+		metrics.GetOrRegisterTimer(metricDepartureDelay, l.Metrics).Update(source.Age)
+	}
 }
--- a/core/discovery/endpoint_list_test.go
+++ b/core/discovery/endpoint_list_test.go
@@ -22,13 +22,13 @@
 		want  []fleet.EndpointID
 	}{
 		"removed while the registry answers": {
-			steps: func(l *EndpointList, at func(time.Duration) time.Time) { l.Remove("b", at(time.Second)) },
+			steps: func(l *EndpointList, at func(time.Duration) time.Time) { l.Remove("b", Source{}, at(time.Second)) },
 			want:  []fleet.EndpointID{"a"},
 		},
 		"gone at the first answer after an outage, kept for the grace": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
 				l.MarkUnreachable()
-				l.Remove("b", at(5*time.Second))
+				l.Remove("b", Source{}, at(5*time.Second))
 				l.MarkReachable(at(5 * time.Second))
 				l.MarkReachable(at(6900 * time.Millisecond))
 			},
@@ -37,7 +37,7 @@
 		"gone at the first answer after an outage, dropped behind the grace": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
 				l.MarkUnreachable()
-				l.Remove("b", at(5*time.Second))
+				l.Remove("b", Source{}, at(5*time.Second))
 				l.MarkReachable(at(5 * time.Second))
 				l.MarkReachable(at(7 * time.Second))
 			},
@@ -47,7 +47,7 @@
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
 				l.MarkUnreachable()
 				l.MarkReachable(at(5 * time.Second))
-				l.Remove("b", at(5500*time.Millisecond))
+				l.Remove("b", Source{}, at(5500*time.Millisecond))
 				l.MarkReachable(at(5500 * time.Millisecond))
 				l.MarkReachable(at(6300 * time.Millisecond))
 			},
@@ -56,9 +56,9 @@
 		"back after an outage": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
 				l.MarkUnreachable()
-				l.Remove("b", at(5*time.Second))
+				l.Remove("b", Source{}, at(5*time.Second))
 				l.MarkReachable(at(5 * time.Second))
-				l.Put(fleet.Endpoint{ID: "b"}, at(5*time.Second))
+				l.Put(fleet.Endpoint{ID: "b"}, Source{}, at(5*time.Second))
 				l.MarkReachable(at(9 * time.Second))
 			},
 			want: []fleet.EndpointID{"a", "b"},
@@ -66,7 +66,7 @@
 		"missing in the whole list that is read after an outage": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
 				l.MarkUnreachable()
-				l.Replace(map[fleet.EndpointID]fleet.Endpoint{"a": {ID: "a"}}, at(5*time.Second))
+				l.Replace(map[fleet.EndpointID]fleet.Endpoint{"a": {ID: "a"}}, Source{}, at(5*time.Second))
 				l.MarkReachable(at(5 * time.Second))
 				l.MarkReachable(at(6 * time.Second))
 			},
@@ -74,7 +74,7 @@
 		},
 		"missing in the whole list while the registry answers": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
-				l.Replace(map[fleet.EndpointID]fleet.Endpoint{"a": {ID: "a"}}, at(5*time.Second))
+				l.Replace(map[fleet.EndpointID]fleet.Endpoint{"a": {ID: "a"}}, Source{}, at(5*time.Second))
 			},
 			want: []fleet.EndpointID{"a"},
 		},
@@ -82,8 +82,8 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			l := &EndpointList{State: &clusterstate.State{}, ReconnectGrace: testReconnectGrace, RemovalGrace: testRemovalGrace}
-			l.Put(fleet.Endpoint{ID: "a"}, start)
-			l.Put(fleet.Endpoint{ID: "b"}, start)
+			l.Put(fleet.Endpoint{ID: "a"}, Source{}, start)
+			l.Put(fleet.Endpoint{ID: "b"}, Source{}, start)
 			l.MarkReachable(start)
 			tc.steps(l, start.Add)
 			var got []fleet.EndpointID
@@ -126,8 +126,8 @@
 		"announced, then listed as live": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
 				l.MarkLeaving("a", 5, false, at(0))
-				l.Put(live(5), at(time.Second))
-				l.Replace(listed(live(5)), at(2*time.Second))
+				l.Put(live(5), Source{}, at(time.Second))
+				l.Replace(listed(live(5)), Source{}, at(2*time.Second))
 			},
 			want: fleet.StateLeaving,
 		},
@@ -138,89 +138,89 @@
 		"announced, then a later incarnation": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
 				l.MarkLeaving("a", 5, true, at(0))
-				l.Put(live(6), at(time.Second))
+				l.Put(live(6), Source{}, at(time.Second))
 			},
 			want: fleet.StateLive,
 		},
 		"listed as leaving, then as live": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
-				l.Put(leaving, at(0))
-				l.Put(live(5), at(time.Second))
+				l.Put(leaving, Source{}, at(0))
+				l.Put(live(5), Source{}, at(time.Second))
 			},
 			want: fleet.StateLeaving,
 		},
 		"leaving, then live in a restored registry": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
-				l.Put(leaving, at(0))
-				l.Restore(listed(live(5)), at(time.Second))
+				l.Put(leaving, Source{}, at(0))
+				l.Restore(listed(live(5)), Source{}, at(time.Second))
 				l.MarkReachable(at(time.Minute))
 			},
 			want: fleet.StateLeaving,
 		},
 		"removed, then in a restored registry": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
-				l.Remove("a", at(0))
-				l.Restore(listed(live(5)), at(time.Second))
+				l.Remove("a", Source{}, at(0))
+				l.Restore(listed(live(5)), Source{}, at(time.Second))
 				l.MarkReachable(at(time.Second + lapse - 1))
 			},
 		},
 		"removed, restored, removed again": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
-				l.Remove("a", at(0))
-				l.Restore(listed(live(5)), at(time.Second))
-				l.Remove("a", at(4*time.Second))
+				l.Remove("a", Source{}, at(0))
+				l.Restore(listed(live(5)), Source{}, at(time.Second))
+				l.Remove("a", Source{}, at(4*time.Second))
 				l.MarkReachable(at(time.Second + lapse))
 			},
 		},
 		"removed, restored, not removed again": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
-				l.Remove("a", at(0))
-				l.Restore(listed(live(5)), at(time.Second))
+				l.Remove("a", Source{}, at(0))
+				l.Restore(listed(live(5)), Source{}, at(time.Second))
 				l.MarkReachable(at(time.Second + lapse))
 			},
 			want: fleet.StateLive,
 		},
 		"removed, restored, written again": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
-				l.Remove("a", at(0))
-				l.Restore(listed(live(5)), at(time.Second))
-				l.Put(live(5), at(2*time.Second))
+				l.Remove("a", Source{}, at(0))
+				l.Restore(listed(live(5)), Source{}, at(time.Second))
+				l.Put(live(5), Source{}, at(2*time.Second))
 			},
 			want: fleet.StateLive,
 		},
 		"restored twice": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
-				l.Remove("a", at(0))
-				l.Restore(listed(live(5)), at(time.Second))
-				l.Restore(listed(live(5)), at(4*time.Second))
+				l.Remove("a", Source{}, at(0))
+				l.Restore(listed(live(5)), Source{}, at(time.Second))
+				l.Restore(listed(live(5)), Source{}, at(4*time.Second))
 				l.MarkReachable(at(time.Second + lapse))
 			},
 		},
 		"never known, then in a restored registry": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
-				l.Remove("a", at(0))
+				l.Remove("a", Source{}, at(0))
 				l.departures = departures{}
-				l.Restore(listed(live(5)), at(time.Second))
+				l.Restore(listed(live(5)), Source{}, at(time.Second))
 				l.MarkReachable(at(time.Second + lapse - 1))
 			},
 		},
 		"later incarnation in a restored registry": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
-				l.Remove("a", at(0))
-				l.Restore(listed(live(6)), at(time.Second))
+				l.Remove("a", Source{}, at(0))
+				l.Restore(listed(live(6)), Source{}, at(time.Second))
 			},
 			want: fleet.StateLive,
 		},
 		"missing in a restored registry, within the grace": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
-				l.Restore(listed(), at(time.Second))
+				l.Restore(listed(), Source{}, at(time.Second))
 				l.MarkReachable(at(time.Second + testReconnectGrace - 1))
 			},
 			want: fleet.StateLive,
 		},
 		"missing in a restored registry, after the grace": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
-				l.Restore(listed(), at(time.Second))
+				l.Restore(listed(), Source{}, at(time.Second))
 				l.MarkReachable(at(time.Second + testReconnectGrace))
 			},
 		},
@@ -230,7 +230,7 @@
 			l := &EndpointList{
 				State: &clusterstate.State{}, ReconnectGrace: testReconnectGrace, RemovalGrace: testRemovalGrace, LapseTime: lapse,
 			}
-			l.Put(live(5), start)
+			l.Put(live(5), Source{}, start)
 			l.MarkReachable(start)
 			tc.steps(l, start.Add)
 			got, _ := l.State.Endpoints.Get("a")
--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -44,6 +44,8 @@
 	// sentAt is when the attempt was sent; settled reports whether it was answered for quarantine.SettleTime.
 	sentAt  time.Time
 	settled bool
+	// listAge is how old the list of endpoints was at sentAt, or -1 if that is not known.
+	listAge time.Duration
 	// renewNow triggers an immediate renewal.
 	renewNow chan struct{}
 	// moved reports whether the attempt was ended so that the request continues on another endpoint.
@@ -144,7 +146,7 @@
 		a.renew(ctx, suspected, cancel)
 		return nil
 	})
-	a.sentAt = time.Now()
+	a.sentAt, a.listAge = time.Now(), a.currentListAge()
 	res := a.stream(ctx)
 	res.endedAt = time.Now()
 	res.release.CutShort = ctx.Err() != nil
@@ -158,6 +160,18 @@
 	return res
 }
 
+// currentListAge returns how old the list of endpoints is, or -1 if that is not known.
+func (r *requestRun) currentListAge() time.Duration {
+	if r.ListAge == nil {
+		return -1
+	}
+	age, known := r.ListAge()
+	if !known {
+		return -1
+	}
+	return age
+}
+
 // stream runs the attempt and writes its tokens to the sink.
 func (a *attemptRun) stream(ctx context.Context) attemptResult {
 	var res attemptResult
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -82,6 +82,8 @@
 	Reachable func(zone fleet.Zone) bool
 	// Forwarding lets other entries serve requests while this entry reaches no endpoint; nil disables that.
 	Forwarding *Forwarding
+	// ListAge returns how old the list of endpoints is, for the log; nil, and false, mean that it is not known.
+	ListAge func() (time.Duration, bool)
 	// AskOthers asks other entries whether they can connect to an endpoint that this one can't reach, and returns how many
 	// can and how many can't; nil disables that.
 	AskOthers func(ctx context.Context, endpoint fleet.Endpoint) (reached, failed int)
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -51,6 +51,8 @@
 		Strs("helpers", helperNames(a.grant.Helpers)).
 		Int64("prompt_tokens", int64(r.request.PromptTokens)).
 		Dur("predicted_ms", a.grant.Predicted).
+		Dur("ran_ms", result.endedAt.Sub(a.sentAt)).
+		Dur("list_age_ms", a.listAge).
 		Dur("first_token_ms", result.release.TimeToFirstToken).
 		Dur("answer_ms", result.release.DecodeTime).
 		Dur("longest_pause_ms", result.longestPause).
--- a/core/mirror/row.go
+++ b/core/mirror/row.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"wisteriadyke/core/fleet"
 )
 
 // Errors of this package, to be matched by errors.Is.
@@ -39,8 +41,17 @@
 	Version int64
 	// Deleted reports whether the row was deleted.
 	Deleted bool
+	Origin
+}
+
+// Origin is where and when a row was read.
+type Origin struct {
 	// ReadAt is when the store's answer with the row arrived, on the clock of this entry.
 	ReadAt time.Duration
+	// StoreTime is the time of that answer on the store's clock, which all entries share; 0 if the store didn't state it.
+	StoreTime time.Duration
+	// Via is the entry through which this one read the row, or "" for the store.
+	Via fleet.EntryID
 }
 
 // Update is an answer about one table, from the store or from another entry.
--- a/core/mirror/table.go
+++ b/core/mirror/table.go
@@ -83,6 +83,13 @@
 	}
 }
 
+// ConfirmedAt returns the latest time of Confirm; it reports false if there is none.
+func (t *Table) ConfirmedAt() (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.confirmedAt, t.confirmed
+}
+
 // Apply applies an update and returns what changed. The error is ErrStale if the update is older than what is known, or
 // ErrGap if it doesn't continue it; neither changes the table.
 func (t *Table) Apply(u Update) (Effect, error) {
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -163,6 +163,7 @@
 		ReconnectGrace: reconnectGrace,
 		RemovalGrace:   removalGrace,
 		LapseTime:      lapseTime,
+		Metrics:        p.metrics,
 		Log:            p.Log,
 	}
 	p.buildEndpointClient()
@@ -319,6 +320,7 @@
 			CutOff: p.reach.CutOff, Unreachable: p.outliers.Unreachable, Alternates: p.choosers.Alternates,
 			RecordFailure: p.choosers.RecordAlternateFailure, Client: p.forwards,
 		},
+		ListAge:     p.feed.RegistryAge,
 		AskOthers:   p.choosers.AskOthers,
 		CanTell:     p.witness.CanTell,
 		EndedAlone:  p.witness.EndedAlone,
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
+
 	"wisteriadyke/core/fleet"
 	"wisteriadyke/standin/cierzo"
 )
@@ -206,6 +208,30 @@
 	}
 }
 
+// TestDepartureDelayIsMeasured guards against departures whose way to an entry can't be explained: each entry must know the age
+// of its list and measure how late it learned of a removal, also through another entry.
+func TestDepartureDelayIsMeasured(t *testing.T) {
+	const drainTime = 2 * time.Second
+	w := newCluster(t)
+	w.startEndpoint(&cierzo.Endpoint{ID: "i-1", Service: "services"})
+	leaving := w.startEndpoint(&cierzo.Endpoint{ID: "i-2", Service: "services"})
+	ranked := w.startZone()
+	w.store.Remove("servers", leaving.ID)
+	for _, e := range ranked {
+		w.waitFor("the removed endpoint is dropped", func() bool {
+			_, found := e.process.state.Endpoints.Get("i-2")
+			return !found
+		})
+		if age, known := e.process.feed.RegistryAge(); !known || age > drainTime {
+			t.Errorf("%s: age of the list = %v, %t, want at most %v", e.settings.Entry, age, known, drainTime)
+		}
+		delay, found := e.process.metrics.Get("discovery.departure_delay").(metrics.Timer)
+		if !found || delay.Count() != 1 || time.Duration(delay.Max()) > drainTime {
+			t.Errorf("%s: delay of the departure was not measured once, within %v", e.settings.Entry, drainTime)
+		}
+	}
+}
+
 // TestZoneAfterAnOutage lets the store fall silent for all entries. Each entry must learn of a change soon after the
 // store's return: the platform counts on it three seconds after, and on the change two seconds after that.
 func TestZoneAfterAnOutage(t *testing.T) {
--- a/io/peer/rows.go
+++ b/io/peer/rows.go
@@ -100,6 +100,8 @@
 			Deleted:    row.Deleted,
 			AgeUs:      (h.clock() - row.ReadAt).Microseconds(),
 			Compressed: compressed,
+
+			StoreTimeUs: row.StoreTime.Microseconds(),
 		})
 	}
 	now := h.clock()
@@ -148,7 +150,8 @@
 			return mirror.Update{}, errors.Wrapf(err, "row %s", r.Key)
 		}
 		update.Rows = append(update.Rows, mirror.Row{
-			Key: r.Key, Value: value, Version: r.Version, Deleted: r.Deleted, ReadAt: sentAt - microseconds(r.AgeUs),
+			Key: r.Key, Value: value, Version: r.Version, Deleted: r.Deleted,
+			Origin: mirror.Origin{ReadAt: sentAt - microseconds(r.AgeUs), StoreTime: microseconds(r.StoreTimeUs)},
 		})
 	}
 	return update, nil
