--- a/standin/cierzo/store.go
+++ b/standin/cierzo/store.go
@@ -255,7 +255,7 @@
 	if more {
 		rows = rows[:limit]
 	}
-	writeJSON(w, map[string]any{"rows": view.apply(rows), "hasMore": more, "ver": s.version})
+	writeJSON(w, map[string]any{"rows": view.apply(rows), "hasMore": more, "ver": s.version, "nowMs": clockMs()})
 }
 
 // feed is a long poll: it answers with the changes of a table after a version, and waits for the first one for up to
@@ -293,13 +293,13 @@
 		version, changed := s.version, s.changed
 		s.mu.Unlock()
 		if len(rows) > 0 {
-			writeJSON(w, map[string]any{"rows": view.apply(rows), "ver": version})
+			writeJSON(w, map[string]any{"rows": view.apply(rows), "ver": version, "nowMs": clockMs()})
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			writeJSON(w, map[string]any{"rows": rows, "ver": version})
+			writeJSON(w, map[string]any{"rows": rows, "ver": version, "nowMs": clockMs()})
 			return
 		case <-r.Context().Done():
 			return
@@ -340,6 +340,14 @@
 	writeJSON(w, map[string]any{"ver": s.version})
 }
 
+// startedAt is the start of the store's steady clock.
+var startedAt = time.Now()
+
+// clockMs returns the time on the store's steady clock in milliseconds.
+func clockMs() int64 {
+	return time.Since(startedAt).Milliseconds()
+}
+
 // writeJSON answers with a JSON body.
 func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
