Take only an outage that no entry on the way contradicts for one

It retained an endpoint whose removal it then read through a neighbor, as live, for two seconds from the end of its own outage, after all earlier delays.

Cause: what one entry can't reach was taken for the state of the store, and the retention counted from when the entry learned of the end.

Change: Contact tracks since when the store has answered without an outage. Entries pass it on with their rows, so that an answer of a neighbor that was in touch shows that there was no outage, and that of a neighbor that lost the store too tells when the store returned. The evidence is applied before the rows, the retention of rows that lapsed counts from the store's return, also for a restored store and for whole tables, and a loss that is shorter than the interval at which endpoints write (new setting report_interval) is no outage. EndpointList no longer knows of unreachability; the time after which a silent endpoint lapses follows from that setting. An entry of an earlier version states nothing, so that its answers count as before. The new setting drain_time is read and not yet used.

The tests of EndpointList state the same steps by RecordOutage and DropExpired.

--- a/core/discovery/endpoint_list.go
+++ b/core/discovery/endpoint_list.go
@@ -14,7 +14,7 @@
 
 // retention is that of an endpoint that has disappeared from the registry.
 type retention struct {
-	// expiresAt is its end. The zero time means that MarkReachable sets it when the outage ends.
+	// expiresAt is its end.
 	expiresAt time.Time
 	// source is that of the disappearance, which became known at since.
 	source Source
@@ -28,6 +28,10 @@
 	listedFrom time.Time
 }
 
+// outageTolerance is the difference up to which two ends of an outage are taken for the same, since the time is converted
+// between clocks at each answer.
+const outageTolerance = 50 * time.Millisecond
+
 // metricDepartureDelay times how late this entry learns that an endpoint leaves or was removed: from the store's answer that
 // held it, to this entry or another one, until it is in the list.
 const metricDepartureDelay = "discovery.departure_delay"
@@ -69,10 +73,11 @@
 	// Log receives messages about endpoints that are listed, change state or are removed.
 	Log zerolog.Logger
 
-	mu          sync.Mutex
-	unreachable bool
-	// outageEndedAt is the end of the last outage; it is zero before the first one ends.
+	mu sync.Mutex
+	// outageEndedAt is the end of the last outage; it is zero before the first one ends. firstAnswer reports whether the rows
+	// that are applied are those of the first answer after it.
 	outageEndedAt time.Time
+	firstAnswer   bool
 	retained      map[fleet.EndpointID]retention
 	departures    departures
 	// doubted holds the endpoints that a restored registry lists although they were not in the table before, with the time
@@ -85,7 +90,7 @@
 func (l *EndpointList) Replace(listed map[fleet.EndpointID]fleet.Endpoint, source Source, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.replace(listed, source, now, now.Add(l.RemovalGrace))
+	l.replace(listed, source, now)
 }
 
 // Restore replaces the rows of the table by a complete list of a registry that came back from a copy some seconds old.
@@ -95,28 +100,27 @@
 func (l *EndpointList) Restore(listed map[fleet.EndpointID]fleet.Endpoint, source Source, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.unreachable = false
-	l.outageEndedAt = now
+	if !l.firstAnswer || now.Sub(l.outageEndedAt) >= l.ReconnectGrace {
+		l.outageEndedAt, l.firstAnswer = now, true
+	}
 	l.doubted = make(map[fleet.EndpointID]doubtedEndpoint)
 	believed := make(map[fleet.EndpointID]fleet.Endpoint, len(listed))
 	for id, endpoint := range listed {
 		_, known := l.State.Endpoints.Get(id)
 		if !known && !l.departures.restarted(endpoint) {
-			l.doubted[id] = doubtedEndpoint{endpoint: endpoint, listedFrom: now.Add(l.LapseTime)}
+			l.doubted[id] = doubtedEndpoint{endpoint: endpoint, listedFrom: l.outageEndedAt.Add(l.LapseTime)}
 			l.Log.Info().Str("endpoint", string(id)).Uint64("incarnation", uint64(endpoint.Incarnation)).
 				Msg("discovery: restored registry lists a removed endpoint; leaving it out")
 			continue
 		}
 		believed[id] = endpoint
 	}
-	l.replace(believed, source, now, now.Add(l.ReconnectGrace))
+	l.replace(believed, source, now)
 }
 
-// replace replaces the rows of the table by listed. It retains endpoints that are not in the list until retainUntil if
-// the registry is not stable; the caller holds the lock.
-func (l *EndpointList) replace(
-	listed map[fleet.EndpointID]fleet.Endpoint, source Source, now, retainUntil time.Time,
-) {
+// replace replaces the rows of the table by listed. It retains endpoints that are not in the list if the registry is not
+// stable; the caller holds the lock.
+func (l *EndpointList) replace(listed map[fleet.EndpointID]fleet.Endpoint, source Source, now time.Time) {
 	endpoints := make(map[fleet.EndpointID]fleet.Endpoint, len(listed))
 	for id, endpoint := range listed {
 		endpoints[id] = l.departures.apply(endpoint, now)
@@ -130,7 +134,7 @@
 			l.recordRemoval(endpoint, source, now)
 			continue
 		}
-		l.retain(id, source, retainUntil, now)
+		l.retain(id, source, now)
 		endpoints[id] = endpoint
 	}
 	for id, endpoint := range endpoints {
@@ -161,7 +165,7 @@
 		return
 	}
 	if !l.registryStable(now) {
-		l.retain(id, source, now.Add(l.RemovalGrace), now)
+		l.retain(id, source, now)
 		return
 	}
 	l.recordRemoval(endpoint, source, now)
@@ -195,28 +199,22 @@
 	return l.departures.announced(now)
 }
 
-// MarkUnreachable records that the registry cannot be reached, so that endpoints that disappear are retained.
-func (l *EndpointList) MarkUnreachable() {
+// RecordOutage records the end of an outage of the registry, as far as any entry knows it. It is called before the rows of
+// each answer are applied; an earlier end than the one that is known has no effect.
+func (l *EndpointList) RecordOutage(endedAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.unreachable = true
+	if endedAt.Sub(l.outageEndedAt) > outageTolerance {
+		l.outageEndedAt, l.firstAnswer = endedAt, true
+	}
 }
 
-// MarkReachable records that the registry has answered, sets the expiry of the endpoints that disappeared during an
-// outage, and removes the retained endpoints that have expired.
-func (l *EndpointList) MarkReachable(now time.Time) {
+// DropExpired removes the retained endpoints that have expired. It is called after the rows of each answer were applied.
+func (l *EndpointList) DropExpired(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.unreachable {
-		l.unreachable = false
-		l.outageEndedAt = now
-	}
+	l.firstAnswer = false
 	for id, r := range l.retained {
-		if r.expiresAt.IsZero() {
-			r.expiresAt = l.outageEndedAt.Add(l.ReconnectGrace)
-			l.retained[id] = r
-			continue
-		}
 		if now.Before(r.expiresAt) {
 			continue
 		}
@@ -260,33 +258,32 @@
 		earliest = min(earliest, d.listedFrom.Sub(now))
 	}
 	for _, r := range l.retained {
-		if !r.expiresAt.IsZero() {
-			earliest = min(earliest, r.expiresAt.Sub(now))
-		}
+		earliest = min(earliest, r.expiresAt.Sub(now))
 	}
 	return max(0, earliest), true
 }
 
-// registryStable reports whether the registry is reachable and no outage ended within ReconnectGrace, so that an
-// endpoint that disappears has left; the caller holds the lock.
+// registryStable reports whether no outage of the registry ended within ReconnectGrace, so that an endpoint that disappears
+// has left; the caller holds the lock.
 func (l *EndpointList) registryStable(now time.Time) bool {
-	return !l.unreachable && (l.outageEndedAt.IsZero() || now.Sub(l.outageEndedAt) >= l.ReconnectGrace)
+	return l.outageEndedAt.IsZero() || now.Sub(l.outageEndedAt) >= l.ReconnectGrace
 }
 
-// retain sets the expiry of an endpoint that has disappeared, unless it is set already; during an outage MarkReachable
-// sets it when the outage ends. The caller holds the lock.
-func (l *EndpointList) retain(id fleet.EndpointID, source Source, until, now time.Time) {
+// retain sets the expiry of an endpoint that has disappeared, unless it is set already: ReconnectGrace after the outage if
+// it may have lapsed in it, else RemovalGrace. The caller holds the lock.
+func (l *EndpointList) retain(id fleet.EndpointID, source Source, now time.Time) {
 	if _, found := l.retained[id]; found {
 		return
 	}
 	if l.retained == nil {
 		l.retained = make(map[fleet.EndpointID]retention)
 	}
-	if l.unreachable {
-		until = time.Time{}
+	expiresAt := now.Add(l.RemovalGrace)
+	if l.firstAnswer {
+		expiresAt = l.outageEndedAt.Add(l.ReconnectGrace)
 	}
-	l.retained[id] = retention{expiresAt: until, source: source, since: now}
-	source.log(l.Log.Info()).Str("endpoint", string(id)).Bool("unreachable", l.unreachable).
+	l.retained[id] = retention{expiresAt: expiresAt, source: source, since: now}
+	source.log(l.Log.Info()).Str("endpoint", string(id)).Dur("held_ms", expiresAt.Sub(now)).
 		Msg("discovery: removed endpoint retained, since the registry may have lost it in an outage")
 }
 
--- a/core/discovery/endpoint_list_test.go
+++ b/core/discovery/endpoint_list_test.go
@@ -27,48 +27,48 @@
 		},
 		"gone at the first answer after an outage, kept for the grace": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
-				l.MarkUnreachable()
+				l.RecordOutage(at(5 * time.Second))
 				l.Remove("b", Source{}, at(5*time.Second))
-				l.MarkReachable(at(5 * time.Second))
-				l.MarkReachable(at(6900 * time.Millisecond))
+				l.DropExpired(at(5 * time.Second))
+				l.DropExpired(at(6900 * time.Millisecond))
 			},
 			want: []fleet.EndpointID{"a", "b"},
 		},
 		"gone at the first answer after an outage, dropped behind the grace": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
-				l.MarkUnreachable()
+				l.RecordOutage(at(5 * time.Second))
 				l.Remove("b", Source{}, at(5*time.Second))
-				l.MarkReachable(at(5 * time.Second))
-				l.MarkReachable(at(7 * time.Second))
+				l.DropExpired(at(5 * time.Second))
+				l.DropExpired(at(7 * time.Second))
 			},
 			want: []fleet.EndpointID{"a"},
 		},
 		"gone soon after the return, dropped within the drain time": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
-				l.MarkUnreachable()
-				l.MarkReachable(at(5 * time.Second))
+				l.RecordOutage(at(5 * time.Second))
+				l.DropExpired(at(5 * time.Second))
 				l.Remove("b", Source{}, at(5500*time.Millisecond))
-				l.MarkReachable(at(5500 * time.Millisecond))
-				l.MarkReachable(at(6300 * time.Millisecond))
+				l.DropExpired(at(5500 * time.Millisecond))
+				l.DropExpired(at(6300 * time.Millisecond))
 			},
 			want: []fleet.EndpointID{"a"},
 		},
 		"back after an outage": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
-				l.MarkUnreachable()
+				l.RecordOutage(at(5 * time.Second))
 				l.Remove("b", Source{}, at(5*time.Second))
-				l.MarkReachable(at(5 * time.Second))
+				l.DropExpired(at(5 * time.Second))
 				l.Put(fleet.Endpoint{ID: "b"}, Source{}, at(5*time.Second))
-				l.MarkReachable(at(9 * time.Second))
+				l.DropExpired(at(9 * time.Second))
 			},
 			want: []fleet.EndpointID{"a", "b"},
 		},
 		"missing in the whole list that is read after an outage": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
-				l.MarkUnreachable()
+				l.RecordOutage(at(5 * time.Second))
 				l.Replace(map[fleet.EndpointID]fleet.Endpoint{"a": {ID: "a"}}, Source{}, at(5*time.Second))
-				l.MarkReachable(at(5 * time.Second))
-				l.MarkReachable(at(6 * time.Second))
+				l.DropExpired(at(5 * time.Second))
+				l.DropExpired(at(6 * time.Second))
 			},
 			want: []fleet.EndpointID{"a", "b"},
 		},
@@ -84,7 +84,7 @@
 			l := &EndpointList{State: &clusterstate.State{}, ReconnectGrace: testReconnectGrace, RemovalGrace: testRemovalGrace}
 			l.Put(fleet.Endpoint{ID: "a"}, Source{}, start)
 			l.Put(fleet.Endpoint{ID: "b"}, Source{}, start)
-			l.MarkReachable(start)
+			l.DropExpired(start)
 			tc.steps(l, start.Add)
 			var got []fleet.EndpointID
 			for id := range l.State.Endpoints.Snapshot().Rows {
@@ -153,7 +153,7 @@
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
 				l.Put(leaving, Source{}, at(0))
 				l.Restore(listed(live(5)), Source{}, at(time.Second))
-				l.MarkReachable(at(time.Minute))
+				l.DropExpired(at(time.Minute))
 			},
 			want: fleet.StateLeaving,
 		},
@@ -161,7 +161,7 @@
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
 				l.Remove("a", Source{}, at(0))
 				l.Restore(listed(live(5)), Source{}, at(time.Second))
-				l.MarkReachable(at(time.Second + lapse - 1))
+				l.DropExpired(at(time.Second + lapse - 1))
 			},
 		},
 		"removed, restored, removed again": {
@@ -169,14 +169,14 @@
 				l.Remove("a", Source{}, at(0))
 				l.Restore(listed(live(5)), Source{}, at(time.Second))
 				l.Remove("a", Source{}, at(4*time.Second))
-				l.MarkReachable(at(time.Second + lapse))
+				l.DropExpired(at(time.Second + lapse))
 			},
 		},
 		"removed, restored, not removed again": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
 				l.Remove("a", Source{}, at(0))
 				l.Restore(listed(live(5)), Source{}, at(time.Second))
-				l.MarkReachable(at(time.Second + lapse))
+				l.DropExpired(at(time.Second + lapse))
 			},
 			want: fleet.StateLive,
 		},
@@ -193,7 +193,7 @@
 				l.Remove("a", Source{}, at(0))
 				l.Restore(listed(live(5)), Source{}, at(time.Second))
 				l.Restore(listed(live(5)), Source{}, at(4*time.Second))
-				l.MarkReachable(at(time.Second + lapse))
+				l.DropExpired(at(time.Second + lapse))
 			},
 		},
 		"never known, then in a restored registry": {
@@ -201,7 +201,7 @@
 				l.Remove("a", Source{}, at(0))
 				l.departures = departures{}
 				l.Restore(listed(live(5)), Source{}, at(time.Second))
-				l.MarkReachable(at(time.Second + lapse - 1))
+				l.DropExpired(at(time.Second + lapse - 1))
 			},
 		},
 		"later incarnation in a restored registry": {
@@ -214,14 +214,14 @@
 		"missing in a restored registry, within the grace": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
 				l.Restore(listed(), Source{}, at(time.Second))
-				l.MarkReachable(at(time.Second + testReconnectGrace - 1))
+				l.DropExpired(at(time.Second + testReconnectGrace - 1))
 			},
 			want: fleet.StateLive,
 		},
 		"missing in a restored registry, after the grace": {
 			steps: func(l *EndpointList, at func(time.Duration) time.Time) {
 				l.Restore(listed(), Source{}, at(time.Second))
-				l.MarkReachable(at(time.Second + testReconnectGrace))
+				l.DropExpired(at(time.Second + testReconnectGrace))
 			},
 		},
 	}
@@ -231,7 +231,7 @@
 				State: &clusterstate.State{}, ReconnectGrace: testReconnectGrace, RemovalGrace: testRemovalGrace, LapseTime: lapse,
 			}
 			l.Put(live(5), Source{}, start)
-			l.MarkReachable(start)
+			l.DropExpired(start)
 			tc.steps(l, start.Add)
 			got, _ := l.State.Endpoints.Get("a")
 			if got.State != tc.want {
--- a/core/mirror/row.go
+++ b/core/mirror/row.go
@@ -71,4 +71,6 @@
 	// Confirmed reports whether the rows are known to hold every change that was acknowledged before ConfirmedAt.
 	Confirmed   bool
 	ConfirmedAt time.Duration
+	// StoreSince is since when the store has answered without an outage, as far as the answering entry knows.
+	StoreSince time.Duration
 }
--- a/core/mirror/server.go
+++ b/core/mirror/server.go
@@ -47,6 +47,8 @@
 	Sources *Sources
 	// StoreAway reports whether the latest call of the store failed.
 	StoreAway func() bool
+	// StoreSince returns since when the store has answered without an outage; it reports false if it has not answered yet.
+	StoreSince func() (time.Duration, bool)
 	// Clock returns the time on the clock of the tables.
 	Clock func() time.Duration
 }
@@ -70,6 +72,7 @@
 		freshFor := s.freshFor(heartbeat)
 		usable := known && update.Direct && freshFor > 0
 		if usable && (expired || len(update.Rows) > 0 || update.Whole || request.Wait <= 0) {
+			update.StoreSince = s.storeSince()
 			return update, nil
 		}
 		limit := freshFor
@@ -94,6 +97,16 @@
 	}
 }
 
+// storeSince returns since when the store has answered without an outage, or the present time if that is not known.
+func (s *Server) storeSince() time.Duration {
+	if s.StoreSince != nil {
+		if since, known := s.StoreSince(); known {
+			return since
+		}
+	}
+	return s.Clock()
+}
+
 // freshFor returns how long the store's latest answer about the heartbeat table shows that this entry reaches the store,
 // or 0 if it doesn't.
 func (s *Server) freshFor(heartbeat *Table) time.Duration {
--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -43,6 +43,8 @@
 	memory int
 	// graceTime is the grace time of entries that start.
 	graceTime time.Duration
+	// drainTime is the drain time of endpoints.
+	drainTime time.Duration
 	// peerProxies makes the other entries reach an entry that starts through its peerProxy.
 	peerProxies bool
 	// direct makes entries that start connect to endpoints as in a deployment, instead of by their path.
@@ -68,7 +70,7 @@
 // newCluster starts a store that holds a configuration. The cluster is stopped when the test ends.
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
-	w := &cluster{t: t, store: &cierzo.Store{}, memory: 256, graceTime: 8 * time.Second}
+	w := &cluster{t: t, store: &cierzo.Store{}, memory: 256, graceTime: 8 * time.Second, drainTime: 2 * time.Second}
 	w.store.Start()
 	t.Cleanup(w.close)
 	cierzo.Configuration(w.store, 1, map[string][]string{"acme": {testKey}}, cierzo.Routes()...)
@@ -131,6 +133,8 @@
 			Store:           store,
 			RevokeTime:      5 * time.Second,
 			GraceTime:       w.graceTime,
+			DrainTime:       w.drainTime,
+			ReportInterval:  1200 * time.Millisecond,
 			BalancerDelay:   200 * time.Millisecond,
 			RetryRatio:      0.2,
 			RetryBurst:      100,
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -50,8 +50,10 @@
 	// removalGrace is how long an endpoint that disappears soon after an outage is retained; together with one poll of the
 	// registry it stays below the drain time of endpoints.
 	removalGrace = 800 * time.Millisecond
-	// lapseTime is the time after which the registry removes an endpoint that is silent: three of its reports and a margin.
-	lapseTime = 5 * time.Second
+	// lapseReports is the number of reports without which the registry removes an endpoint, and lapseMargin the time that it
+	// may take for that.
+	lapseReports = 3
+	lapseMargin  = 1400 * time.Millisecond
 	// forwardMemoryShare is the share of the setting Memory for the payloads of requests that other entries pass on, and for
 	// the copies of those that this entry passes on.
 	forwardMemoryShare = 0.1
@@ -162,7 +164,7 @@
 		State:          p.state,
 		ReconnectGrace: reconnectGrace,
 		RemovalGrace:   removalGrace,
-		LapseTime:      lapseTime,
+		LapseTime:      lapseReports*p.Settings.ReportInterval + lapseMargin,
 		Metrics:        p.metrics,
 		Log:            p.Log,
 	}
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -62,6 +62,7 @@
 		Clock:   boottime.Now,
 		Log:     p.Log,
 	}
+	p.feed.Contact.MinOutage = p.Settings.ReportInterval
 	p.registerGauge(metricTableReaders, func() int64 {
 		_, readers := p.sources.Status()
 		return int64(readers)
@@ -83,6 +84,8 @@
 		Sources:   p.sources,
 		StoreAway: p.feed.StoreAway,
 		Clock:     boottime.Now,
+
+		StoreSince: p.feed.Contact.Since,
 	}
 }
 
--- a/io/peer/rows.go
+++ b/io/peer/rows.go
@@ -107,6 +107,8 @@
 	now := h.clock()
 	reply.HeldUs = (now - receivedAt).Microseconds()
 	reply.AnswerAgeUs = (now - update.AnsweredAt).Microseconds()
+	sinceAge := (now - update.StoreSince).Microseconds()
+	reply.StoreSinceAgeUs = &sinceAge
 	if update.Confirmed {
 		age := (now - update.ConfirmedAt).Microseconds()
 		reply.ConfirmedAgeUs = &age
@@ -140,6 +142,7 @@
 		Position:   mirror.Position{Era: m.Era, Version: m.Version},
 		Whole:      m.Whole,
 		AnsweredAt: sentAt - microseconds(m.AnswerAgeUs),
+		StoreSince: sentAt - microseconds(m.GetStoreSinceAgeUs()),
 	}
 	if m.ConfirmedAgeUs != nil {
 		update.Confirmed, update.ConfirmedAt = true, sentAt-microseconds(*m.ConfirmedAgeUs)
--- a/io/settings/gateway.go
+++ b/io/settings/gateway.go
@@ -32,6 +32,10 @@
 	FirstStart bool `json:"first_start"`
 	// RevokeTime is how long an API key may still be accepted after its removal was acknowledged.
 	RevokeTime time.Duration `json:"revoke_time" check:"default=5s,min=1s,max=1h"`
+	// DrainTime is how long an endpoint goes on serving after the store has accepted that it leaves. No request may reach it later.
+	DrainTime time.Duration `json:"drain_time" check:"default=2s,min=500ms,max=1h"`
+	// ReportInterval is the interval at which endpoints write their rows to the store.
+	ReportInterval time.Duration `json:"report_interval" check:"default=1200ms,min=100ms,max=1h"`
 	// GraceTime is the time between the signal to stop and the end of the process.
 	GraceTime time.Duration `json:"grace_time" check:"default=8s,min=1s,max=10m"`
 	// BalancerDelay is the time until the balancer stops sending new connections to an entry that is not ready.
