Derive the waits on the way of a change from the drain time

Callers' requests reach an endpoint after its drain time in a deployment whose drain time is below the two seconds for which the waits were chosen.

Cause: the pause between polls of the registry, the held polls and time-outs of other entries, the age up to which an entry passes on rows and the retention after an outage were constants, each below two seconds. Nothing bounded their sum by the setting.

Change: each is a part of drain_time with the former constant as its upper bound, so that a drain time of 4 s gets the same calls and messages as before; with 2 s a poll through another entry is held for 0.5 s instead of 0.8. The waits hold for all tables, so for zone drains and keys as well.

--- a/core/freshness/poll_policy.go
+++ b/core/freshness/poll_policy.go
@@ -24,16 +24,21 @@
 type PollPolicy struct {
 	// Tracker is the tracker of this entry.
 	Tracker *Tracker
+	// MaxShortWait bounds the wait of a poll by an entry with dependents further than shortWait; 0 means that it doesn't.
+	MaxShortWait time.Duration
 	// HasDependents reports whether other entries rely on this one's freshness.
 	HasDependents func() bool
 }
 
 // MaxWait returns the longest time for which the store may hold the next poll.
 func (p *PollPolicy) MaxWait() time.Duration {
-	if p.HasDependents() || p.Stale() {
-		return shortWait
+	switch {
+	case !p.HasDependents() && !p.Stale():
+		return longWait
+	case p.MaxShortWait > 0:
+		return min(shortWait, p.MaxShortWait)
 	}
-	return longWait
+	return shortWait
 }
 
 // RetryDelay returns the mean delay between polls while the store does not answer.
--- a/core/mirror/server.go
+++ b/core/mirror/server.go
@@ -9,12 +9,12 @@
 const (
 	// maxHold bounds how long a poll of another entry is held while nothing changes.
 	maxHold = 2 * time.Second
-	// maxAnswerAge is the age of the store's latest answer about the heartbeat table beyond which this entry counts as not
-	// reaching the store. It leaves time to read elsewhere within the shortest drain time of endpoints, two seconds.
-	maxAnswerAge = 1400 * time.Millisecond
-	// switchTime bounds the time in which an entry that read through another one gets its first answer of the store, once
-	// other entries read through it.
-	switchTime = 300 * time.Millisecond
+	// defaultMaxAge is the MaxAge of a server for which none is set.
+	defaultMaxAge = 1400 * time.Millisecond
+	// switchShare is the part of MaxAge in which an entry that read through another one gets its first answer of the store,
+	// once other entries read through it, and maxSwitchTime its upper bound.
+	switchShare   = 0.2
+	maxSwitchTime = 300 * time.Millisecond
 )
 
 // PollRequest asks another entry for what has changed in a table.
@@ -43,6 +43,9 @@
 	Tables map[string]*Table
 	// Heartbeat is the name of the table that is polled often enough to show whether this entry reaches the store.
 	Heartbeat string
+	// MaxAge is the age of the store's latest answer about the heartbeat table beyond which this entry counts as not reaching
+	// the store; 0 means defaultMaxAge.
+	MaxAge time.Duration
 	// Sources records that other entries read through this one.
 	Sources *Sources
 	// StoreAway reports whether the latest call of the store failed.
@@ -77,7 +80,7 @@
 		}
 		limit := freshFor
 		if !usable {
-			limit = switchTime - time.Since(startedAt)
+			limit = s.switchTime() - time.Since(startedAt)
 		}
 		if limit <= 0 || s.StoreAway() {
 			return Update{}, ErrStoreAway
@@ -114,5 +117,18 @@
 	if !direct {
 		return 0
 	}
-	return max(0, maxAnswerAge-(s.Clock()-answeredAt))
+	return max(0, s.maxAge()-(s.Clock()-answeredAt))
+}
+
+// maxAge returns MaxAge or its default.
+func (s *Server) maxAge() time.Duration {
+	if s.MaxAge > 0 {
+		return s.MaxAge
+	}
+	return defaultMaxAge
+}
+
+// switchTime bounds the time until the first answer of the store to an entry that others begin to read through.
+func (s *Server) switchTime() time.Duration {
+	return min(time.Duration(switchShare*float64(s.maxAge())), maxSwitchTime)
 }
--- a/core/mirror/server_test.go
+++ b/core/mirror/server_test.go
@@ -83,10 +83,10 @@
 		},
 		"store falls silent": {
 			request: PollRequest{Table: "table", After: Position{Version: 5}, Synced: true, Wait: maxHold},
-			err:     ErrStoreAway, took: maxAnswerAge,
+			err:     ErrStoreAway, took: defaultMaxAge,
 		},
 		"reads through another entry": {
-			request: synced, err: ErrStoreAway, took: switchTime, meanwhile: func(r *relayTest) { r.beat(false) },
+			request: synced, err: ErrStoreAway, took: defaultMaxAge / 5, meanwhile: func(r *relayTest) { r.beat(false) },
 		},
 		"begins to read from the store": {
 			request: PollRequest{Table: "table", After: Position{Version: 5}, Synced: true},
@@ -98,7 +98,7 @@
 			},
 		},
 		"later era than known": {
-			request: PollRequest{Table: "table", After: Position{Era: 1}, Synced: true}, err: ErrStoreAway, took: switchTime,
+			request: PollRequest{Table: "table", After: Position{Era: 1}, Synced: true}, err: ErrStoreAway, took: defaultMaxAge / 5,
 		},
 	}
 	for name, tc := range tests {
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -47,9 +47,10 @@
 	// reconnectGrace is the time within which endpoints register again after an outage of the store; the platform
 	// specifies two seconds.
 	reconnectGrace = 2 * time.Second
-	// removalGrace is how long an endpoint that disappears soon after an outage is retained; together with one poll of the
-	// registry it stays below the drain time of endpoints.
-	removalGrace = 800 * time.Millisecond
+	// removalShare is the part of the drain time for which an endpoint that disappears soon after an outage is retained, at
+	// most maxRemovalGrace.
+	removalShare    = 0.4
+	maxRemovalGrace = 800 * time.Millisecond
 	// lapseReports is the number of reports without which the registry removes an endpoint, and lapseMargin the time that it
 	// may take for that.
 	lapseReports = 3
@@ -163,7 +164,7 @@
 	p.endpoints = &discovery.EndpointList{
 		State:          p.state,
 		ReconnectGrace: reconnectGrace,
-		RemovalGrace:   removalGrace,
+		RemovalGrace:   min(p.shareOfDrainTime(removalShare), maxRemovalGrace),
 		LapseTime:      lapseReports*p.Settings.ReportInterval + lapseMargin,
 		Metrics:        p.metrics,
 		Log:            p.Log,
@@ -209,8 +210,10 @@
 		ActiveTable: p.activeTable,
 		State:       p.state,
 		Evidence:    p.evidence,
-		PollPolicy:  &freshness.PollPolicy{Tracker: p.freshness, HasDependents: p.hasDependents},
-		Log:         p.Log,
+		PollPolicy: &freshness.PollPolicy{
+			Tracker: p.freshness, HasDependents: p.hasDependents, MaxShortWait: p.shareOfDrainTime(heartbeatShare),
+		},
+		Log: p.Log,
 	}
 	registryWatcher := &store.RegistryWatcher{
 		Feed:      p.feed,
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -20,6 +20,16 @@
 	storeMemoryShare = 0.1
 )
 
+const (
+	// maxAnswerShare is the part of the drain time after which an entry that gets no answer of the store refuses to pass on its
+	// tables, at most maxAnswerAge. The rest is for reading elsewhere and for the request.
+	maxAnswerShare = 0.7
+	maxAnswerAge   = 1400 * time.Millisecond
+	// heartbeatShare is the part of the drain time for which such an entry lets the store hold a poll, so that two polls in a
+	// row end within maxAnswerShare.
+	heartbeatShare = 0.25
+)
+
 // Names of gauges.
 const (
 	// metricCallerBuffers is the number of bytes of answers that wait for slow callers.
@@ -62,6 +72,7 @@
 		Clock:   boottime.Now,
 		Log:     p.Log,
 	}
+	p.feed.DrainTime = p.Settings.DrainTime
 	p.feed.Contact.MinOutage = p.Settings.ReportInterval
 	p.registerGauge(metricTableReaders, func() int64 {
 		_, readers := p.sources.Status()
@@ -81,6 +92,7 @@
 	return &mirror.Server{
 		Tables:    p.feed.Tables(),
 		Heartbeat: p.feed.Heartbeat(),
+		MaxAge:    min(p.shareOfDrainTime(maxAnswerShare), maxAnswerAge),
 		Sources:   p.sources,
 		StoreAway: p.feed.StoreAway,
 		Clock:     boottime.Now,
@@ -89,6 +101,11 @@
 	}
 }
 
+// shareOfDrainTime returns a part of the drain time.
+func (p *Process) shareOfDrainTime(share float64) time.Duration {
+	return time.Duration(share * float64(p.Settings.DrainTime))
+}
+
 // hasDependents reports whether other entries rely on this one for the freshness of their configuration. Entries that
 // send their usage to this one or read through it do.
 func (p *Process) hasDependents() bool {
