--- a/core/sharedload/memory_test.go
+++ b/core/sharedload/memory_test.go
@@ -22,6 +22,8 @@
 	loseReply fleet.EndpointID
 	// loseReleases is the number of releases at each helper that are lost.
 	loseReleases int
+	// onReserve is called with each request to reserve memory; nil means that nothing is called.
+	onReserve func()
 
 	mu          sync.Mutex
 	leasedUntil map[string]time.Time
@@ -31,6 +33,9 @@
 
 // Reserve reserves memory or renews the reservation.
 func (m *fakeMemory) Reserve(_ context.Context, helper reservation.Helper, _ fleet.Tokens, ttl time.Duration) error {
+	if m.onReserve != nil {
+		m.onReserve()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.requests++
--- a/core/sharedload/reserver.go
+++ b/core/sharedload/reserver.go
@@ -111,7 +111,17 @@
 		if need.MayWait {
 			granted.Waited = time.Since(startedAt)
 		}
-		return g.leaseHelperMemory(ctx, granted, choice)
+		granted, err = g.leaseHelperMemory(ctx, granted, choice)
+		if err != nil || choice.HelperMemory == nil {
+			return granted, err
+		}
+		// The leases take time, in which an endpoint may have left.
+		unusable := g.resolveEndpoints(choice, time.Now())
+		if len(unusable) == 0 {
+			return granted, nil
+		}
+		g.releaseGrant(granted.Reservation)
+		maps.Copy(need.Excluded, unusable)
 	}
 	return reservation.Grant{}, &reservation.Refusal{Reason: reservation.ReasonLeaving, RetryAfter: fullRetryAfter}
 }
