Send nothing on a connection to an endpoint that left meanwhile

Cause: nothing looked at the endpoint's state between the reservation and the request.

Change: a new connection is closed again if the endpoint is no longer listed as live in this incarnation or its zone is drained. The attempt counts as not sent, which says nothing about the endpoint, and the request goes on to another one.

Run: TestEndpointLeavesWhileConnecting fails in both cases with the check switched off (the request arrived) and passes with it, as do the tests of platform/endpointclient.

--- a/gateway/endpoint_client.go
+++ b/gateway/endpoint_client.go
@@ -37,6 +37,7 @@
 		PooledHTTP:   endpointclient.NewPooledHTTPClient(dial),
 		UnpooledHTTP: endpointclient.NewUnpooledHTTPClient(dial),
 		Dial:         dialProbe,
+		StillServes:  p.stillServes,
 		Notices: &endpointNotices{
 			endpoints: p.endpoints, outliers: p.outliers, limits: p.limits, metrics: p.metrics, log: p.Log,
 		},
@@ -47,6 +48,13 @@
 	}
 }
 
+// stillServes reports whether an incarnation of an endpoint is listed as live and its zone is not drained.
+func (p *Process) stillServes(endpoint fleet.Endpoint) bool {
+	listed, found := p.state.Endpoints.Get(endpoint.ID)
+	zone, _ := p.state.Zones.Get(endpoint.Zone)
+	return found && listed.State == fleet.StateLive && listed.Incarnation == endpoint.Incarnation && !zone.Drained
+}
+
 // maxUpload returns the most bytes of request bodies that may be on their way to an endpoint: what its published memory
 // holds, else maxServiceUpload.
 func (p *Process) maxUpload(endpoint fleet.Endpoint) int64 {
