--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -160,18 +160,6 @@
 	return res
 }
 
-// currentListAge returns how old the list of endpoints is, or -1 if that is not known.
-func (r *requestRun) currentListAge() time.Duration {
-	if r.ListAge == nil {
-		return -1
-	}
-	age, known := r.ListAge()
-	if !known {
-		return -1
-	}
-	return age
-}
-
 // stream runs the attempt and writes its tokens to the sink.
 func (a *attemptRun) stream(ctx context.Context) attemptResult {
 	var res attemptResult
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -72,6 +72,18 @@
 	})
 }
 
+// currentListAge returns how old the list of endpoints is, or -1 if that is not known.
+func (r *requestRun) currentListAge() time.Duration {
+	if r.ListAge == nil {
+		return -1
+	}
+	age, known := r.ListAge()
+	if !known {
+		return -1
+	}
+	return age
+}
+
 // isSilence reports whether a connection failed because its endpoint was silent for too long.
 func isSilence(err error) bool {
 	return errors.Is(err, syscall.ETIMEDOUT)
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -338,14 +338,6 @@
 	}
 }
 
-// configurationVersion returns the version of the current configuration, or 0 if there is none.
-func (p *Process) configurationVersion() int64 {
-	if table := p.activeTable.Table(); table != nil {
-		return table.Version
-	}
-	return 0
-}
-
 // pool returns the configuration of a pool; it reports false if there is none.
 func (p *Process) pool(name fleet.PoolName) (routing.Pool, bool) {
 	table := p.activeTable.Table()
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -113,6 +113,14 @@
 	return readers > 0 || p.usages.HasReporters(time.Now())
 }
 
+// configurationVersion returns the version of the current configuration, or 0 if there is none.
+func (p *Process) configurationVersion() int64 {
+	if table := p.activeTable.Table(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
 // registerGauge registers a gauge whose value is that of a function.
 func (p *Process) registerGauge(name string, value func() int64) {
 	p.metrics.GetOrRegister(name, metrics.NewFunctionalGauge(value))
